Set down the design, the modules and the core types

Weighed and left out: a lease per customer or per group in the platform's store, because 9,500 databases and 6,400 VMs would need more renewals than the store's several hundred writes per second.

--- /dev/null
+++ b/control/src/main/java/org/geraniumproxy/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control module of geraniumproxy. */
+package org.geraniumproxy.control;
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' configuration as immutable values. */
+package org.geraniumproxy.core.configuration;
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/customer/package-info.java
@@ -0,0 +1,2 @@
+/** Keys of customers and their verification. */
+package org.geraniumproxy.core.customer;
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/failover/package-info.java
@@ -0,0 +1,2 @@
+/** Failure detection, promotion and the acknowledgement of writes. */
+package org.geraniumproxy.core.failover;
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/identity/Names.java
@@ -0,0 +1,27 @@
+package org.geraniumproxy.core.identity;
+
+import java.util.regex.Pattern;
+
+/** Rules for the names of the configuration and the settings. */
+public final class Names {
+    private static final Pattern VALID_NAME = Pattern.compile("[\\p{L}\\p{N}._-]{1,64}");
+
+    private Names() {}
+
+    /**
+     * Tells whether a text may serve as a name.
+     *
+     * @param value the text
+     * @return true if it has one to 64 letters, digits, dots, dashes or underscores
+     */
+    public static boolean isValid(String value) {
+        return value != null && VALID_NAME.matcher(value).matches();
+    }
+
+    static void requireValid(String kind, String value) {
+        if (!isValid(value)) {
+            throw new IllegalArgumentException(
+                    kind + " must have 1 to 64 letters, digits, dots, dashes or underscores, but is: " + value);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/outcome/package-info.java
@@ -0,0 +1,2 @@
+/** Outcomes of requests, retries and their budget. */
+package org.geraniumproxy.core.outcome;
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/package-info.java
@@ -0,0 +1,2 @@
+/** The core module of geraniumproxy. */
+package org.geraniumproxy.core;
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/session/package-info.java
@@ -0,0 +1,2 @@
+/** Session tokens and the requirements that they place on a read. */
+package org.geraniumproxy.core.session;
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/package-info.java
@@ -0,0 +1,2 @@
+/** The measure module of geraniumproxy. */
+package org.geraniumproxy.measure;
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the backend servers. */
+package org.geraniumproxy.proxy.backend;
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Front end for callers. */
+package org.geraniumproxy.proxy.caller;
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control thread and its events. */
+package org.geraniumproxy.proxy.control;
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/failover/package-info.java
@@ -0,0 +1,2 @@
+/** Supervision of the database groups of this VM. */
+package org.geraniumproxy.proxy.failover;
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Owner of the token buckets of this VM. */
+package org.geraniumproxy.proxy.limit;
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** The proxy module of geraniumproxy. */
+package org.geraniumproxy.proxy;
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between the VMs of the system. */
+package org.geraniumproxy.proxy.peer;
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/store/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform's key-value store. */
+package org.geraniumproxy.proxy.store;
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics, traces and health. */
+package org.geraniumproxy.proxy.telemetry;
--- /dev/null
+++ b/settings/src/main/java/org/geraniumproxy/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings module of geraniumproxy. */
+package org.geraniumproxy.settings;
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/package-info.java
@@ -0,0 +1,2 @@
+/** The standin module of geraniumproxy. */
+package org.geraniumproxy.standin;
