--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/routing/GroupResult.java
@@ -0,0 +1,28 @@
+package org.geraniumproxy.core.routing;
+
+import java.util.Optional;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.outcome.Outcome;
+import org.geraniumproxy.core.session.SessionRequirement;
+
+/**
+ * What a coordinator answers to a {@link GroupRequest}.
+ *
+ * @param outcome how the request ended
+ * @param session what the session has written and read in the group after the request
+ * @param servedBy the backend server that answered, or empty if none did
+ * @param servedByReplica whether that backend server was a replica
+ */
+public record GroupResult(
+        Outcome outcome, SessionRequirement session, Optional<BackendServerName> servedBy, boolean servedByReplica) {
+    /**
+     * Returns the result of a request that no backend server answered.
+     *
+     * @param outcome how the request ended
+     * @param session what the session had written and read before
+     * @return the result
+     */
+    public static GroupResult unserved(Outcome outcome, SessionRequirement session) {
+        return new GroupResult(outcome, session, Optional.empty(), false);
+    }
+}
