--- /dev/null
+++ b/settings/src/main/java/org/geraniumproxy/settings/TomlFile.java
@@ -0,0 +1,28 @@
+package org.geraniumproxy.settings;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiFunction;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+
+/** Reads a TOML text with a reader and turns the collected findings into a result. */
+final class TomlFile {
+    private TomlFile() {}
+
+    static <T> ReadResult<T> read(
+            String file, String text, BiFunction<TomlSection, FindingCollector, Optional<T>> reader) {
+        FindingCollector findings = new FindingCollector(file);
+        TomlParseResult parsed = Toml.parse(text);
+        parsed.errors().forEach(findings::addSyntaxError);
+        TomlSection root = new TomlSection(parsed, new SourcePosition(file, 1, 1), findings);
+        Optional<T> value = reader.apply(root, findings);
+        root.reportUnknownNames();
+        List<Finding> result = findings.result();
+        if (!result.isEmpty()) {
+            return new ReadResult.Rejected<>(result);
+        }
+        return new ReadResult.Accepted<>(value.orElseThrow(
+                () -> new IllegalStateException("a reader returned neither a value nor a finding for " + file)));
+    }
+}
--- /dev/null
+++ b/settings/src/main/java/org/geraniumproxy/settings/TomlSection.java
@@ -0,0 +1,121 @@
+package org.geraniumproxy.settings;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlTable;
+
+/**
+ * A table of a TOML file whose values are read by name. It remembers the names that were asked for, so that all others
+ * can be reported as unknown. An absent or wrong value is reported and read as empty.
+ */
+final class TomlSection {
+    private final TomlTable table;
+    private final SourcePosition position;
+    private final FindingCollector findings;
+    private final List<String> knownNames = new ArrayList<>();
+
+    TomlSection(TomlTable table, SourcePosition position, FindingCollector findings) {
+        this.table = table;
+        this.position = position;
+        this.findings = findings;
+    }
+
+    SourcePosition position() {
+        return position;
+    }
+
+    SourcePosition positionOf(String name) {
+        return table.contains(List.of(name)) ? findings.position(table.inputPositionOf(List.of(name))) : position;
+    }
+
+    <T> Optional<T> required(String name, ValueType<T> type) {
+        Optional<T> value = optional(name, type);
+        if (!table.contains(List.of(name))) {
+            findings.add(position, new Problem.MissingName(name, type.expected()));
+        }
+        return value;
+    }
+
+    <T> Optional<T> optional(String name, ValueType<T> type) {
+        knownNames.add(name);
+        Object value = table.get(List.of(name));
+        if (value == null) {
+            return Optional.empty();
+        }
+        return accept(positionOf(name), type.parse(name, value));
+    }
+
+    /** Reads an array whose elements all have one type; wrong elements are reported and left out. */
+    <T> List<Located<T>> list(String name, ValueType<T> type) {
+        return optional(name, ValueTypes.ARRAY)
+                .map(array -> elements(name, array, type))
+                .orElse(List.of());
+    }
+
+    /** Reads a table of tables, for example all customers by name. */
+    Map<String, TomlSection> sections(String name) {
+        Map<String, TomlSection> sections = new LinkedHashMap<>();
+        optional(name, ValueTypes.TABLE).ifPresent(parent -> {
+            TomlSection parentSection = new TomlSection(parent, positionOf(name), findings);
+            for (String key : parent.keySet()) {
+                parentSection
+                        .optional(key, ValueTypes.TABLE)
+                        .ifPresent(child ->
+                                sections.put(key, new TomlSection(child, parentSection.positionOf(key), findings)));
+            }
+        });
+        return sections;
+    }
+
+    Optional<TomlSection> section(String name) {
+        return optional(name, ValueTypes.TABLE).map(child -> new TomlSection(child, positionOf(name), findings));
+    }
+
+    /** Reads an array of tables, for example the backend servers of a group. */
+    List<TomlSection> sectionList(String name) {
+        return list(name, ValueTypes.TABLE).stream()
+                .map(child -> new TomlSection(child.value(), child.position(), findings))
+                .toList();
+    }
+
+    void reportUnknownNames() {
+        for (String name : table.keySet()) {
+            if (!knownNames.contains(name)) {
+                findings.add(positionOf(name), new Problem.UnknownName(name, knownNames));
+            }
+        }
+    }
+
+    private <T> List<Located<T>> elements(String name, TomlArray array, ValueType<T> type) {
+        List<Located<T>> elements = new ArrayList<>();
+        for (int index = 0; index < array.size(); index++) {
+            SourcePosition elementPosition = findings.position(array.inputPositionOf(index));
+            accept(elementPosition, type.parse(name, array.get(index)))
+                    .ifPresent(value -> elements.add(new Located<>(value, elementPosition)));
+        }
+        return elements;
+    }
+
+    private <T> Optional<T> accept(SourcePosition at, Parsed<T> parsed) {
+        return switch (parsed) {
+            case Parsed.Valid<T>(T value) -> Optional.of(value);
+            case Parsed.Invalid<T>(Problem problem) -> {
+                findings.add(at, problem);
+                yield Optional.empty();
+            }
+        };
+    }
+
+    /**
+     * A value with its place.
+     *
+     * @param value the value
+     * @param position where it stands
+     * @param <T> type of the value
+     */
+    record Located<T>(T value, SourcePosition position) {}
+}
