--- a/settings/src/main/java/org/geraniumproxy/settings/FindingCollector.java
+++ b/settings/src/main/java/org/geraniumproxy/settings/FindingCollector.java
@@ -1,6 +1,7 @@
 package org.geraniumproxy.settings;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.List;
 import org.tomlj.TomlParseError;
@@ -14,11 +15,17 @@
             .thenComparingInt(finding -> finding.position().column());
 
     private final String file;
+    private final List<String> lines;
     private final List<Finding> findings = new ArrayList<>();
+
+    /** Lines whose values the parser assigned to the wrong table. */
+    private final BitSet misplacedLines = new BitSet();
+
     private boolean partlyParsed;
 
-    FindingCollector(String file) {
+    FindingCollector(String file, String text) {
         this.file = file;
+        this.lines = text.lines().toList();
     }
 
     SourcePosition position(TomlPosition position) {
@@ -31,24 +38,46 @@
         findings.add(new Finding(position, problem));
     }
 
-    /** The parser keeps the first definition of a duplicate and goes on, so that only other errors hide a part. */
     void addSyntaxError(TomlParseError error) {
+        SourcePosition position = position(error.position());
+        markMisplacedLines(position.line());
         String message = error.getMessage();
         int mark = message.indexOf(DUPLICATE_MARK);
         if (mark >= 0) {
             String first = message.substring(mark + DUPLICATE_MARK.length());
-            add(position(error.position()), new Problem.Duplicate("name", message.substring(0, mark), first));
-            return;
+            add(position, new Problem.Duplicate("name", message.substring(0, mark), first));
+        } else {
+            partlyParsed = true;
+            add(position, new Problem.Syntax(message));
         }
-        partlyParsed = true;
-        add(position(error.position()), new Problem.Syntax(message));
     }
 
-    /** A part that could not be parsed may define the missing names, so such findings are left out. */
+    /** Leaves out the findings that may be mere consequences of a part that could not be parsed. */
     List<Finding> result() {
-        return findings.stream()
-                .filter(finding -> !partlyParsed || !finding.problem().needsWholeFile())
-                .sorted(ORDER)
-                .toList();
+        return findings.stream().filter(this::isCertain).sorted(ORDER).toList();
+    }
+
+    private boolean isCertain(Finding finding) {
+        if (finding.problem() instanceof Problem.Syntax) {
+            return true;
+        }
+        if (partlyParsed && finding.problem().needsWholeFile()) {
+            return false;
+        }
+        return !misplacedLines.get(finding.position().line());
+    }
+
+    /** After a faulty table header the parser assigns the values up to the next header to the table before it. */
+    private void markMisplacedLines(int line) {
+        if (!isTableHeader(line)) {
+            return;
+        }
+        for (int next = line + 1; next <= lines.size() && !isTableHeader(next); next++) {
+            misplacedLines.set(next);
+        }
+    }
+
+    private boolean isTableHeader(int line) {
+        return line <= lines.size() && lines.get(line - 1).stripLeading().startsWith("[");
     }
 }
--- a/settings/src/main/java/org/geraniumproxy/settings/TomlFile.java
+++ b/settings/src/main/java/org/geraniumproxy/settings/TomlFile.java
@@ -12,7 +12,7 @@
 
     static <T> ReadResult<T> read(
             String file, String text, BiFunction<TomlSection, FindingCollector, Optional<T>> reader) {
-        FindingCollector findings = new FindingCollector(file);
+        FindingCollector findings = new FindingCollector(file, text);
         TomlParseResult parsed = Toml.parse(text);
         parsed.errors().forEach(findings::addSyntaxError);
         TomlSection root = new TomlSection(parsed, new SourcePosition(file, 1, 1), findings);
--- a/settings/src/main/java/org/geraniumproxy/settings/TomlSection.java
+++ b/settings/src/main/java/org/geraniumproxy/settings/TomlSection.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.geraniumproxy.core.identity.Names;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlTable;
 
@@ -56,12 +57,16 @@
                 .orElse(List.of());
     }
 
-    /** Reads a table of tables, for example all customers by name. */
+    /** Reads a table of tables, for example all customers by name. Tables with an invalid name are left out. */
     Map<String, TomlSection> sections(String name) {
         Map<String, TomlSection> sections = new LinkedHashMap<>();
         optional(name, ValueTypes.TABLE).ifPresent(parent -> {
             TomlSection parentSection = new TomlSection(parent, positionOf(name), findings);
             for (String key : parent.keySet()) {
+                if (!Names.isValid(key)) {
+                    findings.add(parentSection.positionOf(key), invalidName(name, key));
+                    continue;
+                }
                 parentSection
                         .optional(key, ValueTypes.TABLE)
                         .ifPresent(child ->
@@ -90,6 +95,10 @@
         }
     }
 
+    private static Problem invalidName(String table, String key) {
+        return new Problem.WrongValue("a name in " + table, ValueTypes.quote(key), ValueTypes.NAME.expected());
+    }
+
     private <T> List<Located<T>> elements(String name, TomlArray array, ValueType<T> type) {
         List<Located<T>> elements = new ArrayList<>();
         for (int index = 0; index < array.size(); index++) {
--- /dev/null
+++ b/settings/src/main/java/org/geraniumproxy/settings/UniqueValues.java
@@ -0,0 +1,32 @@
+package org.geraniumproxy.settings;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Reports values that occur a second time. Belongs to the thread that reads the file. */
+final class UniqueValues {
+    private final String what;
+    private final FindingCollector findings;
+    private final Map<String, SourcePosition> firstPositions = new HashMap<>();
+
+    /**
+     * Creates an empty set of values.
+     *
+     * @param what what must be unique, for findings
+     * @param findings takes the findings
+     */
+    UniqueValues(String what, FindingCollector findings) {
+        this.what = what;
+        this.findings = findings;
+    }
+
+    void add(String value, SourcePosition position) {
+        SourcePosition first = firstPositions.putIfAbsent(value, position);
+        if (first != null) {
+            findings.add(
+                    position,
+                    new Problem.Duplicate(
+                            what, ValueTypes.quote(value), "line " + first.line() + ", column " + first.column()));
+        }
+    }
+}
--- a/settings/src/main/java/org/geraniumproxy/settings/ValueTypes.java
+++ b/settings/src/main/java/org/geraniumproxy/settings/ValueTypes.java
@@ -26,6 +26,7 @@
             text -> Optional.of(text).filter(KeyDigest::isValid).map(KeyDigest::new),
             value -> "a text of " + value.toString().length() + " characters");
 
+    static final ValueType<String> NAME = name(text -> text);
     static final ValueType<TomlArray> ARRAY = simple("an array", TomlArray.class, Optional::of, ValueTypes::quote);
     static final ValueType<TomlTable> TABLE = simple("a table", TomlTable.class, Optional::of, ValueTypes::quote);
 
@@ -50,7 +51,7 @@
     /** Accepts whole numbers too, because {@code rate = 40} has only one meaning. */
     static ValueType<Double> numberAbove(double exclusiveMinimum) {
         return simple(
-                "a number above " + exclusiveMinimum,
+                "a number above " + exclusiveMinimum + ", such as 0.5 or 40.0",
                 Number.class,
                 number -> Optional.of(number.doubleValue())
                         .filter(value -> value > exclusiveMinimum && !Double.isInfinite(value)),
