--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/configuration/ApplyEffect.java
@@ -0,0 +1,25 @@
+package org.geraniumproxy.core.configuration;
+
+/** What an apply asks of the store. */
+public sealed interface ApplyEffect {
+    /** Read the manifest. */
+    record ReadManifest() implements ApplyEffect {}
+
+    /** Read the manifest after a pause, because the last answer did not settle anything. */
+    record ReadManifestLater() implements ApplyEffect {}
+
+    /**
+     * Write the content under its digest. Writing it twice does no harm.
+     *
+     * @param contentDigest the digest of the content
+     */
+    record WriteContent(String contentDigest) implements ApplyEffect {}
+
+    /**
+     * Replace the manifest by compare-and-swap.
+     *
+     * @param expectedStoreRevision revision of the store at which the current manifest must have been written
+     * @param manifest the new manifest
+     */
+    record SwapManifest(long expectedStoreRevision, Manifest manifest) implements ApplyEffect {}
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/configuration/RolloutJudge.java
@@ -0,0 +1,48 @@
+package org.geraniumproxy.core.configuration;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.geraniumproxy.core.identity.VmName;
+
+/** Judges how far an accepted revision has spread. */
+final class RolloutJudge {
+    private RolloutJudge() {}
+
+    static RolloutStatus judge(long revision, Set<VmName> voters, Set<VmName> vms, Set<VmReport> reports) {
+        Set<VmName> holding = reports.stream()
+                .filter(report -> report.revision() >= revision)
+                .map(VmReport::vm)
+                .collect(Collectors.toSet());
+        SortedSet<VmName> missingVoters = without(voters, holding);
+        int votersHolding = voters.size() - missingVoters.size();
+        int needed = voters.isEmpty() ? 0 : voters.size() / 2 + 1;
+        if (votersHolding < needed) {
+            return new RolloutStatus.AwaitingMajority(votersHolding, needed, missingVoters);
+        }
+        SortedSet<VmName> missingVms = without(vms, holding);
+        missingVms.retainAll(liveVms(reports));
+        if (!missingVms.isEmpty()) {
+            return new RolloutStatus.AwaitingVms(missingVms);
+        }
+        return new RolloutStatus.InForce(without(vms, holding));
+    }
+
+    /** A VM that can't be reached from here still serves callers if another VM hears from it. */
+    private static Set<VmName> liveVms(Set<VmReport> reports) {
+        Set<VmName> live = new HashSet<>();
+        for (VmReport report : reports) {
+            live.add(report.vm());
+            live.addAll(report.liveVms());
+        }
+        return live;
+    }
+
+    private static SortedSet<VmName> without(Set<VmName> all, Set<VmName> excluded) {
+        SortedSet<VmName> rest = new TreeSet<>(all);
+        rest.removeAll(excluded);
+        return rest;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumproxy/core/configuration/ApplyDecision_decide_Test.java
@@ -0,0 +1,159 @@
+package org.geraniumproxy.core.configuration;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.geraniumproxy.core.control.InvariantViolation;
+import org.geraniumproxy.core.control.Transition;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a change that is applied twice, undone unseen, or reported wrongly after a lost reply. */
+class ApplyDecision_decide_Test {
+    private static final int SEEDS = 400;
+    private static final ApplyRequest REQUEST = new ApplyRequest("mine", 4, KeyDigest.sha256("content"));
+    private static final StoredManifest BASE = stored(10, 4, "earlier");
+
+    @Test
+    void should_tell_the_truth_in_all_seeded_runs() {
+        // when
+        Map<String, Integer> ends = new HashMap<>();
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            ApplySimulation.Result result = ApplySimulation.run(seed, ApplyDecision::decide);
+            assertThat("seed " + seed, result.violations(), empty());
+            result.ends().forEach((end, count) -> ends.merge(end, count, Integer::sum));
+        }
+
+        // then
+        for (String end : List.of("Applied", "Conflicted", "NotApplied", "OutcomeUnknown")) {
+            assertThat(end + " occurs in the runs " + ends, ends.getOrDefault(end, 0), greaterThan(0));
+        }
+    }
+
+    /** The runs are only worth something if they break each variant that lacks a guard. */
+    @Test
+    void should_be_needed_as_each_guard_when_weakened_variants_run_the_same_seeds() {
+        assertThat("applies again after a lost reply", brokenRuns(new AppliesAgain()), greaterThan(0));
+        assertThat(
+                "trusts an unchanged manifest", brokenRuns(ApplyDecision_decide_Test::trustUnchanged), greaterThan(0));
+        assertThat("ignores the identifier", brokenRuns(ApplyDecision_decide_Test::ignoreIdentifier), greaterThan(0));
+    }
+
+    @Test
+    void should_find_its_own_apply_after_a_lost_reply() {
+        // given
+        ApplyState lost = ApplyDecision.decide(new ApplyState.Swapping(REQUEST, BASE), new ApplyEvent.ReplyLost())
+                .state();
+
+        // when
+        ApplyState state = ApplyDecision.decide(lost, new ApplyEvent.ManifestRead(stored(11, 5, "mine")))
+                .state();
+
+        // then
+        assertThat(state, equalTo(new ApplyState.Applied(REQUEST.manifest())));
+    }
+
+    @Test
+    void should_keep_reading_while_the_manifest_is_not_newer_than_the_base() {
+        for (StoredManifest notNewer : List.of(BASE, stored(9, 3, "before"))) {
+            // when
+            Transition<ApplyState, ApplyEffect> transition = ApplyDecision.decide(
+                    new ApplyState.Resolving(REQUEST, BASE), new ApplyEvent.ManifestRead(notNewer));
+
+            // then
+            assertThat(transition.state(), equalTo(new ApplyState.Resolving(REQUEST, BASE)));
+            assertThat(transition.effects(), equalTo(List.of(new ApplyEffect.ReadManifestLater())));
+        }
+    }
+
+    @Test
+    void should_not_guess_when_a_later_revision_hides_the_own_one() {
+        // when
+        ApplyState state = ApplyDecision.decide(
+                        new ApplyState.Resolving(REQUEST, BASE), new ApplyEvent.ManifestRead(stored(12, 6, "other")))
+                .state();
+
+        // then
+        assertThat(state, instanceOf(ApplyState.OutcomeUnknown.class));
+    }
+
+    @Test
+    void should_refuse_a_base_that_is_no_longer_in_force() {
+        // when
+        Transition<ApplyState, ApplyEffect> transition = ApplyDecision.decide(
+                new ApplyState.ReadingBase(REQUEST), new ApplyEvent.ManifestRead(stored(11, 5, "other")));
+
+        // then
+        assertThat(
+                transition.state(),
+                equalTo(new ApplyState.Conflicted(4, stored(11, 5, "other").manifest())));
+        assertThat(transition.effects(), empty());
+    }
+
+    @Test
+    void should_reject_an_answer_to_a_swap_that_was_not_sent() {
+        assertThrows(
+                InvariantViolation.class,
+                () -> ApplyDecision.decide(new ApplyState.ReadingBase(REQUEST), new ApplyEvent.Swapped()));
+    }
+
+    private static int brokenRuns(ApplySimulation.Decision decision) {
+        int broken = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            broken += ApplySimulation.run(seed, decision).violations().isEmpty() ? 0 : 1;
+        }
+        return broken;
+    }
+
+    private static Transition<ApplyState, ApplyEffect> trustUnchanged(ApplyState state, ApplyEvent event) {
+        if (state instanceof ApplyState.Resolving(ApplyRequest ignored, StoredManifest base)
+                && event instanceof ApplyEvent.ManifestRead(StoredManifest current)
+                && current.equals(base)) {
+            return Transition.to(new ApplyState.NotApplied());
+        }
+        return ApplyDecision.decide(state, event);
+    }
+
+    private static Transition<ApplyState, ApplyEffect> ignoreIdentifier(ApplyState state, ApplyEvent event) {
+        if (state instanceof ApplyState.Resolving(ApplyRequest request, StoredManifest base)
+                && event instanceof ApplyEvent.ManifestRead(StoredManifest current)
+                && current.storeRevision() > base.storeRevision()) {
+            return Transition.to(new ApplyState.Conflicted(request.baseRevision(), current.manifest()));
+        }
+        return ApplyDecision.decide(state, event);
+    }
+
+    private static StoredManifest stored(long storeRevision, long revision, String identifier) {
+        return new StoredManifest(storeRevision, new Manifest(revision, identifier, KeyDigest.sha256(identifier)));
+    }
+
+    /** Starts over on the newest base when the reply to the swap is lost. */
+    private static final class AppliesAgain implements ApplySimulation.Decision {
+        private final Set<String> sent = new HashSet<>();
+
+        @Override
+        public Transition<ApplyState, ApplyEffect> decide(ApplyState state, ApplyEvent event) {
+            if (state instanceof ApplyState.Swapping(ApplyRequest request, StoredManifest ignored)
+                    && event instanceof ApplyEvent.ReplyLost) {
+                sent.add(request.applyIdentifier());
+                return ApplyDecision.start(request);
+            }
+            if (state instanceof ApplyState.ReadingBase(ApplyRequest request)
+                    && event instanceof ApplyEvent.ManifestRead(StoredManifest current)
+                    && sent.contains(request.applyIdentifier())) {
+                ApplyRequest rebased = new ApplyRequest(
+                        request.applyIdentifier(), current.manifest().revision(), request.contentDigest());
+                return ApplyDecision.decide(new ApplyState.ReadingBase(rebased), event);
+            }
+            return ApplyDecision.decide(state, event);
+        }
+    }
+}
