Keep a view of configuration and roster with a proven age

Cause: key checks, rate shares and connections are only safe if a proxy knows how old its view is, also while the store is away for an hour and a cut-off proxy can't tell that from an outage.

Ruled out: a lease per VM in the store (6,400 VMs would renew more often than the store's several hundred writes per second), and serving on without a bound.

Change: ViewState counts a view as current from the start of the newest store read, of a peer's proof, or of a majority of at most seven voters. A restarted VM votes only after a majority without it has answered. Every incarnation takes a new index in the roster, so that terms stay unique.

--- a/core/src/main/java/org/geraniumproxy/core/membership/Roster.java
+++ b/core/src/main/java/org/geraniumproxy/core/membership/Roster.java
@@ -1,10 +1,14 @@
 package org.geraniumproxy.core.membership;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.geraniumproxy.core.identity.FailureDomain;
+import org.geraniumproxy.core.identity.RegionName;
+import org.geraniumproxy.core.identity.Term;
 import org.geraniumproxy.core.identity.VmName;
 
 /**
@@ -12,10 +16,11 @@
  *
  * @param revision number that grows with each change
  * @param vms the VMs in order of their index
+ * @param nextIndex index of the next VM that joins
  */
-public record Roster(long revision, List<Vm> vms) {
+public record Roster(long revision, List<Vm> vms, int nextIndex) {
     /** The roster before the first VM has joined. */
-    public static final Roster EMPTY = new Roster(0, List.of());
+    public static final Roster EMPTY = new Roster(0, List.of(), 0);
 
     /**
      * Sorts the VMs by index and validates them.
@@ -33,6 +38,16 @@
         }
     }
 
+    /**
+     * Creates a roster whose next index follows the highest one in use.
+     *
+     * @param revision number that grows with each change
+     * @param vms the VMs
+     */
+    public Roster(long revision, List<Vm> vms) {
+        this(revision, vms, vms.stream().mapToInt(Vm::index).max().orElse(-1) + 1);
+    }
+
     /**
      * Finds a VM by name.
      *
@@ -42,4 +57,44 @@
     public Optional<Vm> find(VmName name) {
         return vms.stream().filter(vm -> vm.name().equals(name)).findFirst();
     }
+
+    /**
+     * Adds a VM, or replaces the earlier incarnation of the same name. Every incarnation takes a new index, because
+     * terms carry the index of their promoter and a paused earlier process must not share terms with its successor.
+     *
+     * @param name name of the VM
+     * @param address host and port of its peer service
+     * @param region its region
+     * @param failureDomain its failure domain
+     * @param incarnation number of its process
+     * @return the roster at the next revision
+     */
+    public Roster join(VmName name, String address, RegionName region, FailureDomain failureDomain, long incarnation) {
+        Roster others = without(name);
+        int index = others.firstFreeIndex();
+        List<Vm> joined = new ArrayList<>(others.vms());
+        joined.add(new Vm(index, name, address, region, failureDomain, incarnation, false));
+        return new Roster(revision + 1, joined, (index + 1) % Term.VM_INDEX_COUNT);
+    }
+
+    /**
+     * Removes a VM.
+     *
+     * @param name its name
+     * @return the roster at the next revision
+     */
+    public Roster without(VmName name) {
+        List<Vm> remaining = vms.stream().filter(vm -> !vm.name().equals(name)).toList();
+        return new Roster(revision + 1, remaining, nextIndex);
+    }
+
+    private int firstFreeIndex() {
+        Set<Integer> used = new HashSet<>();
+        vms.forEach(vm -> used.add(vm.index()));
+        int index = nextIndex % Term.VM_INDEX_COUNT;
+        while (used.contains(index)) {
+            index = (index + 1) % Term.VM_INDEX_COUNT;
+        }
+        return index;
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/membership/ViewTopology.java
@@ -0,0 +1,182 @@
+package org.geraniumproxy.core.membership;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.geraniumproxy.core.identity.FailureDomain;
+import org.geraniumproxy.core.identity.RegionName;
+import org.geraniumproxy.core.identity.VmName;
+
+/**
+ * Which VMs ask the store, which ones vote, and which peers a VM asks. Every VM computes the same answer from the same
+ * roster.
+ */
+public final class ViewTopology {
+    /** Most voters; seven is one for each failure domain of the design size. */
+    public static final int MAXIMUM_VOTERS = 7;
+
+    /** VMs of a region that ask the store, so that a region keeps its view when one of them fails. */
+    public static final int WATCHERS_PER_REGION = 2;
+
+    /** VMs that ask one upstream VM; at 80, three levels carry the 6,400 VMs of the design size. */
+    public static final int FAN_OUT = 80;
+
+    /** Upstream VMs that a VM asks, so that the loss of one does not age its view. */
+    public static final int UPSTREAMS = 2;
+
+    /** Largest roster in which every VM asks every other one. */
+    public static final int FULL_EXCHANGE_LIMIT = 16;
+
+    private static final ViewTopology EMPTY = new ViewTopology(Roster.EMPTY);
+
+    private final Roster roster;
+    private final Map<VmName, Vm> byName;
+    private final List<VmName> voters;
+    private final List<Vm> watcherOrder;
+    private final List<VmName> treeOrder;
+
+    private ViewTopology(Roster roster) {
+        this.roster = roster;
+        this.byName = roster.vms().stream().collect(Collectors.toUnmodifiableMap(Vm::name, vm -> vm));
+        this.voters = chooseVoters(roster);
+        this.watcherOrder = ordered("watcher", roster.vms());
+        this.treeOrder = ordered("tree", roster.vms()).stream().map(Vm::name).toList();
+    }
+
+    /**
+     * Returns the topology of a roster. It is computed once for each roster, because ordering 6,400 VMs takes
+     * milliseconds.
+     *
+     * @param roster the roster
+     * @return its topology
+     */
+    public static ViewTopology of(Roster roster) {
+        return roster.vms().isEmpty() ? EMPTY : new ViewTopology(roster);
+    }
+
+    /**
+     * Returns the VMs whose majority proves a view current, one of each failure domain first.
+     *
+     * @return at most {@link #MAXIMUM_VOTERS} names in a stable order
+     */
+    public List<VmName> voters() {
+        return voters;
+    }
+
+    /**
+     * Returns the number of voters that form a majority.
+     *
+     * @return more than half of the voters
+     */
+    public int voterMajority() {
+        return voters.size() / 2 + 1;
+    }
+
+    /**
+     * Returns the VMs that watch the store: the voters, and two VMs of each region.
+     *
+     * @param unavailable VMs that are down or leaving; others of their region take their place
+     * @return the names
+     */
+    public Set<VmName> watchers(Set<VmName> unavailable) {
+        Set<VmName> watchers = new LinkedHashSet<>(voters);
+        Map<RegionName, Integer> perRegion = new HashMap<>();
+        for (Vm vm : watcherOrder) {
+            boolean available = !unavailable.contains(vm.name());
+            if (available && perRegion.merge(vm.region(), 1, Integer::sum) <= WATCHERS_PER_REGION) {
+                watchers.add(vm.name());
+            }
+        }
+        return watchers;
+    }
+
+    /**
+     * Returns the peers that a VM exchanges views with. In a small roster these are all others. In a large one they are
+     * two VMs of the level above in a tree whose top level are the watchers, and for voters the other voters.
+     *
+     * @param self the VM
+     * @param unavailable VMs that are down or leaving
+     * @return the peers to ask, without the VM itself
+     */
+    public List<Vm> peersOf(VmName self, Set<VmName> unavailable) {
+        if (isFullExchange()) {
+            return roster.vms().stream().filter(vm -> !vm.name().equals(self)).toList();
+        }
+        Set<VmName> peers = new LinkedHashSet<>();
+        if (voters.contains(self)) {
+            peers.addAll(voters);
+        }
+        List<Vm> above = levelAbove(self, unavailable).stream().map(byName::get).toList();
+        ordered(self.value(), above).stream().limit(UPSTREAMS).map(Vm::name).forEach(peers::add);
+        peers.remove(self);
+        return peers.stream().map(byName::get).toList();
+    }
+
+    boolean isFullExchange() {
+        return roster.vms().size() <= FULL_EXCHANGE_LIMIT;
+    }
+
+    boolean contains(VmName vm) {
+        return byName.containsKey(vm);
+    }
+
+    private List<VmName> levelAbove(VmName self, Set<VmName> unavailable) {
+        List<VmName> above = List.of();
+        Set<VmName> watchers = watchers(unavailable);
+        List<VmName> level = List.copyOf(watchers);
+        List<VmName> rest =
+                treeOrder.stream().filter(vm -> !watchers.contains(vm)).toList();
+        while (!level.contains(self) && !rest.isEmpty()) {
+            above = level.stream().filter(vm -> !unavailable.contains(vm)).toList();
+            int size = Math.min(rest.size(), Math.max(1, level.size()) * FAN_OUT);
+            level = rest.subList(0, size);
+            rest = rest.subList(size, rest.size());
+        }
+        return level.contains(self) ? above : List.of();
+    }
+
+    private static List<VmName> chooseVoters(Roster roster) {
+        List<Vm> ordered = ordered("voter", roster.vms());
+        Set<VmName> chosen = new LinkedHashSet<>();
+        Set<FailureDomain> covered = new HashSet<>();
+        for (Vm vm : ordered) {
+            if (chosen.size() < MAXIMUM_VOTERS && covered.add(vm.failureDomain())) {
+                chosen.add(vm.name());
+            }
+        }
+        for (Vm vm : ordered) {
+            if (chosen.size() < MAXIMUM_VOTERS) {
+                chosen.add(vm.name());
+            }
+        }
+        return List.copyOf(chosen);
+    }
+
+    private static List<Vm> ordered(String purpose, List<Vm> vms) {
+        return vms.stream()
+                .map(vm -> new ScoredVm(score(purpose, vm.name().value()), vm))
+                .sorted(Comparator.comparingLong(ScoredVm::score)
+                        .reversed()
+                        .thenComparing(scored -> scored.vm().name()))
+                .map(ScoredVm::vm)
+                .toList();
+    }
+
+    private record ScoredVm(long score, Vm vm) {}
+
+    private static long score(String purpose, String vm) {
+        long hash = 0xcbf29ce484222325L;
+        String text = purpose + '/' + vm;
+        for (int index = 0; index < text.length(); index++) {
+            hash = (hash ^ text.charAt(index)) * 0x100000001b3L;
+        }
+        hash ^= hash >>> 33;
+        hash *= 0xff51afd7ed558ccdL;
+        return hash ^ (hash >>> 33);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/membership/ViewTransitions.java
@@ -0,0 +1,182 @@
+package org.geraniumproxy.core.membership;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumproxy.core.control.InvariantViolation;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.identity.VmName;
+
+/** How a VM's view changes with each event. */
+public final class ViewTransitions {
+    private ViewTransitions() {}
+
+    /**
+     * Applies an event.
+     *
+     * @param state the view before
+     * @param event the event
+     * @param now the present moment on this VM's clock
+     * @return the view after and the effects to carry out
+     */
+    public static Transition<ViewState, ViewEffect> apply(ViewState state, ViewEvent event, Instant now) {
+        Transition<ViewState, ViewEffect> transition = switch (event) {
+            case ViewEvent.ManifestRead read -> Transition.to(manifestRead(state, read));
+            case ViewEvent.RosterRead read -> Transition.to(rosterRead(state, read, now));
+            case ViewEvent.PeerReplied reply -> Transition.to(peerReplied(state, reply, now));
+            case ViewEvent.PeerAsked asked -> Transition.to(heard(state, asked.vm(), asked.leaving(), now));
+            case ViewEvent.TimePassed passed -> Transition.to(state, effects(state, now));
+            case ViewEvent.DrainStarted started -> Transition.to(state.withDraining(), effects(state, now));
+        };
+        requireNoRevert(state, transition.state());
+        return transition;
+    }
+
+    private static void requireNoRevert(ViewState before, ViewState after) {
+        InvariantViolation.require(
+                after.configuration().number() >= before.configuration().number(),
+                "the configuration never moves to a lower revision");
+        InvariantViolation.require(
+                after.roster().revision() >= before.roster().revision(), "the roster never moves to a lower revision");
+    }
+
+    private static ViewState manifestRead(ViewState state, ViewEvent.ManifestRead read) {
+        // A reply that names an older revision was overtaken by a newer one and proves nothing.
+        if (read.configuration().number() < state.configuration().number()) {
+            return state;
+        }
+        return state.withConfiguration(read.configuration())
+                .withProofs(state.proofs().manifestRead(read.requestSentAt()));
+    }
+
+    private static ViewState rosterRead(ViewState state, ViewEvent.RosterRead read, Instant now) {
+        if (read.roster().revision() < state.roster().revision()) {
+            return state;
+        }
+        return adoptRoster(state, read.roster(), now).withProofs(state.proofs().rosterRead(read.requestSentAt()));
+    }
+
+    private static ViewState peerReplied(ViewState state, ViewEvent.PeerReplied reply, Instant now) {
+        ViewState learned = state;
+        if (reply.configuration().isPresent()) {
+            learned = learned.withConfiguration(reply.configuration().get());
+        }
+        if (reply.roster().isPresent()) {
+            learned = adoptRoster(learned, reply.roster().get(), now);
+        }
+        learned = heard(learned, reply.vm(), reply.leaving(), now);
+        if (knowsNewer(reply, learned)) {
+            return learned;
+        }
+        learned = countVote(learned, reply);
+        if (reply.age().isEmpty() || !knowsSame(reply, learned)) {
+            return learned;
+        }
+        Instant provenAt = reply.requestSentAt().minus(reply.age().get());
+        return learned.withProofs(learned.proofs().peerProved(provenAt));
+    }
+
+    private static boolean knowsNewer(ViewEvent.PeerReplied reply, ViewState state) {
+        return reply.configurationRevision() > state.configuration().number()
+                || reply.rosterRevision() > state.roster().revision();
+    }
+
+    private static boolean knowsSame(ViewEvent.PeerReplied reply, ViewState state) {
+        return reply.configurationRevision() == state.configuration().number()
+                && reply.rosterRevision() == state.roster().revision();
+    }
+
+    private static ViewState countVote(ViewState state, ViewEvent.PeerReplied reply) {
+        PeerState peer = state.peers().get(reply.vm());
+        if (peer == null || !reply.mayVote()) {
+            return state;
+        }
+        ViewState voted = state.withPeers(with(state.peers(), reply.vm(), peer.voted(reply.requestSentAt())));
+        return voted.mayVote() || !hasMajorityOfOthers(voted) ? voted : voted.withVotingAllowed();
+    }
+
+    /** A restarted process has forgotten what it voted for; it votes again once a majority without it has answered. */
+    private static boolean hasMajorityOfOthers(ViewState state) {
+        long others = state.topology().voters().stream()
+                .filter(voter -> !voter.equals(state.self()))
+                .map(state.peers()::get)
+                .filter(peer -> peer != null && peer.votedAt().isPresent())
+                .count();
+        return others >= state.topology().voterMajority();
+    }
+
+    private static ViewState heard(ViewState state, VmName vm, boolean leaving, Instant now) {
+        if (!state.topology().contains(vm) || vm.equals(state.self())) {
+            return state;
+        }
+        PeerState known = state.peers().getOrDefault(vm, PeerState.known(now));
+        return state.withPeers(with(state.peers(), vm, known.heard(now, leaving)));
+    }
+
+    private static ViewState adoptRoster(ViewState state, Roster roster, Instant now) {
+        if (roster.revision() <= state.roster().revision()) {
+            return state;
+        }
+        Set<VmName> exchanging = new HashSet<>(state.peers().keySet());
+        ViewTopology.of(roster).peersOf(state.self(), Set.of()).forEach(vm -> exchanging.add(vm.name()));
+        Map<VmName, PeerState> peers = new HashMap<>();
+        for (Vm vm : roster.vms()) {
+            if (exchanging.contains(vm.name())) {
+                peers.put(vm.name(), peerAfter(state, vm, now));
+            }
+        }
+        return state.withRoster(roster, peers);
+    }
+
+    /** A restarted process starts with a fresh state, so that the silence and votes of its predecessor do not count. */
+    private static PeerState peerAfter(ViewState state, Vm vm, Instant now) {
+        Optional<Vm> before = state.roster().find(vm.name());
+        boolean sameProcess =
+                before.map(known -> known.incarnation() == vm.incarnation()).orElse(false);
+        PeerState known = state.peers().get(vm.name());
+        return sameProcess && known != null ? known : PeerState.known(now);
+    }
+
+    private static List<ViewEffect> effects(ViewState state, Instant now) {
+        List<ViewEffect> effects = new ArrayList<>();
+        Set<VmName> unavailable = state.unavailable(now);
+        Set<VmName> watchers = state.topology().watchers(unavailable);
+        boolean watcher = watchers.contains(state.self())
+                || state.roster().find(state.self()).isEmpty();
+        if (watcher) {
+            effects.add(new ViewEffect.WatchStore());
+        }
+        state.topology().peersOf(state.self(), unavailable).forEach(peer -> effects.add(new ViewEffect.AskPeer(peer)));
+        if (isFirstLiveWatcher(state, watchers, unavailable) && state.isCurrent(now)) {
+            deadVms(state, now).forEach(vm -> effects.add(new ViewEffect.RemoveVm(vm.name(), vm.incarnation())));
+        }
+        return effects;
+    }
+
+    private static boolean isFirstLiveWatcher(ViewState state, Set<VmName> watchers, Set<VmName> unavailable) {
+        return watchers.stream()
+                .filter(vm -> !unavailable.contains(vm))
+                .findFirst()
+                .map(state.self()::equals)
+                .orElse(false);
+    }
+
+    private static List<Vm> deadVms(ViewState state, Instant now) {
+        return state.roster().vms().stream()
+                .filter(vm -> state.silence(vm.name(), now).compareTo(ViewState.REMOVE_AFTER) > 0)
+                .sorted(Comparator.comparing(Vm::name))
+                .toList();
+    }
+
+    private static Map<VmName, PeerState> with(Map<VmName, PeerState> peers, VmName vm, PeerState state) {
+        Map<VmName, PeerState> changed = new HashMap<>(peers);
+        changed.put(vm, state);
+        return changed;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumproxy/core/membership/View_randomRun_Test.java
@@ -0,0 +1,210 @@
+package org.geraniumproxy.core.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Random runs of five VMs on simulated time, with a store that has outages and links that delay, lose and cut. Guards
+ * against a proxy that serves on a configuration that was replaced long ago, and against one that reverts.
+ */
+class View_randomRun_Test {
+    private static final int VMS = 5;
+    private static final Duration RUN = Duration.ofMinutes(3);
+    private static final Duration STEP = Duration.ofMillis(100);
+
+    /**
+     * Accepted by a majority of voters plus the view bound of 3 s, the stated target for withdrawal of a key is 5 s.
+     */
+    private static final Duration IN_FORCE_WITHIN = Duration.ofSeconds(5);
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void should_never_serve_on_an_old_configuration_for_longer_than_the_bound(long seed) {
+        // given
+        Fleet fleet = new Fleet(seed);
+        // when
+        fleet.run();
+        // then
+        assertThat("VMs that served an old configuration", fleet.lateServes, equalTo(0));
+        assertThat("configurations accepted in the run", fleet.acceptedAt.size(), greaterThan(3));
+        assertThat("every VM is current after the faults", fleet.allCurrent(), is(true));
+    }
+
+    @Test
+    void should_detect_late_serves_if_the_view_bound_is_turned_off() {
+        // given
+        int lateServes = 0;
+        // when
+        for (long seed = 1; seed <= 20; seed++) {
+            Fleet fleet = new Fleet(seed);
+            fleet.viewBoundOff = true;
+            fleet.run();
+            lateServes += fleet.lateServes;
+        }
+        // then
+        assertThat(lateServes, greaterThan(0));
+    }
+
+    /** Something that happens at a moment of the run. */
+    private record Delivery(Instant at, long order, Runnable action) {}
+
+    /** Five VMs and a store. */
+    private static final class Fleet {
+        private final Random random;
+        private final List<ViewState> states = new ArrayList<>();
+        private final List<Instant> frozenUntil = new ArrayList<>();
+        private final List<Instant> acceptedAt = new ArrayList<>();
+        private final PriorityQueue<Delivery> deliveries =
+                new PriorityQueue<>(Comparator.comparing(Delivery::at).thenComparingLong(Delivery::order));
+        private Instant now = Views.START;
+        private Instant storeDownUntil = Views.START;
+        private Instant cutUntil = Views.START;
+        private int cutVm;
+        private long storeRevision = 1;
+        private long order;
+        private int lateServes;
+        private boolean viewBoundOff;
+
+        Fleet(long seed) {
+            random = new Random(seed);
+            for (int vm = 0; vm < VMS; vm++) {
+                states.add(Views.readFromStore(vm, VMS, now));
+                frozenUntil.add(now);
+            }
+        }
+
+        void run() {
+            Instant end = now.plus(RUN);
+            Instant faultsEnd = end.minusSeconds(15);
+            while (now.isBefore(end)) {
+                if (now.isBefore(faultsEnd)) {
+                    injectFaults();
+                }
+                for (int vm = 0; vm < VMS; vm++) {
+                    tick(vm);
+                }
+                deliver();
+                recordAcceptance();
+                checkServing();
+                now = now.plus(STEP);
+            }
+        }
+
+        private void injectFaults() {
+            if (random.nextInt(150) == 0) {
+                storeDownUntil = now.plusSeconds(random.nextInt(40));
+            }
+            if (random.nextInt(150) == 0) {
+                cutVm = random.nextInt(VMS);
+                cutUntil = now.plusSeconds(random.nextInt(15));
+            }
+            if (random.nextInt(150) == 0) {
+                frozenUntil.set(random.nextInt(VMS), now.plusSeconds(random.nextInt(10)));
+            }
+            if (random.nextInt(60) == 0 && !isStoreDown()) {
+                storeRevision++;
+            }
+        }
+
+        private void tick(int vm) {
+            if (isFrozen(vm) || random.nextInt(5) != 0) {
+                return;
+            }
+            Instant sentAt = now;
+            if (!isStoreDown() && !isCut(vm)) {
+                long revision = storeRevision;
+                later(() -> apply(vm, new ViewEvent.ManifestRead(sentAt, Views.configuration(revision))));
+                later(() -> apply(vm, new ViewEvent.RosterRead(sentAt, Views.roster(VMS))));
+            }
+            for (int peer = 0; peer < VMS; peer++) {
+                if (peer != vm && !isCut(vm) && !isCut(peer) && random.nextInt(10) != 0) {
+                    ask(vm, peer, sentAt);
+                }
+            }
+        }
+
+        private void ask(int vm, int peer, Instant sentAt) {
+            later(() -> {
+                if (!isFrozen(peer)) {
+                    ViewEvent.PeerReplied reply = Views.answer(states.get(peer), states.get(vm), sentAt, now);
+                    later(() -> apply(vm, reply));
+                }
+            });
+        }
+
+        private void apply(int vm, ViewEvent event) {
+            if (isFrozen(vm)) {
+                deliveries.add(new Delivery(frozenUntil.get(vm), order++, () -> apply(vm, event)));
+                return;
+            }
+            states.set(vm, Views.apply(states.get(vm), event, now));
+        }
+
+        private void later(Runnable action) {
+            deliveries.add(new Delivery(now.plusMillis(random.nextInt(300)), order++, action));
+        }
+
+        private void deliver() {
+            while (!deliveries.isEmpty() && !deliveries.peek().at().isAfter(now)) {
+                deliveries.poll().action().run();
+            }
+        }
+
+        /** A revision is accepted at the moment at which a majority of the voters holds it. */
+        private void recordAcceptance() {
+            long accepted = states.stream()
+                    .map(state -> state.configuration().number())
+                    .sorted(Comparator.reverseOrder())
+                    .skip(VMS / 2)
+                    .findFirst()
+                    .orElseThrow();
+            while (acceptedAt.size() < accepted) {
+                acceptedAt.add(now);
+            }
+        }
+
+        private void checkServing() {
+            for (int vm = 0; vm < VMS; vm++) {
+                int known = (int) states.get(vm).configuration().number();
+                boolean replaced = known < acceptedAt.size();
+                boolean late =
+                        replaced && Duration.between(acceptedAt.get(known), now).compareTo(IN_FORCE_WITHIN) > 0;
+                boolean serves = viewBoundOff || states.get(vm).isCurrent(now);
+                if (late && serves && !isFrozen(vm)) {
+                    lateServes++;
+                }
+            }
+        }
+
+        boolean allCurrent() {
+            return states.stream()
+                    .allMatch(state ->
+                            state.isCurrent(now) && state.configuration().number() == storeRevision);
+        }
+
+        private boolean isStoreDown() {
+            return now.isBefore(storeDownUntil);
+        }
+
+        private boolean isCut(int vm) {
+            return vm == cutVm && now.isBefore(cutUntil);
+        }
+
+        private boolean isFrozen(int vm) {
+            return now.isBefore(frozenUntil.get(vm));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumproxy/core/membership/Views.java
@@ -0,0 +1,67 @@
+package org.geraniumproxy.core.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumproxy.core.configuration.Configuration;
+import org.geraniumproxy.core.configuration.ConfigurationRevision;
+import org.geraniumproxy.core.identity.FailureDomain;
+import org.geraniumproxy.core.identity.RegionName;
+import org.geraniumproxy.core.identity.VmName;
+
+/** Builds rosters, configurations and events for the tests of this package. */
+final class Views {
+    static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    private Views() {}
+
+    static Roster roster(int vmCount) {
+        List<Vm> vms = new ArrayList<>();
+        for (int index = 0; index < vmCount; index++) {
+            RegionName region = RegionName.of("region-" + index % 3);
+            FailureDomain failureDomain = FailureDomain.of("domain-" + index % 7);
+            vms.add(new Vm(index, name(index), "127.0.0.1:" + (7000 + index), region, failureDomain, 1, false));
+        }
+        return new Roster(1, vms);
+    }
+
+    static VmName name(int index) {
+        return VmName.of("vm-" + index);
+    }
+
+    static KnownConfiguration configuration(long revision) {
+        ConfigurationRevision applied =
+                new ConfigurationRevision(revision, "apply-" + revision, "digest-" + revision, Configuration.EMPTY);
+        return new KnownConfiguration(applied, "text-" + revision);
+    }
+
+    static ViewState apply(ViewState state, ViewEvent event, Instant now) {
+        return ViewTransitions.apply(state, event, now).state();
+    }
+
+    /** A state that has read the store once, just now. */
+    static ViewState readFromStore(int self, int vmCount, Instant now) {
+        ViewState joined = apply(ViewState.initial(name(self)), new ViewEvent.RosterRead(now, roster(vmCount)), now);
+        return apply(joined, new ViewEvent.ManifestRead(now, configuration(1)), now);
+    }
+
+    /** The answer that a peer in the given state gives to an asker in the given state. */
+    static ViewEvent.PeerReplied answer(ViewState peer, ViewState asker, Instant requestSentAt, Instant answeredAt) {
+        Optional<Duration> age = peer.provenAt(answeredAt).map(provenAt -> Duration.between(provenAt, answeredAt));
+        boolean newerConfiguration =
+                peer.configuration().number() > asker.configuration().number();
+        boolean newerRoster = peer.roster().revision() > asker.roster().revision();
+        return new ViewEvent.PeerReplied(
+                peer.self(),
+                requestSentAt,
+                peer.configuration().number(),
+                peer.roster().revision(),
+                age,
+                peer.mayVote(),
+                peer.draining(),
+                newerConfiguration ? Optional.of(peer.configuration()) : Optional.empty(),
+                newerRoster ? Optional.of(peer.roster()) : Optional.empty());
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/store/GrpcPlatformStore.java
@@ -0,0 +1,99 @@
+package org.geraniumproxy.proxy.store;
+
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import com.google.common.util.concurrent.ListenableFuture;
+import com.google.protobuf.ByteString;
+import io.grpc.ManagedChannel;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.geraniumproxy.protocol.CompareAndSwapReply;
+import org.geraniumproxy.protocol.CompareAndSwapRequest;
+import org.geraniumproxy.protocol.GetReply;
+import org.geraniumproxy.protocol.GetRequest;
+import org.geraniumproxy.protocol.StoreServiceGrpc;
+import org.geraniumproxy.protocol.StoreServiceGrpc.StoreServiceFutureStub;
+import org.geraniumproxy.protocol.WatchRequest;
+
+/** Client of the platform's store over gRPC. */
+public final class GrpcPlatformStore implements PlatformStore {
+    /** Longest wait for a reply of the store, beyond the wait that a watch asks for. */
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
+    private final ManagedChannel channel;
+    private final Executor executor;
+
+    /**
+     * Creates a client.
+     *
+     * @param channel channel to the store; the client closes it
+     * @param executor runs the completions of the futures
+     */
+    public GrpcPlatformStore(ManagedChannel channel, Executor executor) {
+        this.channel = channel;
+        this.executor = executor;
+    }
+
+    @Override
+    public CompletableFuture<StoredValue> get(String key) {
+        GetRequest request = GetRequest.newBuilder().setKey(key).build();
+        return complete(stub(CALL_TIMEOUT).get(request), GrpcPlatformStore::storedValue);
+    }
+
+    @Override
+    public CompletableFuture<SwapResult> compareAndSwap(String key, long expectedRevision, ByteString value) {
+        CompareAndSwapRequest request = CompareAndSwapRequest.newBuilder()
+                .setKey(key)
+                .setExpectedRevision(expectedRevision)
+                .setValue(value)
+                .build();
+        return complete(stub(CALL_TIMEOUT).compareAndSwap(request), GrpcPlatformStore::swapResult);
+    }
+
+    @Override
+    public CompletableFuture<StoredValue> watch(String key, long knownRevision, Duration wait) {
+        WatchRequest request = WatchRequest.newBuilder()
+                .setKey(key)
+                .setKnownRevision(knownRevision)
+                .setWaitMillis(wait.toMillis())
+                .build();
+        return complete(stub(CALL_TIMEOUT.plus(wait)).watch(request), GrpcPlatformStore::storedValue);
+    }
+
+    @Override
+    public void close() {
+        channel.shutdownNow();
+    }
+
+    private StoreServiceFutureStub stub(Duration timeout) {
+        return StoreServiceGrpc.newFutureStub(channel).withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private static StoredValue storedValue(GetReply reply) {
+        return new StoredValue(reply.getRevision(), reply.getValue());
+    }
+
+    private static SwapResult swapResult(CompareAndSwapReply reply) {
+        return new SwapResult(reply.getSwapped(), new StoredValue(reply.getRevision(), reply.getValue()));
+    }
+
+    private <R, T> CompletableFuture<T> complete(ListenableFuture<R> call, Function<R, T> translation) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        FutureCallback<R> callback = new FutureCallback<>() {
+            @Override
+            public void onSuccess(R reply) {
+                result.complete(translation.apply(reply));
+            }
+
+            @Override
+            public void onFailure(Throwable failure) {
+                result.completeExceptionally(failure);
+            }
+        };
+        Futures.addCallback(call, callback, executor);
+        return result;
+    }
+}
