Add stand-ins of the store, the databases and the list of VMs

Cause: proxies need a platform to run against in tests, the demo and the measurements, and no outside system may be used.

Change: pure state classes for the key-value store, a database with terms, log, replication and transactions, and the list of VMs; gRPC services over them with fault injection, on TCP or in-process; the launcher's StandinMain. grpc-inprocess is declared for tests without sockets.

Ruled out: a lag at the primary, because one lagging replica could then not be injected; replication in fixed batches, because a batch could end inside a transaction.

Found on the way: a replication stream that is opened inside a server call inherits that call's context and ends with it; it now starts in the root context.

--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/StandinMain.java
@@ -0,0 +1,66 @@
+package org.geraniumproxy.standin;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.io.UncheckedIOException;
+import java.time.Clock;
+import java.util.concurrent.CountDownLatch;
+import org.geraniumproxy.standin.database.DatabaseSettings;
+import org.geraniumproxy.standin.runtime.ThreadOwner;
+
+/** Runs stand-ins in one process until it is ended. */
+public final class StandinMain {
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_UNREACHABLE = 3;
+
+    private StandinMain() {}
+
+    /**
+     * Starts the stand-ins, prints one line and waits for the end of the process.
+     *
+     * @param arguments the options, shown by {@code --help}
+     * @throws InterruptedException if the main thread is interrupted
+     */
+    public static void main(String[] arguments) throws InterruptedException {
+        StandinOptions options = new StandinOptions();
+        JCommander commander = JCommander.newBuilder()
+                .programName("standin")
+                .addObject(options)
+                .build();
+        try {
+            commander.parse(arguments);
+            if (options.help()) {
+                commander.usage();
+                return;
+            }
+            start(options);
+        } catch (ParameterException | IllegalArgumentException e) {
+            System.err.println("standin: " + e.getMessage());
+            System.exit(EXIT_USAGE);
+        } catch (UncheckedIOException e) {
+            System.err.println("standin: " + e.getMessage());
+            System.exit(EXIT_UNREACHABLE);
+        }
+        System.out.println("standin: ready");
+        new CountDownLatch(1).await();
+    }
+
+    private static void start(StandinOptions options) {
+        ThreadOwner owner = ThreadOwner.start("standin", Clock.systemUTC());
+        StandinPlatform platform = StandinPlatform.start(new Transport.Tcp(), owner);
+        if (!options.vmList().isEmpty()) {
+            platform.addVmList(options.vmList(), options.vms(), options.vmListLag());
+        }
+        if (!options.store().isEmpty()) {
+            platform.addStore(options.store());
+        }
+        DatabaseSettings settings = options.databaseSettings();
+        for (String database : options.databases()) {
+            int separator = database.indexOf('=');
+            if (separator <= 0) {
+                throw new ParameterException("--database must be NAME=HOST:PORT, but is: " + database);
+            }
+            platform.addDatabase(database.substring(0, separator), database.substring(separator + 1), settings);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/StandinPlatform.java
@@ -0,0 +1,133 @@
+package org.geraniumproxy.standin;
+
+import io.grpc.BindableService;
+import io.grpc.ManagedChannel;
+import io.grpc.Server;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumproxy.protocol.HistoryReply;
+import org.geraniumproxy.standin.database.BackendServer;
+import org.geraniumproxy.standin.database.DatabaseSettings;
+import org.geraniumproxy.standin.platform.VmListServer;
+import org.geraniumproxy.standin.runtime.FaultServer;
+import org.geraniumproxy.standin.runtime.FaultTarget;
+import org.geraniumproxy.standin.runtime.Faults;
+import org.geraniumproxy.standin.runtime.Owner;
+import org.geraniumproxy.standin.store.StoreServer;
+
+/**
+ * Hosts stand-ins, each at an address of its own with its fault service.
+ *
+ * <pre>{@code
+ * ManualOwner owner = ManualOwner.at(Instant.EPOCH);
+ * try (StandinPlatform platform = StandinPlatform.start(new Transport.InProcess(), owner)) {
+ *     platform.addStore("store");
+ *     platform.addDatabase("ledger-1a", "ledger-1a-address", DatabaseSettings.INSTANT);
+ *     ManagedChannel channel = platform.open("store");
+ * }
+ * }</pre>
+ */
+public final class StandinPlatform implements AutoCloseable {
+    private final Transport transport;
+    private final Owner owner;
+    private final List<Server> servers = new ArrayList<>();
+    private Optional<VmListServer> vmList = Optional.empty();
+
+    private StandinPlatform(Transport transport, Owner owner) {
+        this.transport = transport;
+        this.owner = owner;
+    }
+
+    /**
+     * Returns a platform without stand-ins.
+     *
+     * @param transport how its stand-ins are reached
+     * @param owner the owner of the state of all of them
+     * @return the platform
+     */
+    public static StandinPlatform start(Transport transport, Owner owner) {
+        return new StandinPlatform(transport, owner);
+    }
+
+    /**
+     * Adds a store.
+     *
+     * @param address where it listens
+     * @return the store
+     */
+    public StoreServer addStore(String address) {
+        StoreServer store = new StoreServer(owner);
+        serve(address, store, store);
+        return store;
+    }
+
+    /**
+     * Adds the list of VMs. Databases that are added later appear on it.
+     *
+     * @param address where it listens
+     * @param vmNames the VMs that it shows from the start
+     * @param lag time after which it shows a change
+     * @return the list
+     */
+    public VmListServer addVmList(String address, List<String> vmNames, Duration lag) {
+        VmListServer list = new VmListServer(vmNames, lag, owner);
+        serve(address, list, list);
+        vmList = Optional.of(list);
+        return list;
+    }
+
+    /**
+     * Adds a database.
+     *
+     * @param name name of the backend server
+     * @param address where it listens
+     * @param settings limits and costs
+     * @return the database
+     */
+    public BackendServer addDatabase(String name, String address, DatabaseSettings settings) {
+        BackendServer database = new BackendServer(name, settings, owner, transport::open);
+        vmList.ifPresent(list -> list.addBackendServer(name));
+        FaultTarget target = vmList.<FaultTarget>map(list -> new ListedDatabase(database, list))
+                .orElse(database.faultTarget());
+        serve(address, database, target);
+        return database;
+    }
+
+    /**
+     * Opens a channel to a stand-in; the caller shuts it down.
+     *
+     * @param address address of the stand-in
+     * @return the channel
+     */
+    public ManagedChannel open(String address) {
+        return transport.open(address);
+    }
+
+    /** Stops all stand-ins. */
+    @Override
+    public void close() {
+        servers.forEach(Server::shutdownNow);
+    }
+
+    private void serve(String address, BindableService service, FaultTarget target) {
+        servers.add(transport.serve(address, List.of(service, new FaultServer(owner, target))));
+    }
+
+    /** A database whose leaving flag also reaches the list of VMs. */
+    private record ListedDatabase(BackendServer database, VmListServer list) implements FaultTarget {
+        @Override
+        public void inject(Faults faults) {
+            if (faults.leaving() != database.isLeaving()) {
+                list.markBackendServer(database.name(), faults.leaving());
+            }
+            database.faultTarget().inject(faults);
+        }
+
+        @Override
+        public HistoryReply history() {
+            return database.faultTarget().history();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/database/ConnectionTable.java
@@ -0,0 +1,32 @@
+package org.geraniumproxy.standin.database;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The open connections of a database. Confined to the owner. */
+final class ConnectionTable {
+    private final Set<ConnectionHandler> handlers = new LinkedHashSet<>();
+    private long openedCount;
+
+    long nextNumber() {
+        openedCount++;
+        return openedCount;
+    }
+
+    void add(ConnectionHandler handler) {
+        handlers.add(handler);
+    }
+
+    boolean remove(ConnectionHandler handler) {
+        return handlers.remove(handler);
+    }
+
+    void dropTransactions() {
+        handlers.forEach(ConnectionHandler::dropTransaction);
+    }
+
+    void failAll() {
+        List.copyOf(handlers).forEach(ConnectionHandler::fail);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/database/DatabaseLog.java
@@ -0,0 +1,101 @@
+package org.geraniumproxy.standin.database;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumproxy.core.identity.Term;
+import org.geraniumproxy.core.identity.TermStart;
+import org.geraniumproxy.standin.runtime.Invariant;
+
+/** The log of a database and the values that it yields. Confined to one thread. */
+final class DatabaseLog {
+    /**
+     * One write.
+     *
+     * @param term term of the primary that took it
+     * @param position position in the log, from one
+     * @param key the key
+     * @param value the value after the write
+     * @param writeIdentifier text of the statement
+     */
+    record Entry(Term term, long position, String key, String value, String writeIdentifier) {}
+
+    private final List<Entry> entries = new ArrayList<>();
+    private final List<TermStart> segments = new ArrayList<>();
+    private final Map<String, String> values = new HashMap<>();
+
+    long position() {
+        return entries.size();
+    }
+
+    Term lastEntryTerm() {
+        return entries.isEmpty() ? Term.NONE : entries.getLast().term();
+    }
+
+    /** Returns the starts of the terms that have entries, in ascending order; they identify the history. */
+    List<TermStart> segments() {
+        return List.copyOf(segments);
+    }
+
+    List<Entry> entries() {
+        return List.copyOf(entries);
+    }
+
+    List<Entry> after(long position) {
+        return List.copyOf(entries.subList((int) position, entries.size()));
+    }
+
+    Optional<String> value(String key) {
+        return Optional.ofNullable(values.get(key));
+    }
+
+    Map<String, String> values() {
+        return values;
+    }
+
+    void append(Entry entry) {
+        Invariant.check(entry.position() == position() + 1, "log positions have no gap");
+        Invariant.check(entry.term().compareTo(lastEntryTerm()) >= 0, "terms of a log never decrease");
+        if (!entry.term().equals(lastEntryTerm())) {
+            segments.add(new TermStart(entry.term(), position()));
+        }
+        entries.add(entry);
+        values.put(entry.key(), entry.value());
+    }
+
+    /** Drops the entries past a position. */
+    void truncateAfter(long position) {
+        Invariant.check(position <= position(), "a log is never cut past its end");
+        if (position == position()) {
+            return;
+        }
+        entries.subList((int) position, entries.size()).clear();
+        segments.removeIf(segment -> segment.position() >= position);
+        values.clear();
+        entries.forEach(entry -> values.put(entry.key(), entry.value()));
+    }
+
+    /**
+     * Returns the last position that this log shares with another one. Two segments of the same term and start hold the
+     * same entries, because a term has one primary.
+     */
+    long commonPosition(List<TermStart> otherSegments, long otherPosition) {
+        long common = 0;
+        int shared = Math.min(segments.size(), otherSegments.size());
+        for (int i = 0; i < shared && segments.get(i).equals(otherSegments.get(i)); i++) {
+            long end = end(segments, i, position());
+            long otherEnd = end(otherSegments, i, otherPosition);
+            common = Math.min(end, otherEnd);
+            if (end != otherEnd) {
+                break;
+            }
+        }
+        return common;
+    }
+
+    private static long end(List<TermStart> segments, int index, long position) {
+        return index + 1 < segments.size() ? segments.get(index + 1).position() : position;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/database/Transaction.java
@@ -0,0 +1,55 @@
+package org.geraniumproxy.standin.database;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumproxy.core.identity.Term;
+
+/** The writes of an open transaction, which only its own connection sees. Confined to one thread. */
+final class Transaction {
+    /**
+     * A write that waits for the commit.
+     *
+     * @param statement the statement
+     * @param text its text
+     */
+    record PendingWrite(Statement statement, String text) {}
+
+    private final Term term;
+    private final List<PendingWrite> writes = new ArrayList<>();
+    private final Map<String, String> overlay = new HashMap<>();
+
+    Transaction(Term term) {
+        this.term = term;
+    }
+
+    Term term() {
+        return term;
+    }
+
+    List<PendingWrite> writes() {
+        return List.copyOf(writes);
+    }
+
+    Optional<String> value(DatabaseLog log, String key) {
+        return Optional.ofNullable(overlay.get(key)).or(() -> log.value(key));
+    }
+
+    long count(DatabaseLog log, String prefix) {
+        long committed = log.values().keySet().stream()
+                .filter(key -> key.startsWith(prefix))
+                .count();
+        long added = overlay.keySet().stream()
+                .filter(key -> key.startsWith(prefix))
+                .filter(key -> !log.values().containsKey(key))
+                .count();
+        return committed + added;
+    }
+
+    void add(PendingWrite write, String key, String value) {
+        writes.add(write);
+        overlay.put(key, value);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/database/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of a database of a group. */
+package org.geraniumproxy.standin.database;
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the platform's list of VMs. */
+package org.geraniumproxy.standin.platform;
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/runtime/ManualOwner.java
@@ -0,0 +1,87 @@
+package org.geraniumproxy.standin.runtime;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.Queue;
+
+/**
+ * An owner whose time stands still until a test advances it. It runs tasks on the thread that hands them over, so it
+ * belongs to one test thread and to in-process channels with a direct executor.
+ *
+ * <pre>{@code
+ * ManualOwner owner = ManualOwner.at(Instant.EPOCH);
+ * owner.advance(Duration.ofMillis(50)); // runs what is due, in order of time
+ * }</pre>
+ */
+public final class ManualOwner implements Owner {
+    private record Timer(Instant due, long number, Runnable task) {}
+
+    private final Queue<Runnable> ready = new ArrayDeque<>();
+    private final PriorityQueue<Timer> timers =
+            new PriorityQueue<>(Comparator.comparing(Timer::due).thenComparingLong(Timer::number));
+    private Instant now;
+    private long timerCount;
+    private boolean running;
+
+    private ManualOwner(Instant now) {
+        this.now = now;
+    }
+
+    /**
+     * Returns an owner whose clock shows the given moment.
+     *
+     * @param now the moment
+     * @return the owner
+     */
+    public static ManualOwner at(Instant now) {
+        return new ManualOwner(now);
+    }
+
+    @Override
+    public Instant now() {
+        return now;
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        ready.add(task);
+        runReady();
+    }
+
+    @Override
+    public void schedule(Duration delay, Runnable task) {
+        timers.add(new Timer(now.plus(delay), timerCount++, task));
+    }
+
+    /**
+     * Advances the clock and runs every task that falls due, in order of time.
+     *
+     * @param duration how far to advance
+     */
+    public void advance(Duration duration) {
+        Instant end = now.plus(duration);
+        while (!timers.isEmpty() && !timers.peek().due().isAfter(end)) {
+            Timer timer = timers.remove();
+            now = timer.due();
+            execute(timer.task());
+        }
+        now = end;
+    }
+
+    private void runReady() {
+        if (running) {
+            return;
+        }
+        running = true;
+        try {
+            for (Runnable task = ready.poll(); task != null; task = ready.poll()) {
+                task.run();
+            }
+        } finally {
+            running = false;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/runtime/ThreadOwner.java
@@ -0,0 +1,70 @@
+package org.geraniumproxy.standin.runtime;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+
+/** An owner with a thread of its own and the time of a clock. */
+public final class ThreadOwner implements Owner, AutoCloseable {
+    private static final Logger log = Logger.getLogger(ThreadOwner.class);
+
+    private final Clock clock;
+    private final ScheduledThreadPoolExecutor executor;
+
+    private ThreadOwner(Clock clock, ScheduledThreadPoolExecutor executor) {
+        this.clock = clock;
+        this.executor = executor;
+    }
+
+    /**
+     * Starts an owner.
+     *
+     * @param name name of the thread
+     * @param clock the clock
+     * @return the running owner
+     */
+    public static ThreadOwner start(String name, Clock clock) {
+        ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(
+                1, Thread.ofPlatform().name(name).daemon().factory());
+        executor.setRemoveOnCancelPolicy(true);
+        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        return new ThreadOwner(clock, executor);
+    }
+
+    @Override
+    public Instant now() {
+        return clock.instant();
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        schedule(Duration.ZERO, task);
+    }
+
+    @Override
+    public void schedule(Duration delay, Runnable task) {
+        try {
+            ScheduledFuture<?> unused = executor.schedule(() -> runAndLog(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException e) {
+            log.debug("standin: task after the end of its owner dropped", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private static void runAndLog(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            log.error("standin: task failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/geraniumproxy/standin/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Owner threads, faults and replies that all stand-ins share. */
+package org.geraniumproxy.standin.runtime;
--- /dev/null
+++ b/standin/src/test/java/org/geraniumproxy/standin/platform/VmList_lag_Test.java
@@ -0,0 +1,24 @@
+package org.geraniumproxy.standin.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+final class VmList_lag_Test {
+    /** Guards against a list that is more current than the platform's, which would hide faults of the proxies. */
+    @Test
+    void should_show_a_change_after_the_lag() {
+        // given
+        VmList list = new VmList(Duration.ofSeconds(1));
+        list.add("vm-1");
+        // when
+        list.mark("vm-1", true, Instant.EPOCH);
+        // then
+        assertThat(list.shownAt(Instant.EPOCH.plusMillis(999)), is(Map.of("vm-1", false)));
+        assertThat(list.shownAt(Instant.EPOCH.plusMillis(1000)), is(Map.of("vm-1", true)));
+    }
+}
