--- a/core/src/main/java/org/geraniumproxy/core/configuration/ApplyDecision.java
+++ b/core/src/main/java/org/geraniumproxy/core/configuration/ApplyDecision.java
@@ -28,8 +28,10 @@
      * @param state the present state
      * @param event what was learned
      * @return the next state and the effects
+     * @throws InvariantViolation if the event answers a compare-and-swap that was not sent
      */
     public static Transition<ApplyState, ApplyEffect> decide(ApplyState state, ApplyEvent event) {
+        requireThatSwapWasSent(state, event);
         return switch (state) {
             case ApplyState.ReadingBase reading -> readingBase(reading, event);
             case ApplyState.WritingContent writing -> writingContent(writing, event);
@@ -51,8 +53,8 @@
             case ApplyEvent.ReplyLost() -> step(state, new ApplyEffect.ReadManifestLater());
             case ApplyEvent.DeadlineReached() -> Transition.to(new ApplyState.NotApplied());
             case ApplyEvent.ContentWritten() -> Transition.to(state);
-            case ApplyEvent.Swapped() -> throw neverSent();
-            case ApplyEvent.SwapConflicted ignored -> throw neverSent();
+            case ApplyEvent.Swapped() -> Transition.to(state);
+            case ApplyEvent.SwapConflicted ignored -> Transition.to(state);
         };
     }
 
@@ -67,8 +69,8 @@
             case ApplyEvent.ReplyLost() -> step(state, new ApplyEffect.WriteContent(request.contentDigest()));
             case ApplyEvent.DeadlineReached() -> Transition.to(new ApplyState.NotApplied());
             case ApplyEvent.ManifestRead ignored -> Transition.to(state);
-            case ApplyEvent.Swapped() -> throw neverSent();
-            case ApplyEvent.SwapConflicted ignored -> throw neverSent();
+            case ApplyEvent.Swapped() -> Transition.to(state);
+            case ApplyEvent.SwapConflicted ignored -> Transition.to(state);
         };
     }
 
@@ -127,7 +129,10 @@
         return Transition.to(state, List.of(effect));
     }
 
-    private static InvariantViolation neverSent() {
-        return new InvariantViolation("the store answered a compare-and-swap that this apply has not sent");
+    private static void requireThatSwapWasSent(ApplyState state, ApplyEvent event) {
+        boolean isBeforeSwap = state instanceof ApplyState.ReadingBase || state instanceof ApplyState.WritingContent;
+        boolean answersSwap = event instanceof ApplyEvent.Swapped || event instanceof ApplyEvent.SwapConflicted;
+        InvariantViolation.require(
+                !(isBeforeSwap && answersSwap), "the store answers only a compare-and-swap that was sent");
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/control/InvariantViolation.java
+++ b/core/src/main/java/org/geraniumproxy/core/control/InvariantViolation.java
@@ -1,28 +1,23 @@
 package org.geraniumproxy.core.control;
 
-/** Error of a program that has reached a state which its own rules exclude. */
+/** A guarantee of the system was found broken. It is a fault of the program, not of its environment. */
 public final class InvariantViolation extends IllegalStateException {
     private static final long serialVersionUID = 1L;
 
-    /**
-     * Creates the error.
-     *
-     * @param message the broken invariant
-     */
-    public InvariantViolation(String message) {
+    private InvariantViolation(String message) {
         super(message);
     }
 
     /**
      * Checks an invariant.
      *
-     * @param holds whether the invariant holds
-     * @param message the invariant and where it broke
+     * @param holds whether it holds
+     * @param invariant the invariant in words
      * @throws InvariantViolation if it does not hold
      */
-    public static void check(boolean holds, String message) {
+    public static void require(boolean holds, String invariant) {
         if (!holds) {
-            throw new InvariantViolation(message);
+            throw new InvariantViolation("invariant violated: " + invariant);
         }
     }
 }
