Add geraniumctl

Cause: operators control the system only by changing and applying files, and need the same answers from every store state.

Change: module control with check, diff, apply, status and keys; text or one JSON object per line; exit codes 0 to 3. The apply decision of the core runs on one event loop that also carries the timeout of each call, so that tests run on a paused clock. After the swap, apply asks the VMs of the roster until a majority of the voters and then every live VM has the revision, and names the ones that have not. A VM that does not answer counts as live while a voter hears from it.

Trace: the first version repeated a failed write of the content at once, which would load a store in trouble; repeated calls now wait in the effect Later. A test blocked inside the event loop and hung; its faults are now injected without blocking, and the test classes have a timeout.

Ruled out: gRPC deadlines as the only timeout, because they run on real time; a default of plain text, because a forgotten option would then send the configuration unprotected.

Conclusion: tests against the stand-in of the store cover lost replies of both writes, a stale base, a lost race, a store that is down before the apply, and one that goes away with the swap on its way.

--- /dev/null
+++ b/control/src/main/java/org/geraniumproxy/control/ApplyCommand.java
@@ -0,0 +1,126 @@
+package org.geraniumproxy.control;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumproxy.core.configuration.ApplyRequest;
+import org.geraniumproxy.core.configuration.ApplyState;
+import org.geraniumproxy.core.configuration.ConfigurationDifference;
+import org.geraniumproxy.core.configuration.KeyDigest;
+import org.geraniumproxy.core.configuration.Manifest;
+import org.geraniumproxy.core.configuration.RolloutStatus;
+
+/** Shows what a file changes, applies it and waits until it is in force. */
+final class ApplyCommand {
+    private final Session session;
+    private final Output output;
+    private final ConfigurationFile file;
+    private final ApplyRequest request;
+    private final Duration longestWait;
+
+    /**
+     * Creates the command.
+     *
+     * @param session links to store and VMs
+     * @param output takes the reports
+     * @param file the checked file
+     * @param baseRevision revision that the change is based on
+     * @param applyIdentifier unique identifier of this apply
+     * @param longestWait longest wait until the revision is in force, zero for none
+     */
+    ApplyCommand(
+            Session session,
+            Output output,
+            ConfigurationFile file,
+            long baseRevision,
+            String applyIdentifier,
+            Duration longestWait) {
+        this.session = session;
+        this.output = output;
+        this.file = file;
+        this.request = new ApplyRequest(applyIdentifier, baseRevision, KeyDigest.sha256(file.toml()));
+        this.longestWait = longestWait;
+    }
+
+    /** Runs the command; the future fails only by faults of the program. */
+    CompletableFuture<ExitCode> run() {
+        return CurrentConfiguration.read(session.store())
+                .handle(this::showIfNotReached)
+                .thenCompose(current -> current.map(this::applyOn)
+                        .orElseGet(() -> CompletableFuture.completedFuture(ExitCode.UNREACHABLE)));
+    }
+
+    private Optional<CurrentConfiguration> showIfNotReached(CurrentConfiguration current, Throwable failure) {
+        if (failure != null) {
+            output.show(new Report.Failed(
+                    "the store could not be read, and nothing was changed: " + Failures.describe(failure)));
+        }
+        return Optional.ofNullable(current);
+    }
+
+    private CompletableFuture<ExitCode> applyOn(CurrentConfiguration current) {
+        if (current.manifest().revision() != request.baseRevision()) {
+            output.show(new Report.Conflict(request.baseRevision(), current.manifest(), Optional.empty()));
+            return CompletableFuture.completedFuture(ExitCode.REFUSED);
+        }
+        current.warnIfUnreadable(output);
+        output.show(new Report.Changes(
+                current.manifest().revision(),
+                ConfigurationDifference.between(current.configuration(), file.configuration())));
+        return ApplyRunner.run(session.store(), session.eventLoop(), request, file.toml())
+                .thenCompose(result -> conclude(current, result));
+    }
+
+    private CompletableFuture<ExitCode> conclude(CurrentConfiguration base, ApplyRunner.Result result) {
+        return switch (result.end()) {
+            case ApplyState.Applied(Manifest manifest) -> {
+                output.show(new Report.Accepted(manifest));
+                yield awaitRollout(manifest.revision());
+            }
+            case ApplyState.Conflicted(long ignored, Manifest manifest) -> showConflict(base, manifest);
+            case ApplyState.NotApplied() -> {
+                output.show(new Report.Failed("the store did not answer, and nothing was changed"
+                        + TextReports.because(result.lastFailure())));
+                yield CompletableFuture.completedFuture(ExitCode.UNREACHABLE);
+            }
+            case ApplyState.OutcomeUnknown(Manifest sent) -> {
+                output.show(new Report.Unresolved(sent, result.lastFailure()));
+                yield CompletableFuture.completedFuture(ExitCode.UNREACHABLE);
+            }
+        };
+    }
+
+    private CompletableFuture<ExitCode> showConflict(CurrentConfiguration base, Manifest manifest) {
+        return CurrentConfiguration.read(session.store()).handle((current, failure) -> {
+            boolean canCompare = failure == null && base.isReadable() && current.isReadable();
+            output.show(
+                    canCompare
+                            ? new Report.Conflict(
+                                    request.baseRevision(),
+                                    current.manifest(),
+                                    Optional.of(ConfigurationDifference.between(
+                                            base.configuration(), current.configuration())))
+                            : new Report.Conflict(request.baseRevision(), manifest, Optional.empty()));
+            return ExitCode.REFUSED;
+        });
+    }
+
+    private CompletableFuture<ExitCode> awaitRollout(long revision) {
+        if (longestWait.isZero()) {
+            return CompletableFuture.completedFuture(ExitCode.SUCCESS);
+        }
+        return session.store()
+                .readRoster()
+                .thenCompose(roster ->
+                        RolloutWait.await(session.nodes(), session.eventLoop(), revision, roster, longestWait))
+                .handle((status, failure) -> {
+                    if (failure != null) {
+                        output.show(new Report.Failed("revision " + revision + " is accepted, but the roster could not"
+                                + " be read to see where it is in force: " + Failures.describe(failure)));
+                        return ExitCode.UNREACHABLE;
+                    }
+                    output.show(new Report.Rollout(revision, status));
+                    return status instanceof RolloutStatus.InForce ? ExitCode.SUCCESS : ExitCode.UNREACHABLE;
+                });
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/geraniumproxy/control/ControlStore.java
@@ -0,0 +1,42 @@
+package org.geraniumproxy.control;
+
+import com.google.protobuf.ByteString;
+import java.util.concurrent.CompletableFuture;
+
+/** Access to the platform's store. A future fails if the outcome is not known in time. */
+interface ControlStore extends AutoCloseable {
+    CompletableFuture<StoredValue> get(String key);
+
+    /**
+     * Replaces a value if it has not changed.
+     *
+     * @param key the key
+     * @param expectedRevision revision of the current value, zero if the key must be absent
+     * @param value the new value
+     * @return whether the value was replaced, and the current value
+     */
+    CompletableFuture<SwapResult> compareAndSwap(String key, long expectedRevision, ByteString value);
+
+    @Override
+    void close();
+
+    /**
+     * A value with the revision of the store at which it was written.
+     *
+     * @param revision the revision, zero if the key is absent
+     * @param value the value, empty if the key is absent
+     */
+    record StoredValue(long revision, ByteString value) {
+        boolean isPresent() {
+            return revision != 0;
+        }
+    }
+
+    /**
+     * Answer to a compare-and-swap.
+     *
+     * @param swapped whether the value was replaced
+     * @param current the value after the call
+     */
+    record SwapResult(boolean swapped, StoredValue current) {}
+}
--- /dev/null
+++ b/control/src/main/java/org/geraniumproxy/control/DiffCommand.java
@@ -0,0 +1,23 @@
+package org.geraniumproxy.control;
+
+import java.util.concurrent.CompletableFuture;
+import org.geraniumproxy.core.configuration.ConfigurationDifference;
+
+/** Shows what a file changes against the configuration in force. */
+final class DiffCommand {
+    private DiffCommand() {}
+
+    static CompletableFuture<ExitCode> run(Session session, Output output, ConfigurationFile file) {
+        return CurrentConfiguration.read(session.store()).handle((current, failure) -> {
+            if (failure != null) {
+                output.show(new Report.Failed("the store could not be read: " + Failures.describe(failure)));
+                return ExitCode.UNREACHABLE;
+            }
+            current.warnIfUnreadable(output);
+            output.show(new Report.Changes(
+                    current.manifest().revision(),
+                    ConfigurationDifference.between(current.configuration(), file.configuration())));
+            return ExitCode.SUCCESS;
+        });
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/geraniumproxy/control/DurationConverter.java
@@ -0,0 +1,15 @@
+package org.geraniumproxy.control;
+
+import com.beust.jcommander.IStringConverter;
+import com.beust.jcommander.ParameterException;
+import java.time.Duration;
+import org.geraniumproxy.settings.Durations;
+
+/** Reads durations with a unit from the command line. JCommander creates it by reflection. */
+public final class DurationConverter implements IStringConverter<Duration> {
+    @Override
+    public Duration convert(String text) {
+        return Durations.parse(text)
+                .orElseThrow(() -> new ParameterException("expected " + Durations.FORMAT + ", but found: " + text));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/geraniumproxy/control/OutputOptions.java
@@ -0,0 +1,32 @@
+package org.geraniumproxy.control;
+
+import com.beust.jcommander.Parameter;
+import java.io.PrintStream;
+
+/** Options of every command. */
+final class OutputOptions {
+    /** Formats of results. */
+    enum Format {
+        /** Text for people. */
+        TEXT,
+        /** One JSON object on a line for each report. */
+        JSON
+    }
+
+    @Parameter(names = "--format", description = "text, or json for one JSON object per line")
+    private Format format = Format.TEXT;
+
+    @Parameter(names = "--help", help = true, description = "shows the options")
+    private boolean help;
+
+    boolean help() {
+        return help;
+    }
+
+    Output output(PrintStream out, PrintStream err) {
+        return switch (format) {
+            case TEXT -> new Output.Text(out, err);
+            case JSON -> new Output.Json(out);
+        };
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/geraniumproxy/control/StatusCommand.java
@@ -0,0 +1,68 @@
+package org.geraniumproxy.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumproxy.core.configuration.Manifest;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.membership.Roster;
+import org.geraniumproxy.core.membership.Vm;
+
+/** Shows the revision in force, the roster and what each VM answers. */
+final class StatusCommand {
+    private StatusCommand() {}
+
+    static CompletableFuture<ExitCode> run(Session session, Output output) {
+        ConfigurationStore store = session.store();
+        return store.readManifest()
+                .thenCompose(manifest ->
+                        store.readRoster().thenCompose(roster -> askAll(session, manifest.manifest(), roster)))
+                .handle((fleet, failure) -> {
+                    if (failure != null) {
+                        output.show(new Report.Failed("the store could not be read: " + Failures.describe(failure)));
+                        return ExitCode.UNREACHABLE;
+                    }
+                    output.show(fleet);
+                    return fleet.failures().isEmpty() ? ExitCode.SUCCESS : ExitCode.UNREACHABLE;
+                });
+    }
+
+    private static CompletableFuture<Report.Fleet> askAll(Session session, Manifest manifest, Roster roster) {
+        List<CompletableFuture<Answer>> answers =
+                roster.vms().stream().map(vm -> ask(session, vm)).toList();
+        return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                .thenApply(ignored -> fleet(
+                        manifest,
+                        roster,
+                        answers.stream().map(CompletableFuture::join).toList()));
+    }
+
+    private static CompletableFuture<Answer> ask(Session session, Vm vm) {
+        return session.nodes()
+                .status(vm)
+                .handle((status, failure) -> failure == null
+                        ? new Answer(vm.name(), Optional.of(status), "")
+                        : new Answer(vm.name(), Optional.empty(), Failures.describe(failure)));
+    }
+
+    private static Report.Fleet fleet(Manifest manifest, Roster roster, List<Answer> answers) {
+        Map<VmName, String> failures = new TreeMap<>();
+        answers.stream()
+                .filter(answer -> answer.status().isEmpty())
+                .forEach(answer -> failures.put(answer.vm(), answer.failure()));
+        List<NodeStatus> statuses =
+                answers.stream().flatMap(answer -> answer.status().stream()).toList();
+        return new Report.Fleet(manifest, roster, statuses, failures);
+    }
+
+    /**
+     * What became of asking a VM.
+     *
+     * @param vm the VM
+     * @param status its status, empty if it did not answer
+     * @param failure why it did not answer
+     */
+    private record Answer(VmName vm, Optional<NodeStatus> status, String failure) {}
+}
--- a/control/src/main/java/org/geraniumproxy/control/package-info.java
+++ b/control/src/main/java/org/geraniumproxy/control/package-info.java
@@ -1,2 +1,2 @@
-/** The control module of geraniumproxy. */
+/** The operators' tool: checks, compares and applies configurations, shows the fleet, and creates keys. */
 package org.geraniumproxy.control;
--- /dev/null
+++ b/control/src/test/java/org/geraniumproxy/control/ControlBench.java
@@ -0,0 +1,212 @@
+package org.geraniumproxy.control;
+
+import com.google.protobuf.ByteString;
+import io.grpc.BindableService;
+import io.grpc.ManagedChannel;
+import io.grpc.Server;
+import io.grpc.stub.StreamObserver;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import org.geraniumproxy.core.configuration.StoredManifest;
+import org.geraniumproxy.protocol.FaultReply;
+import org.geraniumproxy.protocol.FaultRequest;
+import org.geraniumproxy.protocol.FaultServiceGrpc;
+import org.geraniumproxy.protocol.NodeStatusReply;
+import org.geraniumproxy.protocol.NodeStatusRequest;
+import org.geraniumproxy.protocol.PeerServiceGrpc;
+import org.geraniumproxy.protocol.Roster;
+import org.geraniumproxy.protocol.VmRecord;
+import org.geraniumproxy.standin.StandinPlatform;
+import org.geraniumproxy.standin.Transport;
+import org.geraniumproxy.standin.runtime.ManualOwner;
+
+/** The commands on a stand-in of the store and on VMs that answer as told, all in one process on a paused clock. */
+final class ControlBench implements AutoCloseable {
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final ManualOwner owner = ManualOwner.at(Instant.EPOCH);
+    private final Transport transport = new Transport.InProcess();
+    private final StandinPlatform platform = StandinPlatform.start(transport, owner);
+    private final String prefix = UUID.randomUUID().toString();
+    private final Map<String, Long> revisions = new HashMap<>();
+    private final Map<String, List<String>> liveVms = new HashMap<>();
+    private final List<Server> servers = new ArrayList<>();
+    private final ByteArrayOutputStream text = new ByteArrayOutputStream();
+    private final EventLoop eventLoop = new ManualEventLoop(owner);
+    private final ManagedChannel faults;
+    private final ControlStore plainStore;
+    private final Session session;
+
+    private ControlBench(UnaryOperator<ControlStore> decorator) {
+        platform.addStore(prefix);
+        faults = transport.open(prefix);
+        plainStore = new GrpcControlStore(transport.open(prefix), eventLoop, TIMEOUT);
+        GrpcNodeStatusClient nodes = new GrpcNodeStatusClient(transport::open, eventLoop, TIMEOUT);
+        session = new Session(eventLoop, new ConfigurationStore(decorator.apply(plainStore)), nodes, nodes::close);
+    }
+
+    static ControlBench start() {
+        return new ControlBench(store -> store);
+    }
+
+    static ControlBench start(UnaryOperator<ControlStore> decorator) {
+        return new ControlBench(decorator);
+    }
+
+    /** Writes a roster of VMs with one failure domain each and lets them answer with revision zero. */
+    void addVms(String... names) {
+        Roster.Builder roster = Roster.newBuilder().setRevision(1);
+        for (String name : names) {
+            roster.addVms(VmRecord.newBuilder()
+                    .setIndex(roster.getVmsCount())
+                    .setName(name)
+                    .setAddress(prefix + name)
+                    .setRegion("lima")
+                    .setFailureDomain("lima-" + name));
+            revisions.put(name, 0L);
+            List<BindableService> services = List.of(new FakeVm(name));
+            servers.add(transport.serve(prefix + name, services));
+        }
+        ControlStore.SwapResult unused = plainStore
+                .compareAndSwap(StoreEncoding.ROSTER_KEY, 0, roster.build().toByteString())
+                .join();
+    }
+
+    void letAnswer(String vm, long revision, String... live) {
+        revisions.put(vm, revision);
+        liveVms.put(vm, List.of(live));
+    }
+
+    /** From now on the VM does not answer. */
+    void silence(String vm) {
+        revisions.remove(vm);
+    }
+
+    CompletableFuture<FaultReply> inject(FaultRequest request) {
+        return UnaryCall.start(
+                eventLoop, TIMEOUT, observer -> FaultServiceGrpc.newStub(faults).inject(request, observer));
+    }
+
+    CompletableFuture<ExitCode> apply(String toml, long baseRevision, String identifier, Duration wait) {
+        Output output = new Output.Text(printer(), printer());
+        ConfigurationFile file = new ConfigurationFile(toml, ExampleConfiguration.parse(toml));
+        return new ApplyCommand(session, output, file, baseRevision, identifier, wait).run();
+    }
+
+    CompletableFuture<ExitCode> status() {
+        return StatusCommand.run(session, new Output.Text(printer(), printer()));
+    }
+
+    /** Runs a command line on the links of this bench. */
+    ExitCode run(String... arguments) {
+        return new ControlTool(options -> session, System.in, printer(), printer()).run(arguments);
+    }
+
+    void advance(Duration duration) {
+        owner.advance(duration);
+    }
+
+    StoredManifest manifest() {
+        return new ConfigurationStore(plainStore).readManifest().join();
+    }
+
+    String text() {
+        return text.toString(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        session.close();
+        plainStore.close();
+        faults.shutdownNow();
+        servers.forEach(Server::shutdownNow);
+        platform.close();
+    }
+
+    private PrintStream printer() {
+        return new PrintStream(text, true, StandardCharsets.UTF_8);
+    }
+
+    /** A VM that answers with the revision that the test has set, or never. */
+    private final class FakeVm extends PeerServiceGrpc.PeerServiceImplBase {
+        private final String name;
+
+        FakeVm(String name) {
+            this.name = name;
+        }
+
+        @Override
+        public void nodeStatus(NodeStatusRequest request, StreamObserver<NodeStatusReply> observer) {
+            if (!revisions.containsKey(name)) {
+                return;
+            }
+            observer.onNext(NodeStatusReply.newBuilder()
+                    .setVm(name)
+                    .setConfigurationRevision(revisions.get(name))
+                    .addAllLiveVms(liveVms.getOrDefault(name, List.of()))
+                    .setReady(true)
+                    .build());
+            observer.onCompleted();
+        }
+    }
+
+    /** The event loop of the commands on the paused clock of the stand-ins. */
+    private record ManualEventLoop(ManualOwner owner) implements EventLoop {
+        @Override
+        public Instant now() {
+            return owner.now();
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            owner.execute(task);
+        }
+
+        @Override
+        public void schedule(Duration delay, Runnable task) {
+            owner.schedule(delay, task);
+        }
+    }
+
+    /** Runs an action before the manifest is swapped for the first time. */
+    static final class BeforeSwap implements ControlStore {
+        private final ControlStore store;
+        private Supplier<CompletableFuture<?>> action;
+
+        BeforeSwap(ControlStore store, Supplier<CompletableFuture<?>> action) {
+            this.store = store;
+            this.action = action;
+        }
+
+        @Override
+        public CompletableFuture<StoredValue> get(String key) {
+            return store.get(key);
+        }
+
+        @Override
+        public CompletableFuture<SwapResult> compareAndSwap(String key, long expectedRevision, ByteString value) {
+            if (!key.equals(StoreEncoding.MANIFEST_KEY)) {
+                return store.compareAndSwap(key, expectedRevision, value);
+            }
+            Supplier<CompletableFuture<?>> once = action;
+            action = () -> CompletableFuture.completedFuture(null);
+            return once.get().thenCompose(ignored -> store.compareAndSwap(key, expectedRevision, value));
+        }
+
+        @Override
+        public void close() {
+            store.close();
+        }
+    }
+}
--- a/core/src/main/java/org/geraniumproxy/core/configuration/ApplyDecision.java
+++ b/core/src/main/java/org/geraniumproxy/core/configuration/ApplyDecision.java
@@ -50,7 +50,7 @@
                 step(
                         new ApplyState.WritingContent(request, current),
                         new ApplyEffect.WriteContent(request.contentDigest()));
-            case ApplyEvent.ReplyLost() -> step(state, new ApplyEffect.ReadManifestLater());
+            case ApplyEvent.ReplyLost() -> step(state, new ApplyEffect.Later(new ApplyEffect.ReadManifest()));
             case ApplyEvent.DeadlineReached() -> Transition.to(new ApplyState.NotApplied());
             case ApplyEvent.ContentWritten() -> Transition.to(state);
             case ApplyEvent.Swapped() -> Transition.to(state);
@@ -66,7 +66,8 @@
                 step(
                         new ApplyState.Swapping(request, state.base()),
                         new ApplyEffect.SwapManifest(state.base().storeRevision(), request.manifest()));
-            case ApplyEvent.ReplyLost() -> step(state, new ApplyEffect.WriteContent(request.contentDigest()));
+            case ApplyEvent.ReplyLost() ->
+                step(state, new ApplyEffect.Later(new ApplyEffect.WriteContent(request.contentDigest())));
             case ApplyEvent.DeadlineReached() -> Transition.to(new ApplyState.NotApplied());
             case ApplyEvent.ManifestRead ignored -> Transition.to(state);
             case ApplyEvent.Swapped() -> Transition.to(state);
@@ -93,7 +94,7 @@
             case ApplyEvent.ManifestRead(StoredManifest current) -> judge(request, state.base(), current);
             case ApplyEvent.Swapped() -> Transition.to(new ApplyState.Applied(request.manifest()));
             case ApplyEvent.SwapConflicted(StoredManifest current) -> judge(request, state.base(), current);
-            case ApplyEvent.ReplyLost() -> step(state, new ApplyEffect.ReadManifestLater());
+            case ApplyEvent.ReplyLost() -> step(state, new ApplyEffect.Later(new ApplyEffect.ReadManifest()));
             case ApplyEvent.DeadlineReached() -> unknown(request);
             case ApplyEvent.ContentWritten() -> Transition.to(state);
         };
@@ -108,7 +109,7 @@
         if (current.storeRevision() <= base.storeRevision()) {
             // The swap may still be on its way, so that an unchanged manifest does not prove that it was lost. An older
             // one is the late reply to a read from before the swap.
-            return step(new ApplyState.Resolving(request, base), new ApplyEffect.ReadManifestLater());
+            return step(new ApplyState.Resolving(request, base), new ApplyEffect.Later(new ApplyEffect.ReadManifest()));
         }
         if (current.manifest().revision() <= request.manifest().revision()) {
             return conflict(request, current);
--- a/core/src/main/java/org/geraniumproxy/core/configuration/ApplyEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/configuration/ApplyEffect.java
@@ -5,9 +5,6 @@
     /** Read the manifest. */
     record ReadManifest() implements ApplyEffect {}
 
-    /** Read the manifest after a pause, because the last answer did not settle anything. */
-    record ReadManifestLater() implements ApplyEffect {}
-
     /**
      * Write the content under its digest. Writing it twice does no harm.
      *
@@ -22,4 +19,11 @@
      * @param manifest the new manifest
      */
     record SwapManifest(long expectedStoreRevision, Manifest manifest) implements ApplyEffect {}
+
+    /**
+     * Start another effect after a pause, because a call has failed or its answer has not settled anything.
+     *
+     * @param effect the effect to start
+     */
+    record Later(ApplyEffect effect) implements ApplyEffect {}
 }
--- a/core/src/test/java/org/geraniumproxy/core/configuration/ApplyDecision_decide_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/configuration/ApplyDecision_decide_Test.java
@@ -70,7 +70,7 @@
 
             // then
             assertThat(transition.state(), equalTo(new ApplyState.Resolving(REQUEST, BASE)));
-            assertThat(transition.effects(), equalTo(List.of(new ApplyEffect.ReadManifestLater())));
+            assertThat(transition.effects(), equalTo(List.of(new ApplyEffect.Later(new ApplyEffect.ReadManifest()))));
         }
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/configuration/ApplySimulation.java
+++ b/core/src/test/java/org/geraniumproxy/core/configuration/ApplySimulation.java
@@ -92,7 +92,7 @@
     private void perform(String identifier, ApplyEffect effect) {
         switch (effect) {
             case ApplyEffect.ReadManifest() -> call(identifier, this::read);
-            case ApplyEffect.ReadManifestLater() -> schedule(PAUSE_MILLIS, () -> call(identifier, this::read));
+            case ApplyEffect.Later(ApplyEffect later) -> schedule(PAUSE_MILLIS, () -> perform(identifier, later));
             case ApplyEffect.WriteContent ignored ->
                 call(identifier, reply -> reply.accept(new ApplyEvent.ContentWritten()));
             case ApplyEffect.SwapManifest swap -> call(identifier, reply -> swap(swap, reply));
