--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/backend/GrpcBackendConnection.java
@@ -0,0 +1,221 @@
+package org.geraniumproxy.proxy.backend;
+
+import io.grpc.stub.ClientCallStreamObserver;
+import io.grpc.stub.ClientResponseObserver;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.Term;
+import org.geraniumproxy.core.pool.BackendCommand;
+import org.geraniumproxy.core.pool.BackendReply;
+import org.geraniumproxy.protocol.ConnectionReply;
+import org.geraniumproxy.protocol.ConnectionRequest;
+import org.geraniumproxy.protocol.End;
+import org.geraniumproxy.protocol.Refusal;
+
+/**
+ * A connection over one stream. Anything on the stream that is not the next part of the answer to the running command
+ * breaks the connection, because a later answer could no longer be matched to its request.
+ */
+final class GrpcBackendConnection implements BackendConnection {
+    private final Object lock = new Object();
+    private final Executor executor;
+    private final CompletableFuture<BackendConnection> opened = new CompletableFuture<>();
+    private ClientCallStreamObserver<ConnectionRequest> requests;
+    private long lastRequestNumber;
+    private boolean transactionOpen;
+    private State state = new Ready();
+
+    /** State of the stream. */
+    private sealed interface State {}
+
+    /** No command is running. */
+    private record Ready() implements State {}
+
+    /** A command was sent and its end mark has not arrived. */
+    private record Running(long requestNumber, List<String> rows, CompletableFuture<BackendReply> result)
+            implements State {}
+
+    /** The stream can't be used any more. */
+    private record Closed(String detail) implements State {}
+
+    /**
+     * Creates a connection whose stream is not open yet.
+     *
+     * @param executor completes the futures, so that no continuation runs while the state is locked
+     */
+    GrpcBackendConnection(Executor executor) {
+        this.executor = executor;
+    }
+
+    CompletableFuture<BackendConnection> opened() {
+        return opened;
+    }
+
+    ClientResponseObserver<ConnectionRequest, ConnectionReply> replies() {
+        return new Replies();
+    }
+
+    @Override
+    public CompletableFuture<BackendReply> execute(BackendCommand command, Term term, CustomerName customer) {
+        CompletableFuture<BackendReply> result = new CompletableFuture<>();
+        synchronized (lock) {
+            switch (state) {
+                case Running _ -> throw new IllegalStateException("another command is running on the connection");
+                case Closed closed -> complete(result, new BackendReply.NotSent(closed.detail()));
+                case Ready _ -> send(command, term, customer, result);
+            }
+        }
+        return result;
+    }
+
+    private void send(
+            BackendCommand command, Term term, CustomerName customer, CompletableFuture<BackendReply> result) {
+        lastRequestNumber++;
+        ConnectionRequest request = BackendMessages.request(lastRequestNumber, command, term, customer);
+        state = new Running(lastRequestNumber, new ArrayList<>(), result);
+        try {
+            requests.onNext(request);
+        } catch (RuntimeException e) {
+            // The library gives no promise about what has left when it throws, so the command counts as sent.
+            fail("the stream failed while the command was sent");
+        }
+    }
+
+    @Override
+    public boolean isClean() {
+        synchronized (lock) {
+            return state instanceof Ready && !transactionOpen;
+        }
+    }
+
+    @Override
+    public void close() {
+        ClientCallStreamObserver<ConnectionRequest> stream;
+        boolean wasReady;
+        synchronized (lock) {
+            wasReady = state instanceof Ready;
+            stream = requests;
+            fail("the connection was closed");
+        }
+        if (stream != null) {
+            end(stream, wasReady);
+        }
+    }
+
+    private static void end(ClientCallStreamObserver<ConnectionRequest> stream, boolean wasReady) {
+        if (!wasReady) {
+            stream.cancel("the connection is closed", null);
+            return;
+        }
+        try {
+            stream.onCompleted();
+        } catch (IllegalStateException e) {
+            // The stream has ended on its own, which is what was wanted.
+            stream.cancel("the connection is closed", e);
+        }
+    }
+
+    /** Ends the running command as broken and accepts no other one. */
+    private void fail(String detail) {
+        State before = state;
+        if (before instanceof Closed) {
+            return;
+        }
+        state = new Closed(detail);
+        if (before instanceof Running running) {
+            complete(running.result(), new BackendReply.Broken(detail));
+        }
+    }
+
+    private void breakStream(String detail) {
+        fail(detail);
+        requests.cancel(detail, null);
+    }
+
+    private void receive(ConnectionReply reply) {
+        if (state instanceof Closed) {
+            return;
+        }
+        if (!(state instanceof Running running)) {
+            breakStream("a reply arrived while no command was running");
+            return;
+        }
+        if (reply.getRequestNumber() != running.requestNumber()) {
+            breakStream("a reply to request " + reply.getRequestNumber() + " arrived while request "
+                    + running.requestNumber() + " was running");
+            return;
+        }
+        switch (reply.getPartCase()) {
+            case ROW -> running.rows().add(reply.getRow().getValue());
+            case END -> finish(running, reply.getEnd());
+            case REFUSAL -> refuse(running, reply.getRefusal());
+            default -> breakStream("a reply without content arrived");
+        }
+    }
+
+    private void finish(Running running, End end) {
+        if (end.getRowCount() != running.rows().size()) {
+            breakStream("the end mark counts " + end.getRowCount() + " rows, but "
+                    + running.rows().size() + " arrived");
+            return;
+        }
+        LogPosition position = LogPosition.of(end.getTerm(), end.getPosition());
+        transactionOpen = end.getTransactionOpen();
+        state = new Ready();
+        complete(running.result(), new BackendReply.Completed(running.rows(), position, transactionOpen));
+    }
+
+    private void refuse(Running running, Refusal refusal) {
+        if (!running.rows().isEmpty()) {
+            breakStream("a refusal arrived after rows");
+            return;
+        }
+        transactionOpen = refusal.getTransactionOpen();
+        state = new Ready();
+        complete(
+                running.result(),
+                new BackendReply.Refused(refusal.getReason(), Term.of(refusal.getFencedTerm()), transactionOpen));
+    }
+
+    private void complete(CompletableFuture<BackendReply> result, BackendReply reply) {
+        executor.execute(() -> result.complete(reply));
+    }
+
+    /** Receives the stream's events on the client's executor, one at a time. */
+    private final class Replies implements ClientResponseObserver<ConnectionRequest, ConnectionReply> {
+        @Override
+        public void beforeStart(ClientCallStreamObserver<ConnectionRequest> stream) {
+            synchronized (lock) {
+                requests = stream;
+            }
+            stream.setOnReadyHandler(() -> opened.complete(GrpcBackendConnection.this));
+        }
+
+        @Override
+        public void onNext(ConnectionReply reply) {
+            synchronized (lock) {
+                receive(reply);
+            }
+        }
+
+        @Override
+        public void onError(Throwable failure) {
+            synchronized (lock) {
+                fail("the stream to the backend server failed");
+            }
+            opened.completeExceptionally(failure);
+        }
+
+        @Override
+        public void onCompleted() {
+            synchronized (lock) {
+                fail("the backend server closed the stream");
+            }
+            opened.completeExceptionally(new IllegalStateException("the backend server closed the stream"));
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/encoding/OutcomeMessages.java
@@ -0,0 +1,82 @@
+package org.geraniumproxy.proxy.encoding;
+
+import java.time.Duration;
+import org.geraniumproxy.core.outcome.NotRunReason;
+import org.geraniumproxy.core.outcome.Outcome;
+import org.geraniumproxy.protocol.Answer;
+import org.geraniumproxy.protocol.NotRun;
+import org.geraniumproxy.protocol.OutcomeUnknown;
+
+/** Translates outcomes. A message that is not a complete answer to the expected request reads as unknown. */
+public final class OutcomeMessages {
+    private OutcomeMessages() {}
+
+    /**
+     * Writes an outcome.
+     *
+     * @param requestNumber number of the request that ended so
+     * @param outcome the outcome
+     * @return the message
+     */
+    public static org.geraniumproxy.protocol.Outcome write(long requestNumber, Outcome outcome) {
+        org.geraniumproxy.protocol.Outcome.Builder builder = org.geraniumproxy.protocol.Outcome.newBuilder();
+        return switch (outcome) {
+            case Outcome.Answered answered ->
+                builder.setAnswer(Answer.newBuilder()
+                                .setRequestNumber(requestNumber)
+                                .addAllRows(answered.rows())
+                                .setRowCount(answered.rows().size())
+                                .setComplete(true))
+                        .build();
+            case Outcome.NotRun notRun ->
+                builder.setNotRun(NotRun.newBuilder()
+                                .setReason(org.geraniumproxy.protocol.NotRunReason.valueOf(
+                                        notRun.reason().name()))
+                                .setDetail(notRun.detail())
+                                .setRetryAfterMillis(notRun.retryAfter().toMillis()))
+                        .build();
+            case Outcome.Unknown unknown ->
+                builder.setUnknown(OutcomeUnknown.newBuilder().setDetail(unknown.detail()))
+                        .build();
+        };
+    }
+
+    /**
+     * Reads an outcome.
+     *
+     * @param requestNumber number of the request that was sent
+     * @param message the message
+     * @return the outcome
+     */
+    public static Outcome read(long requestNumber, org.geraniumproxy.protocol.Outcome message) {
+        return switch (message.getKindCase()) {
+            case ANSWER -> readAnswer(requestNumber, message.getAnswer());
+            case NOT_RUN -> readNotRun(message.getNotRun());
+            case UNKNOWN -> Outcome.unknown(message.getUnknown().getDetail());
+            case KIND_NOT_SET -> Outcome.unknown("the reply has no outcome");
+        };
+    }
+
+    private static Outcome readAnswer(long requestNumber, Answer answer) {
+        if (answer.getRequestNumber() != requestNumber) {
+            return Outcome.unknown("the reply answers request " + answer.getRequestNumber() + ", but request "
+                    + requestNumber + " was sent");
+        }
+        if (!answer.getComplete() || answer.getRowCount() != answer.getRowsCount()) {
+            return Outcome.unknown("the answer is not complete");
+        }
+        return Outcome.answered(answer.getRowsList());
+    }
+
+    private static Outcome readNotRun(NotRun notRun) {
+        return switch (notRun.getReason()) {
+            // A refusal whose reason is missing may come from a newer version, so nothing is known about the request.
+            case NOT_RUN_REASON_UNSPECIFIED, UNRECOGNIZED -> Outcome.unknown("the refusal has no known reason");
+            default ->
+                Outcome.notRun(
+                        NotRunReason.valueOf(notRun.getReason().name()),
+                        notRun.getDetail(),
+                        Duration.ofMillis(notRun.getRetryAfterMillis()));
+        };
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/transport/NettyChannelFactory.java
@@ -0,0 +1,48 @@
+package org.geraniumproxy.proxy.transport;
+
+import io.grpc.ManagedChannel;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContext;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Creates channels over TCP, in plain text or with TLS. */
+public final class NettyChannelFactory implements ChannelFactory {
+    /** Time after which an unused channel gives up its connection, so that links to VMs that have gone are closed. */
+    private static final long IDLE_TIMEOUT_SECONDS = 60;
+
+    private final Optional<SslContext> sslContext;
+
+    private NettyChannelFactory(Optional<SslContext> sslContext) {
+        this.sslContext = sslContext;
+    }
+
+    /**
+     * Returns a factory of channels without encryption, for deployments whose settings allow plain text.
+     *
+     * @return the factory
+     */
+    public static NettyChannelFactory plainText() {
+        return new NettyChannelFactory(Optional.empty());
+    }
+
+    /**
+     * Returns a factory of channels with TLS.
+     *
+     * @param material certificates and keys
+     * @return the factory
+     */
+    public static NettyChannelFactory withTls(TlsMaterial material) {
+        return new NettyChannelFactory(Optional.of(material.clientContext()));
+    }
+
+    @Override
+    public ManagedChannel create(String address) {
+        NettyChannelBuilder builder = NettyChannelBuilder.forTarget(address)
+                .disableServiceConfigLookUp()
+                .idleTimeout(IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return sslContext
+                .map(context -> builder.sslContext(context).build())
+                .orElseGet(() -> builder.usePlaintext().build());
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/transport/TlsMaterial.java
@@ -0,0 +1,101 @@
+package org.geraniumproxy.proxy.transport;
+
+import io.grpc.netty.shaded.io.grpc.netty.GrpcSslContexts;
+import io.grpc.netty.shaded.io.netty.handler.ssl.ClientAuth;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContext;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContextBuilder;
+import io.grpc.util.AdvancedTlsX509KeyManager;
+import io.grpc.util.AdvancedTlsX509TrustManager;
+import java.io.IOException;
+import java.security.GeneralSecurityException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLException;
+
+/** Certificates and keys that are read again when their files change; new handshakes use the new ones. */
+public final class TlsMaterial implements AutoCloseable {
+    private final AdvancedTlsX509KeyManager keyManager;
+    private final AdvancedTlsX509TrustManager trustManager;
+    private final List<Runnable> reloads;
+
+    private TlsMaterial(
+            AdvancedTlsX509KeyManager keyManager, AdvancedTlsX509TrustManager trustManager, List<Runnable> reloads) {
+        this.keyManager = keyManager;
+        this.trustManager = trustManager;
+        this.reloads = reloads;
+    }
+
+    /**
+     * Loads the files and reads them again at a fixed interval.
+     *
+     * @param files the files
+     * @param reloadInterval time between two looks at the files
+     * @param scheduler runs the looks at the files
+     * @return the material
+     * @throws IOException if a file can't be read
+     * @throws GeneralSecurityException if a file does not hold what it should
+     */
+    public static TlsMaterial load(TlsFiles files, Duration reloadInterval, ScheduledExecutorService scheduler)
+            throws IOException, GeneralSecurityException {
+        long period = reloadInterval.toMillis();
+        AdvancedTlsX509KeyManager keyManager = new AdvancedTlsX509KeyManager();
+        AdvancedTlsX509KeyManager.Closeable identityReload = keyManager.updateIdentityCredentials(
+                files.certificateChain().toFile(),
+                files.privateKey().toFile(),
+                period,
+                TimeUnit.MILLISECONDS,
+                scheduler);
+        AdvancedTlsX509TrustManager trustManager =
+                AdvancedTlsX509TrustManager.newBuilder().build();
+        AdvancedTlsX509TrustManager.Closeable trustReload = trustManager.updateTrustCredentials(
+                files.trustedCertificates().toFile(), period, TimeUnit.MILLISECONDS, scheduler);
+        return new TlsMaterial(keyManager, trustManager, List.of(identityReload::close, trustReload::close));
+    }
+
+    /**
+     * Returns the context of outgoing links.
+     *
+     * @return the context
+     */
+    public SslContext clientContext() {
+        return build(GrpcSslContexts.forClient().keyManager(keyManager).trustManager(trustManager));
+    }
+
+    /**
+     * Returns the context of a server whose clients must present a certificate, as other VMs do.
+     *
+     * @return the context
+     */
+    public SslContext peerServerContext() {
+        return build(serverBuilder().trustManager(trustManager).clientAuth(ClientAuth.REQUIRE));
+    }
+
+    /**
+     * Returns the context of a server for callers, who present a customer's key and no certificate.
+     *
+     * @return the context
+     */
+    public SslContext callerServerContext() {
+        return build(serverBuilder());
+    }
+
+    private SslContextBuilder serverBuilder() {
+        return GrpcSslContexts.configure(SslContextBuilder.forServer(keyManager));
+    }
+
+    private static SslContext build(SslContextBuilder builder) {
+        try {
+            return builder.build();
+        } catch (SSLException e) {
+            throw new IllegalStateException("node: TLS could not be set up", e);
+        }
+    }
+
+    /** Stops looking at the files. */
+    @Override
+    public void close() {
+        reloads.forEach(Runnable::run);
+    }
+}
