--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/routing/ReadPlacementDecision.java
@@ -0,0 +1,192 @@
+package org.geraniumproxy.core.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumproxy.core.failover.BackendStatus;
+import org.geraniumproxy.core.failover.GroupView;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.Term;
+import org.geraniumproxy.core.outcome.NotRunReason;
+import org.geraniumproxy.core.session.RequirementCheck;
+import org.geraniumproxy.core.session.RequirementVerdict;
+import org.geraniumproxy.core.session.SessionRequirement;
+
+/** Decides between replica and primary for a read. An accepted age of zero always leads to the primary. */
+public final class ReadPlacementDecision {
+    /** Longest wait for a replica. A longer wait holds back the caller more than a slot of the primary is worth. */
+    public static final Duration MAXIMUM_REPLICA_WAIT = Duration.ofMillis(50);
+
+    /**
+     * Greatest age of a replica's report for placing a read there. A replica that has been silent for longer probably
+     * does not answer the read either.
+     */
+    private static final Duration MAXIMUM_REPORT_AGE = Duration.ofMillis(500);
+
+    private ReadPlacementDecision() {}
+
+    /** Whether the read may still wait for a replica. */
+    public enum ReplicaWait {
+        /** The read has not waited. */
+        ALLOWED,
+        /** The read has waited as long as it may. */
+        OVER
+    }
+
+    /**
+     * What a read asks for.
+     *
+     * @param requirement what the session has written and read in the group
+     * @param acceptedAge greatest age of the data that the read accepts
+     * @param deadline moment at which the caller stops waiting
+     * @param replicaWait whether the read may wait for a replica
+     */
+    public record Read(
+            SessionRequirement requirement, Duration acceptedAge, Instant deadline, ReplicaWait replicaWait) {}
+
+    /**
+     * Decides where a read runs.
+     *
+     * @param view the view of the group
+     * @param read the read
+     * @param expectedWaits expected wait for a slot at each database; absent means none
+     * @param now the present moment
+     * @return the placement
+     */
+    public static ReadPlacement decide(
+            GroupView view, Read read, Map<BackendServerName, Duration> expectedWaits, Instant now) {
+        Term highestFencedTerm = view.statuses().values().stream()
+                .map(BackendStatus::fencedTerm)
+                .max(Comparator.naturalOrder())
+                .orElse(Term.NONE);
+        Term tokenTerm = highestTerm(read.requirement());
+        if (tokenTerm.isAfter(view.term()) && !tokenTerm.isAfter(highestFencedTerm)) {
+            return new ReadPlacement.Refuse(NotRunReason.NO_PRIMARY, "a promotion of the group is in progress");
+        }
+        LogPosition unlimited = new LogPosition(view.term(), Long.MAX_VALUE);
+        return switch (RequirementCheck.check(read.requirement(), view.termStarts(), unlimited)) {
+            case RequirementVerdict.WriteLost lost ->
+                new ReadPlacement.Refuse(
+                        NotRunReason.WRITE_LOST, "the write at " + lost.lastWrite() + " was lost in a failover");
+            case RequirementVerdict.Impossible impossible ->
+                new ReadPlacement.Refuse(
+                        NotRunReason.IMPOSSIBLE_TOKEN,
+                        "the token is ahead of term " + view.term().number());
+            case RequirementVerdict.Satisfied satisfied -> place(view, read, satisfied.position(), expectedWaits, now);
+        };
+    }
+
+    /**
+     * Checks the reply of a replica: between decision and reply the replica may have been cut or the data have aged.
+     *
+     * @param view the newest view of the group
+     * @param read the read
+     * @param reply term and position that the reply names
+     * @param now the present moment
+     * @return true if the reply may be given to the caller
+     */
+    public static boolean acceptsReply(GroupView view, Read read, LogPosition reply, Instant now) {
+        if (!reply.term().equals(view.term())) {
+            return false;
+        }
+        RequirementVerdict verdict = RequirementCheck.check(read.requirement(), view.termStarts(), reply);
+        return verdict instanceof RequirementVerdict.Satisfied
+                && isWithinAge(view, reply.position(), read.acceptedAge(), now);
+    }
+
+    private static ReadPlacement place(
+            GroupView view, Read read, long position, Map<BackendServerName, Duration> expectedWaits, Instant now) {
+        List<BackendStatus> replicas = replicas(view, now);
+        Optional<BackendStatus> ready = replicas.stream()
+                .filter(replica -> replica.position() >= position)
+                .filter(replica -> isWithinAge(view, replica.position(), read.acceptedAge(), now))
+                .min(byWait(expectedWaits));
+        if (ready.isPresent()) {
+            return new ReadPlacement.AtReplica(ready.get().backendServer());
+        }
+        return waitFor(view, read, position, replicas, expectedWaits, now)
+                .or(() -> view.primary().map(ReadPlacement.AtPrimary::new))
+                .orElseGet(() -> refusal(read));
+    }
+
+    /**
+     * Waits only if the replica is expected to be ready before the primary has a free slot, or if there is no primary.
+     */
+    private static Optional<ReadPlacement> waitFor(
+            GroupView view,
+            Read read,
+            long position,
+            List<BackendStatus> replicas,
+            Map<BackendServerName, Duration> expectedWaits,
+            Instant now) {
+        if (read.replicaWait() == ReplicaWait.OVER || read.acceptedAge().isZero()) {
+            return Optional.empty();
+        }
+        Duration primaryWait = view.primary()
+                .map(primary -> expectedWaits.getOrDefault(primary, Duration.ZERO))
+                .orElse(MAXIMUM_REPLICA_WAIT);
+        Instant limit = earlier(now.plus(min(primaryWait, MAXIMUM_REPLICA_WAIT)), read.deadline());
+        return replicas.stream()
+                .filter(replica -> replica.position() < position)
+                .filter(replica -> now.plus(replicationDelay(view, replica)).isBefore(limit))
+                .min(Comparator.comparing(replica -> replicationDelay(view, replica)))
+                .map(replica -> new ReadPlacement.WaitForReplica(replica.backendServer(), limit));
+    }
+
+    private static ReadPlacement refusal(Read read) {
+        return read.acceptedAge().isZero()
+                ? new ReadPlacement.Refuse(NotRunReason.NO_PRIMARY, "the group has no primary")
+                : new ReadPlacement.Refuse(
+                        NotRunReason.NO_REPLICA_WITHIN_AGE,
+                        "no replica is proven to be within "
+                                + read.acceptedAge().toMillis() + " ms");
+    }
+
+    private static List<BackendStatus> replicas(GroupView view, Instant now) {
+        return view.statuses().values().stream()
+                .filter(status -> !status.primary() && !status.leaving())
+                .filter(status -> status.replicatingTerm().equals(view.term()))
+                .filter(status -> !status.fencedTerm().isAfter(view.term()))
+                .filter(status -> !now.isAfter(status.requestSentAt().plus(MAXIMUM_REPORT_AGE)))
+                .toList();
+    }
+
+    /** Time by which the replica was behind the primary at its last report. */
+    private static Duration replicationDelay(GroupView view, BackendStatus replica) {
+        return ReplicaAge.provenAt(view.samples(), replica.position())
+                .map(provenAt -> Duration.between(provenAt, replica.requestSentAt()))
+                .filter(delay -> !delay.isNegative())
+                .orElse(Duration.ZERO);
+    }
+
+    private static boolean isWithinAge(GroupView view, long position, Duration acceptedAge, Instant now) {
+        return ReplicaAge.bound(view.samples(), position, now)
+                .map(age -> age.compareTo(acceptedAge) <= 0)
+                .orElse(false);
+    }
+
+    private static Comparator<BackendStatus> byWait(Map<BackendServerName, Duration> expectedWaits) {
+        return Comparator.comparing(
+                        (BackendStatus status) -> expectedWaits.getOrDefault(status.backendServer(), Duration.ZERO))
+                .thenComparing(Comparator.comparingLong(BackendStatus::position).reversed())
+                .thenComparing(BackendStatus::backendServer);
+    }
+
+    private static Term highestTerm(SessionRequirement requirement) {
+        Term write = requirement.lastWrite().term();
+        Term read = requirement.lastRead().term();
+        return write.isAfter(read) ? write : read;
+    }
+
+    private static Duration min(Duration first, Duration second) {
+        return first.compareTo(second) <= 0 ? first : second;
+    }
+
+    private static Instant earlier(Instant first, Instant second) {
+        return first.isBefore(second) ? first : second;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/session/TokenDecoding.java
@@ -0,0 +1,21 @@
+package org.geraniumproxy.core.session;
+
+/** Result of decoding the text of a session token. */
+public sealed interface TokenDecoding {
+    /**
+     * The text is a token of the customer.
+     *
+     * @param token the token
+     */
+    record Decoded(SessionToken token) implements TokenDecoding {}
+
+    /**
+     * The text is not a token.
+     *
+     * @param detail what is wrong, without any part of the text
+     */
+    record Malformed(String detail) implements TokenDecoding {}
+
+    /** The token belongs to another customer. */
+    record Foreign() implements TokenDecoding {}
+}
