--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/failover/SuspicionRule.java
@@ -0,0 +1,134 @@
+package org.geraniumproxy.core.failover;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.Term;
+
+/** Decides whether there is a cause to replace the primary of a group. */
+final class SuspicionRule {
+    private SuspicionRule() {}
+
+    /** Returns the state with the cause that holds now and the moment since which it has lasted. */
+    static GroupState refresh(GroupState state, Instant now) {
+        Optional<Suspicion> suspicion = cause(state, now).map(cause -> {
+            Instant since = state.suspicion()
+                    .filter(known -> cause.continues(known.cause()))
+                    .map(Suspicion::since)
+                    .orElse(now);
+            return new Suspicion(cause, since);
+        });
+        return state.withSuspicion(suspicion);
+    }
+
+    /** Tells whether the present cause has lasted long enough for this supervisor to act. */
+    static boolean isDue(GroupState state, Instant now) {
+        return state.suspicion()
+                .filter(suspicion ->
+                        !now.isBefore(suspicion.since().plus(suspicion.cause().delay(state.rank()))))
+                .filter(suspicion -> !now.isBefore(earliest(state, suspicion.cause())))
+                .filter(suspicion -> !suspicion.cause().hasHysteresis() || isHysteresisOver(state, now))
+                .isPresent();
+    }
+
+    private static Instant earliest(GroupState state, PromotionCause cause) {
+        return cause == PromotionCause.PRIMARY_LEAVING
+                ? state.notBefore().plus(FailoverTimes.SWITCH_RETRY)
+                : state.notBefore();
+    }
+
+    private static boolean isHysteresisOver(GroupState state, Instant now) {
+        return state.lastPromotionAt()
+                .map(promotedAt -> !now.isBefore(promotedAt.plus(FailoverTimes.HYSTERESIS)))
+                .orElse(true);
+    }
+
+    private static Optional<PromotionCause> cause(GroupState state, Instant now) {
+        List<BackendServerName> reachable = state.reachable(now);
+        if (reachable.size() < state.group().majority()) {
+            return Optional.empty();
+        }
+        if (state.view().primary().isEmpty()) {
+            return Optional.of(causeWithoutPrimary(state, reachable));
+        }
+        BackendServerName primary = state.view().primary().get();
+        if (!isHeard(state, primary, now)) {
+            return Optional.of(causeOfSilence(state, primary, reachable));
+        }
+        if (isFencedAbove(state, reachable)) {
+            return Optional.of(PromotionCause.PROMOTION_UNFINISHED);
+        }
+        return state.isLeaving(primary) && hasSuccessor(state, primary, reachable, now)
+                ? Optional.of(PromotionCause.PRIMARY_LEAVING)
+                : Optional.empty();
+    }
+
+    private static PromotionCause causeWithoutPrimary(GroupState state, List<BackendServerName> reachable) {
+        if (state.view().term().equals(Term.NONE) && state.highestTerm().equals(Term.NONE)) {
+            return PromotionCause.NEVER_PROMOTED;
+        }
+        return reachable.stream().anyMatch(name -> hearsPrimary(state, name))
+                ? PromotionCause.LINK_FAULT
+                : PromotionCause.PROMOTION_UNFINISHED;
+    }
+
+    private static PromotionCause causeOfSilence(
+            GroupState state, BackendServerName primary, List<BackendServerName> reachable) {
+        List<BackendServerName> replicas = reachable.stream()
+                .filter(name -> !name.equals(primary))
+                .filter(name -> follows(state, name))
+                .toList();
+        if (replicas.isEmpty()) {
+            return PromotionCause.PRIMARY_SILENT;
+        }
+        return replicas.stream().anyMatch(name -> hearsPrimary(state, name))
+                ? PromotionCause.LINK_FAULT
+                : PromotionCause.PRIMARY_DEAD;
+    }
+
+    /** The answer to its promotion counts as the first reply of a primary. */
+    private static boolean isHeard(GroupState state, BackendServerName primary, Instant now) {
+        Duration timeout = state.timeoutOf(primary);
+        return state.isReachable(primary, now)
+                || state.lastPromotionAt()
+                        .map(promotedAt -> Duration.between(promotedAt, now).compareTo(timeout) <= 0)
+                        .orElse(false);
+    }
+
+    private static boolean follows(GroupState state, BackendServerName name) {
+        return state.statusOf(name)
+                .filter(status -> !status.primary())
+                .filter(status -> status.replicatingTerm().equals(state.view().term()))
+                .filter(status -> !state.view().term().equals(Term.NONE))
+                .isPresent();
+    }
+
+    private static boolean hearsPrimary(GroupState state, BackendServerName name) {
+        return follows(state, name)
+                && state.statusOf(name)
+                        .filter(status ->
+                                status.fencedTerm().equals(state.view().term()))
+                        .filter(status -> status.primarySilence().compareTo(state.timeoutOf(name)) < 0)
+                        .isPresent();
+    }
+
+    private static boolean isFencedAbove(GroupState state, List<BackendServerName> reachable) {
+        return reachable.stream()
+                .flatMap(name -> state.statusOf(name).stream())
+                .anyMatch(status -> status.fencedTerm().isAfter(state.view().term()));
+    }
+
+    /** A successor is close enough behind the primary that writes are held back only briefly. */
+    private static boolean hasSuccessor(
+            GroupState state, BackendServerName primary, List<BackendServerName> reachable, Instant now) {
+        Instant lagLimit = now.minus(FailoverTimes.SWITCH_LAG);
+        return reachable.stream()
+                .filter(name -> !name.equals(primary) && !state.isLeaving(name) && follows(state, name))
+                .flatMap(name -> state.statusOf(name).stream())
+                .anyMatch(status -> state.view().samples().stream()
+                        .anyMatch(sample -> sample.position() <= status.position()
+                                && !sample.requestSentAt().isBefore(lagLimit)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/failover/ViewMaintenance.java
@@ -0,0 +1,134 @@
+package org.geraniumproxy.core.failover;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.geraniumproxy.core.control.InvariantViolation;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.Term;
+import org.geraniumproxy.core.identity.TermStart;
+
+/** Keeps the view of a group up to date with the reports of its databases. */
+final class ViewMaintenance {
+    private ViewMaintenance() {}
+
+    /** Derives the view from the newest reports after one of them has changed. */
+    static GroupState refresh(GroupState state, Instant now) {
+        Map<BackendServerName, BackendStatus> statuses = newestStatuses(state);
+        GroupView old = state.view();
+        Term term = statuses.values().stream()
+                .map(BackendStatus::replicatingTerm)
+                .reduce(old.term(), (first, second) -> second.isAfter(first) ? second : first);
+        boolean sameTerm = term.equals(old.term());
+        Optional<BackendServerName> primary = primary(state, statuses, term);
+        Optional<BackendStatus> report = primary.map(statuses::get).filter(status -> isPrimaryOf(status, term));
+        List<TermStart> termStarts = mergeStarts(
+                old.termStarts(), report.map(BackendStatus::termStarts).orElse(List.of()));
+        List<PositionSample> pending = sameTerm ? state.unconfirmedSamples() : List.of();
+        if (report.isPresent()) {
+            pending = PositionSamples.add(
+                    pending,
+                    new PositionSample(
+                            report.get().requestSentAt(), report.get().position()));
+        }
+        Instant confirmedUntil = confirmedUntil(state, statuses, term);
+        List<PositionSample> samples = sameTerm ? old.samples() : List.of();
+        List<PositionSample> remaining = new ArrayList<>();
+        for (PositionSample sample : pending) {
+            if (sample.requestSentAt().isAfter(confirmedUntil)) {
+                remaining.add(sample);
+            } else {
+                samples = PositionSamples.add(samples, sample);
+            }
+        }
+        GroupView view = new GroupView(old.group(), term, primary, statuses, samples, termStarts);
+        return state.withView(view, remaining, sameTerm ? state.lastPromotionAt() : Optional.of(now));
+    }
+
+    /** Takes over the result of this VM's own promotion before the new primary reports. */
+    static GroupState promoted(GroupState state, BackendStatus chosen, TermStart start, Instant now) {
+        GroupView old = state.view();
+        InvariantViolation.check(
+                start.term().isAfter(old.term()) || isKnownAs(old, start.term(), chosen.backendServer()),
+                "two primaries of term " + start.term().number() + " in group " + old.group());
+        List<TermStart> termStarts = mergeStarts(mergeStarts(old.termStarts(), chosen.termStarts()), List.of(start));
+        GroupView view = new GroupView(
+                old.group(),
+                start.term(),
+                Optional.of(chosen.backendServer()),
+                old.statuses(),
+                old.term().equals(start.term()) ? old.samples() : List.of(),
+                termStarts);
+        return state.withView(view, List.of(), Optional.of(now));
+    }
+
+    private static boolean isKnownAs(GroupView view, Term term, BackendServerName primary) {
+        return view.term().equals(term) && view.primary().map(primary::equals).orElse(true);
+    }
+
+    private static Map<BackendServerName, BackendStatus> newestStatuses(GroupState state) {
+        Map<BackendServerName, BackendStatus> statuses = new HashMap<>();
+        state.names().forEach(name -> state.statusOf(name).ifPresent(status -> statuses.put(name, status)));
+        return statuses;
+    }
+
+    /** The primary keeps its place while it is silent; it loses it when its own report says so. */
+    private static Optional<BackendServerName> primary(
+            GroupState state, Map<BackendServerName, BackendStatus> statuses, Term term) {
+        List<BackendServerName> reporting = statuses.values().stream()
+                .filter(status -> isPrimaryOf(status, term))
+                .map(BackendStatus::backendServer)
+                .toList();
+        InvariantViolation.check(
+                reporting.size() <= 1, "two primaries of term " + term.number() + " report: " + reporting);
+        if (!reporting.isEmpty()) {
+            return Optional.of(reporting.getFirst());
+        }
+        Instant promotedAt = state.lastPromotionAt().orElse(Instant.MIN);
+        return state.view()
+                .primary()
+                .filter(name -> state.view().term().equals(term))
+                .filter(name -> !isDeposed(statuses.get(name), term, promotedAt));
+    }
+
+    private static boolean isPrimaryOf(BackendStatus status, Term term) {
+        return status.primary()
+                && status.replicatingTerm().equals(term)
+                && status.fencedTerm().equals(term);
+    }
+
+    /** A report that was requested before the promotion was known says nothing about the role in its term. */
+    private static boolean isDeposed(BackendStatus status, Term term, Instant promotedAt) {
+        return status != null
+                && (status.fencedTerm().isAfter(term)
+                        || (status.requestSentAt().isAfter(promotedAt) && !isPrimaryOf(status, term)));
+    }
+
+    /**
+     * A sample proves the age of replicas only if no other primary can have committed anything before its time, that
+     * is, if a majority reports from requests sent at or after it that they are not fenced above the term.
+     */
+    private static Instant confirmedUntil(GroupState state, Map<BackendServerName, BackendStatus> statuses, Term term) {
+        return statuses.values().stream()
+                .filter(status -> status.replicatingTerm().equals(term))
+                .filter(status -> status.fencedTerm().equals(term))
+                .map(BackendStatus::requestSentAt)
+                .sorted(Comparator.reverseOrder())
+                .skip(state.group().majority() - 1L)
+                .findFirst()
+                .orElse(Instant.MIN);
+    }
+
+    /** A start that was learned once stays known, so that a truncated term can still be told from the present one. */
+    private static List<TermStart> mergeStarts(List<TermStart> known, List<TermStart> reported) {
+        TreeMap<Term, TermStart> merged = new TreeMap<>();
+        known.forEach(start -> merged.put(start.term(), start));
+        reported.forEach(start -> merged.put(start.term(), start));
+        return List.copyOf(merged.values());
+    }
+}
