--- a/core/src/main/java/org/geraniumproxy/core/membership/ViewTopology.java
+++ b/core/src/main/java/org/geraniumproxy/core/membership/ViewTopology.java
@@ -1,8 +1,8 @@
 package org.geraniumproxy.core.membership;
 
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -37,14 +37,15 @@
     private final Roster roster;
     private final Map<VmName, Vm> byName;
     private final List<VmName> voters;
-    private final List<Vm> watcherOrder;
+    private final Map<RegionName, List<Vm>> watcherOrder;
     private final List<VmName> treeOrder;
 
     private ViewTopology(Roster roster) {
         this.roster = roster;
         this.byName = roster.vms().stream().collect(Collectors.toUnmodifiableMap(Vm::name, vm -> vm));
         this.voters = chooseVoters(roster);
-        this.watcherOrder = ordered("watcher", roster.vms());
+        this.watcherOrder = ordered("watcher", roster.vms()).stream()
+                .collect(Collectors.groupingBy(Vm::region, LinkedHashMap::new, Collectors.toUnmodifiableList()));
         this.treeOrder = ordered("tree", roster.vms()).stream().map(Vm::name).toList();
     }
 
@@ -85,13 +86,13 @@
      */
     public Set<VmName> watchers(Set<VmName> unavailable) {
         Set<VmName> watchers = new LinkedHashSet<>(voters);
-        Map<RegionName, Integer> perRegion = new HashMap<>();
-        for (Vm vm : watcherOrder) {
-            boolean available = !unavailable.contains(vm.name());
-            if (available && perRegion.merge(vm.region(), 1, Integer::sum) <= WATCHERS_PER_REGION) {
-                watchers.add(vm.name());
-            }
-        }
+        watcherOrder
+                .values()
+                .forEach(region -> region.stream()
+                        .map(Vm::name)
+                        .filter(vm -> !unavailable.contains(vm))
+                        .limit(WATCHERS_PER_REGION)
+                        .forEach(watchers::add));
         return watchers;
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/membership/ViewTransitions.java
+++ b/core/src/main/java/org/geraniumproxy/core/membership/ViewTransitions.java
@@ -39,10 +39,10 @@
     }
 
     private static void requireNoRevert(ViewState before, ViewState after) {
-        InvariantViolation.require(
+        InvariantViolation.check(
                 after.configuration().number() >= before.configuration().number(),
                 "the configuration never moves to a lower revision");
-        InvariantViolation.require(
+        InvariantViolation.check(
                 after.roster().revision() >= before.roster().revision(), "the roster never moves to a lower revision");
     }
 
