Compute rendezvous scores once per candidate

Sorting by a score that the comparator computes hashes every name some 25 times for 6,400 VMs. ViewTopology now uses the same hash as the choice of a coordinator.

--- a/core/src/main/java/org/geraniumproxy/core/membership/ViewTopology.java
+++ b/core/src/main/java/org/geraniumproxy/core/membership/ViewTopology.java
@@ -1,6 +1,5 @@
 package org.geraniumproxy.core.membership;
 
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -11,6 +10,7 @@
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.routing.RendezvousHash;
 
 /**
  * Which VMs ask the store, which ones vote, and which peers a VM asks. Every VM computes the same answer from the same
@@ -159,25 +159,6 @@
     }
 
     private static List<Vm> ordered(String purpose, List<Vm> vms) {
-        return vms.stream()
-                .map(vm -> new ScoredVm(score(purpose, vm.name().value()), vm))
-                .sorted(Comparator.comparingLong(ScoredVm::score)
-                        .reversed()
-                        .thenComparing(scored -> scored.vm().name()))
-                .map(ScoredVm::vm)
-                .toList();
-    }
-
-    private record ScoredVm(long score, Vm vm) {}
-
-    private static long score(String purpose, String vm) {
-        long hash = 0xcbf29ce484222325L;
-        String text = purpose + '/' + vm;
-        for (int index = 0; index < text.length(); index++) {
-            hash = (hash ^ text.charAt(index)) * 0x100000001b3L;
-        }
-        hash ^= hash >>> 33;
-        hash *= 0xff51afd7ed558ccdL;
-        return hash ^ (hash >>> 33);
+        return RendezvousHash.rank(purpose, vms, vm -> vm.name().value());
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/routing/RendezvousHash.java
+++ b/core/src/main/java/org/geraniumproxy/core/routing/RendezvousHash.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.function.Function;
 
@@ -26,10 +25,11 @@
      * @return the candidates in order
      */
     public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> nameOf) {
-        Comparator<T> byScore =
-                Comparator.comparing((T candidate) -> score(key, nameOf.apply(candidate)), Long::compareUnsigned);
+        // The scores are computed once each, because sorting 6,400 VMs compares them some 80,000 times.
         return candidates.stream()
-                .sorted(byScore.reversed().thenComparing(nameOf))
+                .map(candidate -> Scored.of(key, candidate, nameOf.apply(candidate)))
+                .sorted()
+                .map(Scored::candidate)
                 .toList();
     }
 
@@ -60,4 +60,16 @@
         mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
         return mixed ^ (mixed >>> 31);
     }
+
+    private record Scored<T>(long score, String name, T candidate) implements Comparable<Scored<T>> {
+        static <T> Scored<T> of(String key, T candidate, String name) {
+            return new Scored<>(RendezvousHash.score(key, name), name, candidate);
+        }
+
+        @Override
+        public int compareTo(Scored<T> other) {
+            int byScore = Long.compareUnsigned(other.score, score);
+            return byScore != 0 ? byScore : name.compareTo(other.name);
+        }
+    }
 }
