Measure the slopes of control state, and read the platform's list of VMs

CapacityMeasurement measures topology, view exchange, configuration and supervision at three or four sizes each; docs/CAPACITY.md will be worked out from it. The list of VMs marks leaving backend servers for platforms whose databases do not report it themselves.

--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/capacity/CapacityMeasurement.java
@@ -0,0 +1,209 @@
+package org.geraniumproxy.measure.capacity;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.geraniumproxy.core.configuration.Configuration;
+import org.geraniumproxy.core.failover.BackendStatus;
+import org.geraniumproxy.core.failover.DetectionPolicy;
+import org.geraniumproxy.core.failover.FailoverDecision;
+import org.geraniumproxy.core.failover.FailoverEvent;
+import org.geraniumproxy.core.failover.GroupState;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.membership.Roster;
+import org.geraniumproxy.core.membership.ViewEvent;
+import org.geraniumproxy.core.membership.ViewState;
+import org.geraniumproxy.core.membership.ViewTopology;
+import org.geraniumproxy.core.membership.ViewTransitions;
+import org.geraniumproxy.core.membership.Vm;
+import org.geraniumproxy.core.routing.CoordinatorSelection;
+import org.geraniumproxy.protocol.StatusReply;
+import org.geraniumproxy.protocol.TermStart;
+import org.geraniumproxy.protocol.ViewReply;
+import org.geraniumproxy.protocol.ViewRequest;
+import org.geraniumproxy.protocol.VmRecord;
+import org.geraniumproxy.settings.ConfigurationReader;
+import org.geraniumproxy.settings.FindingMessages;
+import org.geraniumproxy.settings.ReadResult;
+
+/**
+ * Measures, in real time on one thread, what each kind of control state costs at several sizes. The page
+ * {@code docs/CAPACITY.md} works the cost at full size out from these slopes.
+ */
+public final class CapacityMeasurement {
+    private static final int[] VM_COUNTS = {100, 400, 1600, 6400};
+    private static final int[] PEER_COUNTS = {2, 13, 160};
+    private static final int[] GROUP_COUNTS = {25, 100, 400};
+    private static final int[] CUSTOMER_COUNTS = {100, 400, 1600};
+    private static final int[] SUPERVISED_GROUPS = {1, 10, 100};
+
+    private final Stopwatch stopwatch = new Stopwatch();
+    private final List<CapacityPoint> points = new ArrayList<>();
+
+    /**
+     * Runs all measurements.
+     *
+     * @return the figures in order
+     */
+    public List<CapacityPoint> run() {
+        for (int vms : VM_COUNTS) {
+            measureRoster(vms);
+        }
+        for (int peers : PEER_COUNTS) {
+            measureViewExchange(peers);
+        }
+        for (int groups : GROUP_COUNTS) {
+            measureConfiguration("groups", groups, FleetSamples.configurationText(groups, 1));
+        }
+        for (int customers : CUSTOMER_COUNTS) {
+            measureConfiguration("customers", customers, FleetSamples.configurationText(1, customers));
+        }
+        for (int groups : SUPERVISED_GROUPS) {
+            measureSupervision(groups);
+        }
+        measureMessages();
+        return List.copyOf(points);
+    }
+
+    private void measureRoster(int vms) {
+        Roster roster = FleetSamples.roster(vms);
+        ViewTopology topology = ViewTopology.of(roster);
+        VmName self = FleetSamples.vmName(vms - 1);
+        add("topology of a new roster", "VMs", vms, stopwatch.microsPerCall(20, () -> ViewTopology.of(roster)), "us");
+        add(
+                "choice of upstreams",
+                "VMs",
+                vms,
+                stopwatch.microsPerCall(20, () -> topology.peersOf(self, Set.of())),
+                "us");
+        add("coordinator of one group", "VMs", vms, stopwatch.microsPerCall(20, () -> rank(roster)), "us");
+        add("roster in the store", "VMs", vms, encoded(roster).getSerializedSize(), "bytes");
+        add("one VM in the roster", "VMs", vms, encoded(roster).getVms(vms - 1).getSerializedSize(), "bytes");
+        add("view state in memory", "VMs", vms, stopwatch.retainedKilobytes(() -> FleetSamples.view(vms, 0)), "kB");
+    }
+
+    private static List<VmName> rank(Roster roster) {
+        return CoordinatorSelection.rank(FleetSamples.group(0), Optional.empty(), roster, Set.of());
+    }
+
+    private void measureViewExchange(int peers) {
+        int vms = VM_COUNTS[VM_COUNTS.length - 1];
+        ViewState state = FleetSamples.view(vms, peers);
+        ViewEvent reply = FleetSamples.peerReply(1);
+        double micros = stopwatch.microsPerCall(200, () -> exchange(state, reply));
+        add("one view exchange, 6400 VMs", "peers", peers, micros, "us");
+        double tick = stopwatch.microsPerCall(20, () -> exchange(state, new ViewEvent.TimePassed()));
+        add("one control tick, 6400 VMs", "peers", peers, tick, "us");
+    }
+
+    private static Object exchange(ViewState state, ViewEvent event) {
+        ViewState next = ViewTransitions.apply(state, event, FleetSamples.NOW).state();
+        return List.of(next.provenAt(FleetSamples.NOW), next.unavailable(FleetSamples.NOW));
+    }
+
+    private void measureConfiguration(String input, int size, String text) {
+        add("configuration text", input, size, text.getBytes(StandardCharsets.UTF_8).length, "bytes");
+        double micros = stopwatch.microsPerCall(3, () -> read(text));
+        add("reading a configuration", input, size, micros, "us");
+        double kilobytes = stopwatch.retainedKilobytes(() -> read(text));
+        add("configuration in memory", input, size, kilobytes, "kB");
+    }
+
+    private static Configuration read(String text) {
+        return switch (ConfigurationReader.read("capacity.toml", text)) {
+            case ReadResult.Accepted<Configuration> accepted -> accepted.value();
+            case ReadResult.Rejected<Configuration> rejected ->
+                throw new IllegalStateException(FindingMessages.of(rejected.findings()));
+        };
+    }
+
+    private void measureSupervision(int groups) {
+        List<GroupState> states = new ArrayList<>();
+        for (int group = 0; group < groups; group++) {
+            states.add(supervised());
+        }
+        BackendStatus status = FleetSamples.status(1, 5_000, FleetSamples.NOW);
+        FailoverEvent event = new FailoverEvent.StatusReceived(status);
+        double micros = stopwatch.microsPerCall(
+                200,
+                () -> states.stream()
+                        .map(state -> FailoverDecision.decide(state, event, FleetSamples.NOW))
+                        .toList());
+        add("one status report of every group", "groups", groups, micros, "us");
+        double kilobytes = stopwatch.retainedKilobytes(
+                () -> IntStream.range(0, groups).mapToObj(group -> supervised()).toList());
+        add("state of supervised groups", "groups", groups, kilobytes, "kB");
+    }
+
+    /** A group whose three databases have reported for some time, with a full set of samples. */
+    private static GroupState supervised() {
+        Vm self = FleetSamples.roster(1).vms().getFirst();
+        DetectionPolicy policy = new DetectionPolicy.FixedTimeout(Duration.ofSeconds(1));
+        GroupState state = GroupState.initial(FleetSamples.group(0), self, 0, policy);
+        for (int report = 0; report < 200; report++) {
+            Instant sentAt = FleetSamples.NOW.minusMillis(100L * (200 - report));
+            for (int database = 0; database < 3; database++) {
+                FailoverEvent event =
+                        new FailoverEvent.StatusReceived(FleetSamples.status(database, 10L * report, sentAt));
+                state = FailoverDecision.decide(state, event, sentAt.plusMillis(2))
+                        .state();
+            }
+        }
+        return state;
+    }
+
+    private void measureMessages() {
+        ViewRequest request = ViewRequest.newBuilder()
+                .setFromVm("entry-vm-6399")
+                .setFromIncarnation(1_700_000_006_399L)
+                .setConfigurationRevision(28_000)
+                .setRosterRevision(4_200)
+                .build();
+        ViewReply reply = ViewReply.newBuilder()
+                .setVm("entry-vm-1")
+                .setIncarnation(1_700_000_000_001L)
+                .setConfigurationRevision(28_000)
+                .setRosterRevision(4_200)
+                .setAgeMillis(700)
+                .setMayVote(true)
+                .build();
+        StatusReply status = StatusReply.newBuilder()
+                .setBackendServer("database-3166-2")
+                .setFencedTerm(8193)
+                .setReplicatingTerm(8193)
+                .setLastEntryTerm(8193)
+                .setPosition(1L << 40)
+                .setPrimarySilenceMillis(100)
+                .setOpenConnections(16)
+                .addTermStarts(TermStart.newBuilder().setTerm(8193).setStartPosition(1L << 39))
+                .build();
+        add("view request", "message", 1, request.getSerializedSize(), "bytes");
+        add("view reply without contents", "message", 1, reply.getSerializedSize(), "bytes");
+        add("status report", "message", 1, status.getSerializedSize(), "bytes");
+    }
+
+    private static org.geraniumproxy.protocol.Roster encoded(Roster roster) {
+        org.geraniumproxy.protocol.Roster.Builder builder = org.geraniumproxy.protocol.Roster.newBuilder()
+                .setRevision(roster.revision())
+                .setNextIndex(roster.nextIndex());
+        for (Vm vm : roster.vms()) {
+            builder.addVms(VmRecord.newBuilder()
+                    .setIndex(vm.index())
+                    .setName(vm.name().value())
+                    .setAddress(vm.address())
+                    .setRegion(vm.region().value())
+                    .setFailureDomain(vm.failureDomain().value())
+                    .setIncarnation(vm.incarnation()));
+        }
+        return builder.build();
+    }
+
+    private void add(String quantity, String input, int size, double value, String unit) {
+        points.add(new CapacityPoint(quantity, input, size, value, unit));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/platform/GrpcVmList.java
@@ -0,0 +1,50 @@
+package org.geraniumproxy.proxy.platform;
+
+import io.grpc.Channel;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.protocol.ListReply;
+import org.geraniumproxy.protocol.ListRequest;
+import org.geraniumproxy.protocol.ListedVm;
+import org.geraniumproxy.protocol.VmListServiceGrpc;
+import org.geraniumproxy.proxy.transport.UnaryReply;
+
+/** Client of the platform's list of VMs over gRPC. */
+public final class GrpcVmList implements VmList {
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Channel channel;
+    private final Executor executor;
+
+    /**
+     * Creates a client.
+     *
+     * @param channel channel to the list
+     * @param executor runs the completions of the futures
+     */
+    public GrpcVmList(Channel channel, Executor executor) {
+        this.channel = channel;
+        this.executor = executor;
+    }
+
+    @Override
+    public CompletableFuture<Set<BackendServerName>> leavingBackendServers() {
+        UnaryReply<ListReply> reply = new UnaryReply<>();
+        VmListServiceGrpc.newStub(channel)
+                .withDeadlineAfter(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .list(ListRequest.getDefaultInstance(), reply);
+        return reply.future().thenApplyAsync(GrpcVmList::leaving, executor);
+    }
+
+    private static Set<BackendServerName> leaving(ListReply reply) {
+        return reply.getBackendServersList().stream()
+                .filter(ListedVm::getLeaving)
+                .map(listed -> BackendServerName.of(listed.getName()))
+                .collect(Collectors.toUnmodifiableSet());
+    }
+}
--- a/proxy/src/main/java/org/geraniumproxy/proxy/store/GrpcPlatformStore.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/store/GrpcPlatformStore.java
@@ -1,22 +1,21 @@
 package org.geraniumproxy.proxy.store;
 
-import com.google.common.util.concurrent.FutureCallback;
-import com.google.common.util.concurrent.Futures;
-import com.google.common.util.concurrent.ListenableFuture;
 import com.google.protobuf.ByteString;
 import io.grpc.ManagedChannel;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.geraniumproxy.protocol.CompareAndSwapReply;
 import org.geraniumproxy.protocol.CompareAndSwapRequest;
 import org.geraniumproxy.protocol.GetReply;
 import org.geraniumproxy.protocol.GetRequest;
 import org.geraniumproxy.protocol.StoreServiceGrpc;
-import org.geraniumproxy.protocol.StoreServiceGrpc.StoreServiceFutureStub;
+import org.geraniumproxy.protocol.StoreServiceGrpc.StoreServiceStub;
 import org.geraniumproxy.protocol.WatchRequest;
+import org.geraniumproxy.proxy.transport.UnaryReply;
 
 /** Client of the platform's store over gRPC. */
 public final class GrpcPlatformStore implements PlatformStore {
@@ -40,7 +39,7 @@
     @Override
     public CompletableFuture<StoredValue> get(String key) {
         GetRequest request = GetRequest.newBuilder().setKey(key).build();
-        return complete(stub(CALL_TIMEOUT).get(request), GrpcPlatformStore::storedValue);
+        return call(CALL_TIMEOUT, (stub, reply) -> stub.get(request, reply), GrpcPlatformStore::storedValue);
     }
 
     @Override
@@ -50,7 +49,7 @@
                 .setExpectedRevision(expectedRevision)
                 .setValue(value)
                 .build();
-        return complete(stub(CALL_TIMEOUT).compareAndSwap(request), GrpcPlatformStore::swapResult);
+        return call(CALL_TIMEOUT, (stub, reply) -> stub.compareAndSwap(request, reply), GrpcPlatformStore::swapResult);
     }
 
     @Override
@@ -60,7 +59,8 @@
                 .setKnownRevision(knownRevision)
                 .setWaitMillis(wait.toMillis())
                 .build();
-        return complete(stub(CALL_TIMEOUT.plus(wait)).watch(request), GrpcPlatformStore::storedValue);
+        return call(
+                CALL_TIMEOUT.plus(wait), (stub, reply) -> stub.watch(request, reply), GrpcPlatformStore::storedValue);
     }
 
     @Override
@@ -68,10 +68,6 @@
         channel.shutdownNow();
     }
 
-    private StoreServiceFutureStub stub(Duration timeout) {
-        return StoreServiceGrpc.newFutureStub(channel).withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
-    }
-
     private static StoredValue storedValue(GetReply reply) {
         return new StoredValue(reply.getRevision(), reply.getValue());
     }
@@ -80,20 +76,12 @@
         return new SwapResult(reply.getSwapped(), new StoredValue(reply.getRevision(), reply.getValue()));
     }
 
-    private <R, T> CompletableFuture<T> complete(ListenableFuture<R> call, Function<R, T> translation) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        FutureCallback<R> callback = new FutureCallback<>() {
-            @Override
-            public void onSuccess(R reply) {
-                result.complete(translation.apply(reply));
-            }
-
-            @Override
-            public void onFailure(Throwable failure) {
-                result.completeExceptionally(failure);
-            }
-        };
-        Futures.addCallback(call, callback, executor);
-        return result;
+    private <R, T> CompletableFuture<T> call(
+            Duration timeout, BiConsumer<StoreServiceStub, UnaryReply<R>> start, Function<R, T> translation) {
+        UnaryReply<R> reply = new UnaryReply<>();
+        StoreServiceStub stub =
+                StoreServiceGrpc.newStub(channel).withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        start.accept(stub, reply);
+        return reply.future().thenApplyAsync(translation, executor);
     }
 }
