--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/admission/AdmissionDecision.java
@@ -0,0 +1,133 @@
+package org.geraniumproxy.core.admission;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.geraniumproxy.core.configuration.Configuration;
+import org.geraniumproxy.core.configuration.Customer;
+import org.geraniumproxy.core.configuration.Route;
+import org.geraniumproxy.core.control.ControlSnapshot;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.Names;
+import org.geraniumproxy.core.identity.RouteName;
+import org.geraniumproxy.core.outcome.NotRunReason;
+import org.geraniumproxy.core.routing.Access;
+import org.geraniumproxy.core.routing.GroupRequest;
+import org.geraniumproxy.core.session.SessionToken;
+import org.geraniumproxy.core.session.TokenDecoding;
+
+/** Checks a caller's request against the configuration. Every refusal is typed and truly not run. */
+public final class AdmissionDecision {
+    /** Longest time that a caller may wait; a longer one is shortened, so that no sum of times overflows. */
+    public static final Duration MAXIMUM_TIME_LEFT = Duration.ofHours(1);
+
+    private AdmissionDecision() {}
+
+    /**
+     * Decides whether a request is taken in.
+     *
+     * @param snapshot the control state
+     * @param request the request
+     * @param now the present moment
+     * @return the request for the group, or the refusal
+     */
+    public static Admission decide(ControlSnapshot snapshot, CallerRequest request, Instant now) {
+        if (!request.timeLeft().isPositive()) {
+            return Admission.refused(NotRunReason.DEADLINE_IN_PAST, "the deadline must lie ahead");
+        }
+        if (isStatementTooLarge(request.statement())) {
+            return Admission.refused(
+                    NotRunReason.STATEMENT_TOO_LARGE,
+                    "a statement may have " + GroupRequest.MAXIMUM_STATEMENT_BYTES + " bytes");
+        }
+        if (request.access().isEmpty() || request.acceptedAge().isNegative()) {
+            return Admission.refused(
+                    NotRunReason.MALFORMED_REQUEST, "access must be given and the accepted age not be negative");
+        }
+        Optional<Route> route = findRoute(snapshot.currentConfiguration(), request.route());
+        if (route.isEmpty()) {
+            return Admission.refused(NotRunReason.UNKNOWN_ROUTE, "no route of that name is configured");
+        }
+        return identify(snapshot, route.get(), request, now);
+    }
+
+    /**
+     * Tells whether a statement is larger than a request may carry.
+     *
+     * @param statement the statement text
+     * @return true if it is larger
+     */
+    public static boolean isStatementTooLarge(String statement) {
+        return statement.length() > GroupRequest.MAXIMUM_STATEMENT_BYTES
+                || statement.getBytes(StandardCharsets.UTF_8).length > GroupRequest.MAXIMUM_STATEMENT_BYTES;
+    }
+
+    private static Optional<Route> findRoute(Configuration configuration, String name) {
+        return Names.isValid(name)
+                ? Optional.ofNullable(configuration.routes().get(RouteName.of(name)))
+                : Optional.empty();
+    }
+
+    private static Admission identify(ControlSnapshot snapshot, Route route, CallerRequest request, Instant now) {
+        if (request.key().isEmpty() && route.openCustomer().isPresent()) {
+            CustomerName open = route.openCustomer().get();
+            return snapshot.currentConfiguration().customers().containsKey(open)
+                    ? permit(route, open, request, now)
+                    : Admission.refused(
+                            NotRunReason.UNKNOWN_CUSTOMER, "the customer of the open route is not configured");
+        }
+        if (!snapshot.isViewCurrent(now)) {
+            return Admission.refused(
+                    NotRunReason.VIEW_TOO_OLD, "the proxy can't prove that its view of the keys is current");
+        }
+        Optional<Customer> customer = request.key().flatMap(snapshot.currentConfiguration()::customerOf);
+        return customer.map(found -> permit(route, found.name(), request, now))
+                .orElseGet(() -> Admission.refused(
+                        NotRunReason.UNKNOWN_KEY, "the route needs the key of a configured customer"));
+    }
+
+    private static Admission permit(Route route, CustomerName customer, CallerRequest request, Instant now) {
+        if (!route.customers().isEmpty() && !route.customers().contains(customer)) {
+            return Admission.refused(NotRunReason.ROUTE_NOT_ALLOWED, "the customer may not use the route");
+        }
+        Access access = request.access().orElseThrow();
+        if (access == Access.WRITE && route.access() == Access.READ) {
+            return Admission.refused(NotRunReason.ROUTE_NOT_ALLOWED, "the route allows reads only");
+        }
+        return switch (SessionToken.decode(request.sessionToken(), customer)) {
+            case TokenDecoding.Malformed malformed ->
+                Admission.refused(NotRunReason.MALFORMED_TOKEN, malformed.detail());
+            case TokenDecoding.Foreign _ ->
+                Admission.refused(NotRunReason.FOREIGN_TOKEN, "the session belongs to another customer");
+            case TokenDecoding.Decoded decoded -> address(route, decoded.token(), request, access, now);
+        };
+    }
+
+    private static Admission address(
+            Route route, SessionToken token, CallerRequest request, Access access, Instant now) {
+        GroupName group = route.groupOf(request.statementKey());
+        if (!token.hasRoomFor(group)) {
+            return Admission.refused(
+                    NotRunReason.MALFORMED_TOKEN, "a session may use " + SessionToken.MAXIMUM_GROUPS + " groups");
+        }
+        Duration timeLeft = min(request.timeLeft(), MAXIMUM_TIME_LEFT);
+        return new Admission.Admitted(
+                token,
+                new GroupRequest(
+                        request.requestNumber(),
+                        token.customer(),
+                        group,
+                        request.statement(),
+                        access,
+                        request.repeatable(),
+                        min(request.acceptedAge(), route.acceptedAge()),
+                        now.plus(timeLeft),
+                        token.requirementOf(group)));
+    }
+
+    private static Duration min(Duration first, Duration second) {
+        return first.compareTo(second) <= 0 ? first : second;
+    }
+}
--- a/proxy/src/main/java/org/geraniumproxy/proxy/backend/BackendMessages.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/backend/BackendMessages.java
@@ -39,6 +39,13 @@
         };
     }
 
+    static ConnectionRequest confirmation(long requestNumber) {
+        return ConnectionRequest.newBuilder()
+                .setRequestNumber(requestNumber)
+                .setRollback(RollbackTransaction.getDefaultInstance())
+                .build();
+    }
+
     static BackendStatus status(StatusReply reply, Instant requestSentAt) {
         return new BackendStatus(
                 BackendServerName.of(reply.getBackendServer()),
--- a/proxy/src/main/java/org/geraniumproxy/proxy/backend/GrpcBackendClient.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/backend/GrpcBackendClient.java
@@ -92,6 +92,7 @@
         BackendServiceGrpc.newStub(channels.channel(backendServer.address()))
                 .withExecutor(executor)
                 .open(connection.replies());
+        connection.confirm();
         return connection
                 .opened()
                 .orTimeout(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
--- a/proxy/src/main/java/org/geraniumproxy/proxy/backend/GrpcBackendConnection.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/backend/GrpcBackendConnection.java
@@ -21,11 +21,14 @@
  * breaks the connection, because a later answer could no longer be matched to its request.
  */
 final class GrpcBackendConnection implements BackendConnection {
+    /** Request number of the first command; numbers of callers' commands start after it. */
+    private static final long CONFIRMATION_NUMBER = 0;
+
     private final Object lock = new Object();
     private final Executor executor;
     private final CompletableFuture<BackendConnection> opened = new CompletableFuture<>();
     private ClientCallStreamObserver<ConnectionRequest> requests;
-    private long lastRequestNumber;
+    private long lastRequestNumber = CONFIRMATION_NUMBER;
     private boolean transactionOpen;
     private State state = new Ready();
 
@@ -59,6 +62,28 @@
         return new Replies();
     }
 
+    /**
+     * Sends a rollback as the first command. The answer to it, a refusal too, shows that the backend server has
+     * accepted the connection; without it, a connection over the backend server's limit would fail only after a
+     * statement was sent, whose outcome would then be unknown.
+     */
+    void confirm() {
+        CompletableFuture<BackendReply> answer = new CompletableFuture<>();
+        synchronized (lock) {
+            if (state instanceof Ready) {
+                state = new Running(CONFIRMATION_NUMBER, new ArrayList<>(), answer);
+                handOver(BackendMessages.confirmation(CONFIRMATION_NUMBER));
+            }
+        }
+        var unused = answer.thenAccept(reply -> {
+            switch (reply) {
+                case BackendReply.Completed _, BackendReply.Refused _ -> opened.complete(this);
+                case BackendReply.NotSent _, BackendReply.Broken _ ->
+                    opened.completeExceptionally(new IllegalStateException("the connection was not accepted"));
+            }
+        });
+    }
+
     @Override
     public CompletableFuture<BackendReply> execute(BackendCommand command, Term term, CustomerName customer) {
         CompletableFuture<BackendReply> result = new CompletableFuture<>();
@@ -77,6 +102,10 @@
         lastRequestNumber++;
         ConnectionRequest request = BackendMessages.request(lastRequestNumber, command, term, customer);
         state = new Running(lastRequestNumber, new ArrayList<>(), result);
+        handOver(request);
+    }
+
+    private void handOver(ConnectionRequest request) {
         try {
             requests.onNext(request);
         } catch (RuntimeException e) {
@@ -192,7 +221,6 @@
             synchronized (lock) {
                 requests = stream;
             }
-            stream.setOnReadyHandler(() -> opened.complete(GrpcBackendConnection.this));
         }
 
         @Override
@@ -204,10 +232,10 @@
 
         @Override
         public void onError(Throwable failure) {
+            opened.completeExceptionally(failure);
             synchronized (lock) {
                 fail("the stream to the backend server failed");
             }
-            opened.completeExceptionally(failure);
         }
 
         @Override
--- a/proxy/src/main/java/org/geraniumproxy/proxy/peer/GrpcPeerClient.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/peer/GrpcPeerClient.java
@@ -25,13 +25,14 @@
 import org.geraniumproxy.protocol.ReturnTokensRequest;
 import org.geraniumproxy.protocol.ViewReply;
 import org.geraniumproxy.protocol.ViewRequest;
+import org.geraniumproxy.proxy.traffic.PeerGateway;
 import org.geraniumproxy.proxy.traffic.TransactionStart;
 import org.geraniumproxy.proxy.transport.ChannelCache;
 import org.geraniumproxy.proxy.transport.UnaryReply;
 import org.jboss.logging.Logger;
 
 /** Reaches other VMs over gRPC. */
-public final class GrpcPeerClient implements PeerClient, PeerTransactions {
+public final class GrpcPeerClient implements PeerClient, PeerGateway {
     private static final Logger log = Logger.getLogger(GrpcPeerClient.class);
 
     /** Longest time for one view exchange. A VM counts as down after 2 s, so that one lost exchange is tolerated. */
--- a/proxy/src/main/java/org/geraniumproxy/proxy/telemetry/TrafficMetrics.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/telemetry/TrafficMetrics.java
@@ -81,7 +81,8 @@
                 .register(registry);
         GaugeWithCallback.builder()
                 .name("geraniumproxy_requests_in_flight")
-                .help("Requests and transactions that have not ended.")
+                .help(
+                        "Requests and transactions that have not ended, counted at the entry proxy and at the coordinator.")
                 .callback(gauge -> gauge.call(requestsInFlight.count()))
                 .register(registry);
     }
--- a/proxy/src/test/java/org/geraniumproxy/proxy/backend/ScriptedBackend.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/backend/ScriptedBackend.java
@@ -24,6 +24,10 @@
         return new StreamObserver<>() {
             @Override
             public void onNext(ConnectionRequest request) {
+                if (request.getRequestNumber() == 0) {
+                    replies.onNext(end(0, 0));
+                    return;
+                }
                 received.add(request);
                 script.accept(request, replies);
             }
