Add the caller library and the checks of what callers can see

Ruled out: to count a write with an unknown outcome as absent, because it may take effect at any later time, also over a later write.

--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/load/BrokenInvariant.java
@@ -0,0 +1,14 @@
+package org.geraniumproxy.measure.load;
+
+/**
+ * A guarantee that did not hold in a run.
+ *
+ * @param guarantee the guarantee
+ * @param detail what was seen
+ */
+public record BrokenInvariant(Guarantee guarantee, String detail) {
+    @Override
+    public String toString() {
+        return "guarantee " + guarantee.number() + " (" + guarantee + "): " + detail;
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/load/CallerSession.java
@@ -0,0 +1,197 @@
+package org.geraniumproxy.measure.load;
+
+import io.grpc.StatusRuntimeException;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.geraniumproxy.protocol.Access;
+import org.geraniumproxy.protocol.CallerServiceGrpc;
+import org.geraniumproxy.protocol.ExecuteReply;
+import org.geraniumproxy.protocol.ExecuteRequest;
+
+/**
+ * A session that roams over the proxies with its token and makes one request at a time. It belongs to one thread.
+ *
+ * <pre>{@code
+ * RequestRecord done = session.run(new Operation.AddOnce("payment-17"), RequestOptions.of("payments", "troupe-4"));
+ * }</pre>
+ */
+public final class CallerSession {
+    /** Share of the requests that go to another proxy than the one before. */
+    private static final double ROAMING_SHARE = 0.3;
+
+    /** Time beyond the deadline that a proxy gets to say how the call ended. */
+    private static final Duration REPLY_GRACE = Duration.ofMillis(500);
+
+    private final Identity identity;
+    private final ProxyChannels proxies;
+    private final RandomGenerator random;
+    private final Clock clock;
+    private final LoadRecorder recorder;
+    private final List<BrokenInvariant> broken = new ArrayList<>();
+    private String token = "";
+    private int proxy;
+    private long requestNumber;
+
+    /**
+     * Who a session belongs to.
+     *
+     * @param session name of the session
+     * @param customer the customer, empty for requests without a key
+     * @param key the key, empty for none
+     */
+    public record Identity(String session, String customer, String key) {
+        @Override
+        public String toString() {
+            return session;
+        }
+    }
+
+    /**
+     * Creates a session without a token.
+     *
+     * @param identity who it belongs to
+     * @param proxies the proxies
+     * @param random chooses proxies
+     * @param clock the clock
+     * @param recorder receives a record of each request
+     */
+    public CallerSession(
+            Identity identity, ProxyChannels proxies, RandomGenerator random, Clock clock, LoadRecorder recorder) {
+        this.identity = identity;
+        this.proxies = proxies;
+        this.random = random;
+        this.clock = clock;
+        this.recorder = recorder;
+        this.proxy = random.nextInt(proxies.count());
+    }
+
+    /**
+     * Makes a request, with retries that are safe for its operation, and records it.
+     *
+     * @param operation what to do
+     * @param options how
+     * @return the record
+     * @throws InterruptedException if the thread is interrupted between two calls
+     */
+    public RequestRecord run(Operation operation, RequestOptions options) throws InterruptedException {
+        Instant startedAt = clock.instant();
+        Instant end = startedAt.plus(options.patience());
+        boolean unseen = false;
+        int calls = 0;
+        broken.clear();
+        roamSometimes();
+        while (true) {
+            calls++;
+            CallResult result = call(operation, options);
+            unseen |= result instanceof CallResult.Unknown;
+            switch (RetryDecision.after(operation, result, Duration.between(clock.instant(), end))) {
+                case RetryDecision.Finish finish -> {
+                    CallResult whole = unseen && result instanceof CallResult.NotRun
+                            ? new CallResult.Unknown("an earlier call ended unknown")
+                            : result;
+                    return record(operation, options, startedAt, calls, unseen, whole);
+                }
+                case RetryDecision.Retry retry -> {
+                    roam();
+                    Thread.sleep(retry.pause());
+                }
+            }
+        }
+    }
+
+    private RequestRecord record(
+            Operation operation,
+            RequestOptions options,
+            Instant startedAt,
+            int calls,
+            boolean unseen,
+            CallResult result) {
+        RequestRecord request = new RequestRecord(
+                identity.session(),
+                identity.customer(),
+                options.route(),
+                operation,
+                startedAt,
+                clock.instant(),
+                calls,
+                unseen,
+                result,
+                broken);
+        recorder.add(request);
+        return request;
+    }
+
+    private CallResult call(Operation operation, RequestOptions options) {
+        try {
+            CallResult result = operation instanceof Operation.AddTogether together
+                    ? transact(together, options)
+                    : execute(operation, options);
+            if (result instanceof CallResult.Answered answered) {
+                AnswerCheck.ofRows(operation, answered.rows()).ifPresent(broken::add);
+            }
+            return result;
+        } catch (StatusRuntimeException e) {
+            proxies.reconnect(proxy);
+            return new CallResult.Unknown(e.getStatus().toString());
+        }
+    }
+
+    private CallResult execute(Operation operation, RequestOptions options) {
+        ExecuteRequest request = request(operation, options)
+                .setStatement(operation.statements().getFirst())
+                .build();
+        ExecuteReply reply = CallerServiceGrpc.newBlockingStub(proxies.get(proxy))
+                .withDeadlineAfter(options.callDeadline().plus(REPLY_GRACE).toMillis(), TimeUnit.MILLISECONDS)
+                .execute(request);
+        return take(request.getRequestNumber(), reply);
+    }
+
+    private CallResult transact(Operation.AddTogether operation, RequestOptions options) {
+        Duration timeout = options.callDeadline().plus(REPLY_GRACE);
+        try (TransactionCall call = TransactionCall.open(proxies.get(proxy), timeout)) {
+            return call.run(request(operation, options).build(), operation.statements(), this::take);
+        }
+    }
+
+    private ExecuteRequest.Builder request(Operation operation, RequestOptions options) {
+        requestNumber++;
+        return ExecuteRequest.newBuilder()
+                .setRequestNumber(requestNumber)
+                .setKey(identity.key())
+                .setSessionToken(token)
+                .setRoute(options.route())
+                .setStatementKey(options.statementKey())
+                .setDeadlineMillis(options.callDeadline().toMillis())
+                .setAccess(operation.isWrite() ? Access.WRITE : Access.READ)
+                .setRepeatable(operation.isRepeatable())
+                .setAcceptedAgeMillis(options.acceptedAge().toMillis());
+    }
+
+    private CallResult take(long ofRequest, ExecuteReply reply) {
+        if (!reply.getSessionToken().isEmpty()) {
+            token = reply.getSessionToken();
+        }
+        CallResult result = CallResults.of(reply);
+        if (result instanceof CallResult.Answered) {
+            Optional<BrokenInvariant> fault = AnswerCheck.ofEnvelope(ofRequest, reply);
+            fault.ifPresent(broken::add);
+        }
+        return result;
+    }
+
+    private void roamSometimes() {
+        if (random.nextDouble() < ROAMING_SHARE) {
+            roam();
+        }
+    }
+
+    private void roam() {
+        proxy = random.nextInt(proxies.count());
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/load/LoadFigures.java
@@ -0,0 +1,104 @@
+package org.geraniumproxy.measure.load;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Figures of a run.
+ *
+ * @param requests requests made
+ * @param acknowledgedWrites writes that were acknowledged
+ * @param unknown requests with an unknown outcome
+ * @param refused requests that were not run
+ * @param replicaReads answered reads that replicas served
+ * @param reads answered reads that replicas may serve
+ * @param customers figures of each customer
+ */
+public record LoadFigures(
+        long requests,
+        long acknowledgedWrites,
+        long unknown,
+        long refused,
+        long replicaReads,
+        long reads,
+        Map<String, CustomerFigures> customers) {
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final double PERCENTILE = 99;
+
+    /**
+     * Figures of one customer.
+     *
+     * @param requests requests made
+     * @param answered requests answered
+     * @param refused requests that were not run
+     * @param latency99 99th percentile of the time to an answer
+     */
+    public record CustomerFigures(long requests, long answered, long refused, Duration latency99) {
+        /**
+         * Returns the share of the requests that were answered.
+         *
+         * @return from zero to one; one if there were no requests
+         */
+        public double servedShare() {
+            return requests == 0 ? 1 : (double) answered / requests;
+        }
+    }
+
+    /**
+     * Counts the records of a run.
+     *
+     * @param records the records
+     * @return the figures
+     */
+    public static LoadFigures of(List<RequestRecord> records) {
+        Map<String, CustomerFigures> customers = new TreeMap<>();
+        records.stream()
+                .collect(Collectors.groupingBy(RequestRecord::customer))
+                .forEach((customer, own) -> customers.put(customer, customerFigures(own)));
+        List<CallResult.Answered> reads = records.stream()
+                .filter(request -> !request.operation().isWrite())
+                .map(RequestRecord::result)
+                .filter(CallResult.Answered.class::isInstance)
+                .map(CallResult.Answered.class::cast)
+                .toList();
+        return new LoadFigures(
+                records.size(),
+                records.stream().filter(RequestRecord::isAcknowledgedWrite).count(),
+                count(records, CallResult.Unknown.class),
+                count(records, CallResult.NotRun.class),
+                reads.stream().filter(CallResult.Answered::byReplica).count(),
+                reads.size(),
+                customers);
+    }
+
+    /**
+     * Returns the share of the reads that replicas served.
+     *
+     * @return from zero to one; zero if there were no reads
+     */
+    public double replicaShare() {
+        return reads == 0 ? 0 : (double) replicaReads / reads;
+    }
+
+    private static CustomerFigures customerFigures(List<RequestRecord> records) {
+        Histogram latencies = new Histogram(SIGNIFICANT_DIGITS);
+        records.stream()
+                .filter(RequestRecord::isAnswered)
+                .forEach(request -> latencies.recordValue(request.latency().toNanos() / 1000));
+        return new CustomerFigures(
+                records.size(),
+                latencies.getTotalCount(),
+                count(records, CallResult.NotRun.class),
+                Duration.ofNanos(latencies.getValueAtPercentile(PERCENTILE) * 1000));
+    }
+
+    private static long count(List<RequestRecord> records, Class<? extends CallResult> kind) {
+        return records.stream()
+                .filter(request -> kind.isInstance(request.result()))
+                .count();
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/load/ProxyChannels.java
@@ -0,0 +1,58 @@
+package org.geraniumproxy.measure.load;
+
+import io.grpc.ManagedChannel;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import java.util.List;
+import java.util.function.Function;
+
+/** Channels to the proxies that the sessions roam over. Channels reconnect on their own. */
+public final class ProxyChannels implements AutoCloseable {
+    private final List<ManagedChannel> channels;
+
+    private ProxyChannels(List<ManagedChannel> channels) {
+        this.channels = List.copyOf(channels);
+    }
+
+    /**
+     * Opens channels without TLS.
+     *
+     * @param addresses addresses of the proxies as {@code host:port}
+     * @return the channels
+     */
+    public static ProxyChannels plainText(List<String> addresses) {
+        return open(
+                addresses,
+                address -> NettyChannelBuilder.forTarget("dns:///" + address)
+                        .usePlaintext()
+                        .build());
+    }
+
+    /**
+     * Opens channels.
+     *
+     * @param addresses addresses of the proxies
+     * @param opener opens the channel to an address
+     * @return the channels
+     */
+    public static ProxyChannels open(List<String> addresses, Function<String, ManagedChannel> opener) {
+        return new ProxyChannels(addresses.stream().map(opener).toList());
+    }
+
+    int count() {
+        return channels.size();
+    }
+
+    ManagedChannel get(int index) {
+        return channels.get(index);
+    }
+
+    /** Ends the reconnect delay of a proxy's channel, so that a restarted proxy is found at once. */
+    void reconnect(int index) {
+        channels.get(index).resetConnectBackoff();
+    }
+
+    @Override
+    public void close() {
+        channels.forEach(ManagedChannel::shutdownNow);
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/load/RateChecks.java
@@ -0,0 +1,76 @@
+package org.geraniumproxy.measure.load;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Checks that no customer got more than its rate and burst. */
+public final class RateChecks {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** Number of window starts that are tried per customer, which bounds the work for long runs. */
+    private static final int MAXIMUM_WINDOW_STARTS = 1000;
+
+    /** Moment at which a request was admitted lies between these two. */
+    private record Admission(Instant earliest, Instant latest) {}
+
+    private RateChecks() {}
+
+    /**
+     * Checks windows that begin with one request and end with another one, up to 1000 starts for each customer. Only
+     * requests that lie in the window for certain are counted, so that no overrun is reported that did not happen.
+     * Requests that needed several calls are left out, because the moment of the admitted call is not known.
+     *
+     * @param records the records of a run
+     * @param allowances the allowance of each customer
+     * @return what was broken, the greatest overrun of each customer
+     */
+    public static List<BrokenInvariant> check(List<RequestRecord> records, Map<String, Allowance> allowances) {
+        Map<String, List<Admission>> admissions = new HashMap<>();
+        for (RequestRecord request : records) {
+            if (request.isAnswered() && request.calls() == 1) {
+                admissions
+                        .computeIfAbsent(request.customer(), customer -> new ArrayList<>())
+                        .add(new Admission(request.startedAt(), request.endedAt()));
+            }
+        }
+        List<BrokenInvariant> broken = new ArrayList<>();
+        allowances.forEach((customer, allowance) -> {
+            double overrun = greatestOverrun(admissions.getOrDefault(customer, List.of()), allowance);
+            if (overrun > 0) {
+                broken.add(new BrokenInvariant(
+                        Guarantee.RATE_KEPT, customer + " got " + overrun + " requests above its rate and burst"));
+            }
+        });
+        return broken;
+    }
+
+    private static double greatestOverrun(List<Admission> admissions, Allowance allowance) {
+        List<Admission> byEnd = admissions.stream()
+                .sorted(Comparator.comparing(Admission::latest))
+                .toList();
+        double greatest = 0;
+        for (int i = 0; i < byEnd.size(); i += 1 + byEnd.size() / MAXIMUM_WINDOW_STARTS) {
+            greatest = Math.max(greatest, overrunFrom(byEnd.get(i).earliest(), byEnd, allowance));
+        }
+        return greatest;
+    }
+
+    private static double overrunFrom(Instant start, List<Admission> byEnd, Allowance allowance) {
+        double greatest = 0;
+        int count = 0;
+        for (Admission admission : byEnd) {
+            if (admission.earliest().isBefore(start)) {
+                continue;
+            }
+            count++;
+            double seconds = Duration.between(start, admission.latest()).toNanos() / NANOS_PER_SECOND;
+            greatest = Math.max(greatest, count - allowance.burst() - allowance.ratePerSecond() * seconds);
+        }
+        return greatest;
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/load/SessionChecks.java
@@ -0,0 +1,95 @@
+package org.geraniumproxy.measure.load;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.geraniumproxy.protocol.NotRunReason;
+
+/** Checks what each session was told against its own earlier requests. */
+public final class SessionChecks {
+    /** What a session knows about one of its keys. */
+    private static final class KeyState {
+        private long acknowledged;
+        private long issued;
+        private final Set<Long> unseen = new HashSet<>();
+
+        /** A write with an unknown outcome may take effect at any later time, also over a later write. */
+        boolean allows(long sequence) {
+            return sequence <= issued && (sequence >= acknowledged || unseen.contains(sequence));
+        }
+    }
+
+    private SessionChecks() {}
+
+    /**
+     * Checks that every session read its own writes and that no answer broke a guarantee.
+     *
+     * @param records the records of a run; those of one session in the order of its requests
+     * @return what was broken
+     */
+    public static List<BrokenInvariant> check(List<RequestRecord> records) {
+        Map<String, List<RequestRecord>> sessions = new LinkedHashMap<>();
+        for (RequestRecord request : records) {
+            sessions.computeIfAbsent(request.session(), session -> new ArrayList<>())
+                    .add(request);
+        }
+        List<BrokenInvariant> broken = new ArrayList<>();
+        records.forEach(request -> broken.addAll(request.broken()));
+        sessions.values().forEach(session -> checkSession(session, broken));
+        return broken;
+    }
+
+    private static void checkSession(List<RequestRecord> session, List<BrokenInvariant> broken) {
+        Map<String, KeyState> keys = new HashMap<>();
+        for (RequestRecord request : session) {
+            switch (request.operation()) {
+                case Operation.PutNext put -> note(put, request, keys);
+                case Operation.ReadOwn read -> checkRead(read, request, keys, broken);
+                case Operation.AddOnce add -> {}
+                case Operation.AddTogether add -> {}
+                case Operation.CountKeys count -> {}
+            }
+            if (request.result() instanceof CallResult.NotRun notRun && notRun.reason() == NotRunReason.WRITE_LOST) {
+                broken.add(new BrokenInvariant(
+                        Guarantee.ACKNOWLEDGED_WRITE_KEPT,
+                        "session " + request.session() + " was told of a lost write"));
+            }
+        }
+    }
+
+    private static void note(Operation.PutNext put, RequestRecord request, Map<String, KeyState> keys) {
+        KeyState key = keys.computeIfAbsent(put.key(), name -> new KeyState());
+        key.issued = Math.max(key.issued, put.sequence());
+        if (request.mayHaveRunUnseen()) {
+            key.unseen.add(put.sequence());
+        }
+        if (request.isAnswered()) {
+            key.acknowledged = Math.max(key.acknowledged, put.sequence());
+        }
+    }
+
+    private static void checkRead(
+            Operation.ReadOwn read, RequestRecord request, Map<String, KeyState> keys, List<BrokenInvariant> broken) {
+        if (!(request.result() instanceof CallResult.Answered answered)
+                || !request.broken().isEmpty()) {
+            return;
+        }
+        KeyState key = keys.computeIfAbsent(read.key(), name -> new KeyState());
+        long sequence =
+                answered.rows().isEmpty() ? 0 : sequenceOf(answered.rows().getFirst());
+        if (!key.allows(sequence)) {
+            broken.add(new BrokenInvariant(
+                    Guarantee.READ_YOUR_WRITES,
+                    "session " + request.session() + " read write " + sequence + " of " + read.key() + " from "
+                            + answered.servedBy() + " after write " + key.acknowledged + " was acknowledged"));
+        }
+    }
+
+    private static long sequenceOf(String value) {
+        return Long.parseLong(value.substring(value.lastIndexOf('=') + 1));
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/load/TransactionCall.java
@@ -0,0 +1,119 @@
+package org.geraniumproxy.measure.load;
+
+import io.grpc.Channel;
+import io.grpc.Context;
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import io.grpc.stub.StreamObserver;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.geraniumproxy.protocol.CallerServiceGrpc;
+import org.geraniumproxy.protocol.Commit;
+import org.geraniumproxy.protocol.ExecuteReply;
+import org.geraniumproxy.protocol.ExecuteRequest;
+import org.geraniumproxy.protocol.TransactionRequest;
+import org.geraniumproxy.protocol.TransactionStatement;
+
+/** One transaction stream; each message waits for its reply. It belongs to one thread. */
+final class TransactionCall implements AutoCloseable {
+    /** Reads a reply and keeps its session token. */
+    @FunctionalInterface
+    interface ReplyReader {
+        CallResult read(long requestNumber, ExecuteReply reply);
+    }
+
+    private sealed interface Event {}
+
+    private record Replied(ExecuteReply reply) implements Event {}
+
+    private record Ended(Status status) implements Event {}
+
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final Context.CancellableContext context = Context.current().withCancellation();
+    private final Duration timeout;
+    private StreamObserver<TransactionRequest> requests;
+
+    private TransactionCall(Duration timeout) {
+        this.timeout = timeout;
+    }
+
+    static TransactionCall open(Channel channel, Duration timeout) {
+        TransactionCall call = new TransactionCall(timeout);
+        call.context.run(() -> call.requests = CallerServiceGrpc.newStub(channel)
+                .withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .transact(call.new Replies()));
+        return call;
+    }
+
+    /** Runs the statements and commits. */
+    CallResult run(ExecuteRequest begin, List<String> statements, ReplyReader reader) {
+        long number = begin.getRequestNumber();
+        List<String> rows = new ArrayList<>();
+        CallResult result = step(number, TransactionRequest.newBuilder().setBegin(begin), reader);
+        for (String statement : statements) {
+            if (!(result instanceof CallResult.Answered)) {
+                return result;
+            }
+            TransactionStatement step = TransactionStatement.newBuilder()
+                    .setRequestNumber(number)
+                    .setStatement(statement)
+                    .build();
+            result = step(number, TransactionRequest.newBuilder().setStatement(step), reader);
+            if (result instanceof CallResult.Answered answered) {
+                rows.addAll(answered.rows());
+            }
+        }
+        if (!(result instanceof CallResult.Answered)) {
+            return result;
+        }
+        Commit commit = Commit.newBuilder().setRequestNumber(number).build();
+        CallResult committed = step(number, TransactionRequest.newBuilder().setCommit(commit), reader);
+        return committed instanceof CallResult.Answered answered
+                ? new CallResult.Answered(rows, answered.servedBy(), answered.byReplica())
+                : committed;
+    }
+
+    @Override
+    public void close() {
+        context.cancel(null);
+    }
+
+    private CallResult step(long number, TransactionRequest.Builder request, ReplyReader reader) {
+        requests.onNext(request.build());
+        return switch (next()) {
+            case Replied replied -> reader.read(number, replied.reply());
+            case Ended ended -> throw new StatusRuntimeException(ended.status());
+        };
+    }
+
+    private Event next() {
+        try {
+            Event event = events.poll(timeout.toMillis(), TimeUnit.MILLISECONDS);
+            return event == null ? new Ended(Status.DEADLINE_EXCEEDED) : event;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new Ended(Status.CANCELLED.withCause(e));
+        }
+    }
+
+    private final class Replies implements StreamObserver<ExecuteReply> {
+        @Override
+        public void onNext(ExecuteReply reply) {
+            events.add(new Replied(reply));
+        }
+
+        @Override
+        public void onError(Throwable failure) {
+            events.add(new Ended(Status.fromThrowable(failure)));
+        }
+
+        @Override
+        public void onCompleted() {
+            events.add(new Ended(Status.UNAVAILABLE.withDescription("stream ended early")));
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/test/java/org/geraniumproxy/measure/load/SessionChecks_check_Test.java
@@ -0,0 +1,51 @@
+package org.geraniumproxy.measure.load;
+
+import static org.geraniumproxy.measure.load.RequestRecords.answered;
+import static org.geraniumproxy.measure.load.RequestRecords.unknown;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a check that overlooks stale reads, or reports reads that an unknown outcome allows. */
+final class SessionChecks_check_Test {
+    private static final Operation READ = new Operation.ReadOwn("k");
+
+    @Test
+    void should_report_a_read_before_the_last_acknowledged_write() {
+        // given
+        List<RequestRecord> records = List.of(
+                answered(new Operation.PutNext("k", 1), "k=1"),
+                answered(new Operation.PutNext("k", 2), "k=2"),
+                answered(READ, "k=1"));
+        // when
+        List<BrokenInvariant> broken = SessionChecks.check(records);
+        // then
+        assertThat(broken.getFirst().guarantee(), is(Guarantee.READ_YOUR_WRITES));
+    }
+
+    @Test
+    void should_report_an_absent_value_and_one_that_was_never_written() {
+        RequestRecord write = answered(new Operation.PutNext("k", 1), "k=1");
+        assertThat(SessionChecks.check(List.of(write, answered(READ))).size(), is(1));
+        assertThat(SessionChecks.check(List.of(write, answered(READ, "k=2"))).size(), is(1));
+    }
+
+    @Test
+    void should_allow_a_write_with_unknown_outcome_to_be_seen_or_not() {
+        // given
+        RequestRecord first = answered(new Operation.PutNext("k", 1), "k=1");
+        RequestRecord lost = unknown(new Operation.PutNext("k", 2));
+        RequestRecord third = answered(new Operation.PutNext("k", 3), "k=3");
+        // then
+        assertThat(SessionChecks.check(List.of(first, lost, answered(READ, "k=1"))), empty());
+        assertThat(SessionChecks.check(List.of(first, lost, answered(READ, "k=2"))), empty());
+        assertThat(SessionChecks.check(List.of(first, lost, third, answered(READ, "k=2"))), empty());
+        assertThat(
+                SessionChecks.check(List.of(first, lost, third, answered(READ, "k=1")))
+                        .size(),
+                is(1));
+    }
+}
