Add the deployment of real processes, the demo and the failover measurement

Cause: the guarantees and the failover gap have to be shown with the real processes, in real time.

Change: package bench starts stand-ins and proxies on loopback, applies a configuration with geraniumctl and stops everything by process. The failover measurement lets primaries fail at least 20 times with adaptive detection and with the fixed timeout as the baseline. The stand-ins use the invariant check of core.

Ruled out: to measure the gap with one writer, because its call to the failed primary waits for its deadline and hides an earlier recovery.

--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/bench/Databases.java
@@ -0,0 +1,117 @@
+package org.geraniumproxy.measure.bench;
+
+import io.grpc.ManagedChannel;
+import io.grpc.StatusRuntimeException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.geraniumproxy.measure.load.DatabaseHistory;
+import org.geraniumproxy.protocol.BackendServiceGrpc;
+import org.geraniumproxy.protocol.FaultReply;
+import org.geraniumproxy.protocol.FaultRequest;
+import org.geraniumproxy.protocol.FaultServiceGrpc;
+import org.geraniumproxy.protocol.HistoryReply;
+import org.geraniumproxy.protocol.HistoryRequest;
+import org.geraniumproxy.protocol.StatusReply;
+import org.geraniumproxy.protocol.StatusRequest;
+import org.geraniumproxy.standin.Transport;
+
+/** The stand-in databases of a running deployment, seen from outside the proxies. */
+public final class Databases implements AutoCloseable {
+    /** Time for one call: the databases are on the same machine, and an isolated one does not answer. */
+    private static final long CALL_TIMEOUT_MILLIS = 500;
+
+    /** Time to fetch a history, which is one long message. */
+    private static final long HISTORY_TIMEOUT_MILLIS = 10_000;
+
+    private final Deployment deployment;
+    private final Map<String, ManagedChannel> channels = new LinkedHashMap<>();
+
+    Databases(Deployment deployment, Addresses addresses) {
+        this.deployment = deployment;
+        Transport transport = new Transport.Tcp();
+        for (String group : deployment.groups()) {
+            for (String name : deployment.databases(group)) {
+                channels.put(name, transport.open(addresses.databases().get(name)));
+            }
+        }
+    }
+
+    /**
+     * Returns the reachable primary of the highest term of a group.
+     *
+     * @param group the group
+     * @return its status, empty if there is none
+     */
+    public Optional<StatusReply> primary(String group) {
+        return deployment.databases(group).stream()
+                .flatMap(name -> status(name).stream())
+                .filter(StatusReply::getPrimary)
+                .max(Comparator.comparingLong(StatusReply::getReplicatingTerm));
+    }
+
+    /**
+     * Asks a database for its status.
+     *
+     * @param name name of the database
+     * @return the status, empty if it does not answer
+     */
+    public Optional<StatusReply> status(String name) {
+        try {
+            return Optional.of(BackendServiceGrpc.newBlockingStub(channels.get(name))
+                    .withDeadlineAfter(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                    .status(StatusRequest.getDefaultInstance()));
+        } catch (StatusRuntimeException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Replaces the faults of a database.
+     *
+     * @param name name of the database
+     * @param faults the faults
+     */
+    public void inject(String name, FaultRequest faults) {
+        FaultReply unused = FaultServiceGrpc.newBlockingStub(channels.get(name)).inject(faults);
+    }
+
+    /**
+     * Collects the histories of all databases.
+     *
+     * @return the histories
+     */
+    public List<DatabaseHistory> histories() {
+        List<DatabaseHistory> histories = new ArrayList<>();
+        for (String group : deployment.groups()) {
+            String primary = primary(group).map(StatusReply::getBackendServer).orElse("");
+            for (String name : deployment.databases(group)) {
+                histories.add(history(group, name, name.equals(primary)));
+            }
+        }
+        return histories;
+    }
+
+    private DatabaseHistory history(String group, String name, boolean primary) {
+        HistoryReply reply = FaultServiceGrpc.newBlockingStub(channels.get(name))
+                .withDeadlineAfter(HISTORY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .history(HistoryRequest.getDefaultInstance());
+        return new DatabaseHistory(
+                group,
+                name,
+                primary,
+                reply.getAppliedWriteIdentifiersList(),
+                reply.getReceivedList(),
+                reply.getMostConnections(),
+                reply.getMostSlots());
+    }
+
+    @Override
+    public void close() {
+        channels.values().forEach(ManagedChannel::shutdownNow);
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/bench/DeploymentTexts.java
@@ -0,0 +1,137 @@
+package org.geraniumproxy.measure.bench;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.geraniumproxy.core.configuration.KeyDigest;
+
+/** Texts of the configuration and of the settings of the VMs. */
+public final class DeploymentTexts {
+    private DeploymentTexts() {}
+
+    /**
+     * Returns the configuration file.
+     *
+     * @param deployment the deployment
+     * @param addresses its addresses
+     * @param keys the key of each customer
+     * @return the text
+     */
+    public static String configuration(Deployment deployment, Addresses addresses, Map<String, String> keys) {
+        StringBuilder text = new StringBuilder("format = 1\n");
+        for (Deployment.CustomerSize customer : deployment.customers()) {
+            text.append(customer(customer, keys.get(customer.name())));
+        }
+        deployment.groups().forEach(group -> text.append(group(deployment, addresses, group)));
+        Deployment.RouteNames names = deployment.names();
+        text.append(route(names.register(), deployment.groups(), "write", "0ms", ""));
+        text.append(route(names.pay(), deployment.groups(), "write", "0ms", ""));
+        text.append(route(
+                names.view(),
+                deployment.groups(),
+                "read",
+                "2s",
+                deployment.openCustomer().name()));
+        deployment
+                .groups()
+                .forEach(group -> text.append(route(deployment.routeOf(group), List.of(group), "write", "0ms", "")));
+        return text.toString();
+    }
+
+    /**
+     * Returns the settings of a VM.
+     *
+     * @param deployment the deployment
+     * @param addresses its addresses
+     * @param index index of the VM, from zero
+     * @param detectionTimeout fixed timeout for suspecting a primary, empty for the adaptive one
+     * @return the text
+     */
+    public static String settings(
+            Deployment deployment, Addresses addresses, int index, Optional<Duration> detectionTimeout) {
+        Addresses.VmAddresses vm = addresses.vms().get(index);
+        String region = deployment.regions().get(index % deployment.regions().size());
+        int domain = index / deployment.regions().size() + 1;
+        String text = """
+                name = "%s"
+                region = "%s"
+                failure-domain = "%s-%d"
+                caller-address = "%s"
+                peer-address = "%s"
+                metrics-address = "%s"
+                store-address = "%s"
+                vm-list-address = "%s"
+                drain-timeout = "2s"
+                plain-text = true
+                """.formatted(
+                        vm.name(),
+                        region,
+                        region,
+                        domain,
+                        vm.caller(),
+                        vm.peer(),
+                        vm.metrics(),
+                        addresses.store(),
+                        addresses.vmList());
+        return text
+                + detectionTimeout
+                        .map(timeout -> "detection-timeout = \"%dms\"\n".formatted(timeout.toMillis()))
+                        .orElse("");
+    }
+
+    private static String customer(Deployment.CustomerSize customer, String key) {
+        return """
+
+                [customers."%s"]
+                rate = %s
+                burst = %d
+                weight = %d
+                key-digests = ["%s"]
+                """.formatted(
+                        customer.name(),
+                        customer.rate(),
+                        customer.burst(),
+                        customer.weight(),
+                        KeyDigest.ofKey(key).hexadecimal());
+    }
+
+    private static String group(Deployment deployment, Addresses addresses, String group) {
+        StringBuilder text = new StringBuilder(
+                """
+
+                [groups.%s]
+                slots = %d
+                connections = %d
+                standby-connections = %d
+                """.formatted(group, deployment.slots(), deployment.connections(), deployment.connections() / 4));
+        List<String> databases = deployment.databases(group);
+        for (int i = 0; i < databases.size(); i++) {
+            String region = deployment.regions().get(i);
+            text.append("""
+
+                    [[groups.%s.backend-servers]]
+                    name = "%s"
+                    address = "%s"
+                    region = "%s"
+                    failure-domain = "%s-1"
+                    """.formatted(
+                            group, databases.get(i), addresses.databases().get(databases.get(i)), region, region));
+        }
+        return text.toString();
+    }
+
+    private static String route(
+            String name, List<String> groups, String access, String acceptedAge, String openCustomer) {
+        String quoted = groups.stream().map(group -> "\"" + group + "\"").collect(Collectors.joining(", "));
+        String open = openCustomer.isEmpty() ? "" : "open-customer = \"" + openCustomer + "\"\n";
+        return """
+
+                [routes.%s]
+                groups = [%s]
+                access = "%s"
+                accepted-age = "%s"
+                """.formatted(name, quoted, access, acceptedAge) + open;
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/bench/ManagedProcess.java
@@ -0,0 +1,110 @@
+package org.geraniumproxy.measure.bench;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A process that this program has started, with its output in a file. */
+final class ManagedProcess implements AutoCloseable {
+    /** Options of the JVMs: a deployment has six of them on one machine. */
+    private static final String JAVA_OPTIONS = "-Xmx128m -XX:+UseSerialGC -XX:TieredStopAtLevel=1";
+
+    /** Time that a process gets to stop before it is killed. */
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
+
+    /** Interval at which the output is read while waiting for a line. */
+    private static final Duration OUTPUT_POLL_INTERVAL = Duration.ofMillis(50);
+
+    private final String name;
+    private final Process process;
+    private final Path output;
+
+    private ManagedProcess(String name, Process process, Path output) {
+        this.name = name;
+        this.process = process;
+        this.output = output;
+    }
+
+    static ManagedProcess start(String name, Path folder, Path program, List<String> arguments) {
+        List<String> command = new ArrayList<>();
+        command.add(program.toString());
+        command.addAll(arguments);
+        Path output = folder.resolve(name + ".log");
+        ProcessBuilder builder =
+                new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output.toFile());
+        builder.environment().put("GERANIUMPROXY_JAVA_OPTIONS", JAVA_OPTIONS);
+        try {
+            return new ManagedProcess(name, builder.start(), output);
+        } catch (IOException e) {
+            throw new UncheckedIOException("can't start " + program, e);
+        }
+    }
+
+    /**
+     * Waits for a line of output.
+     *
+     * @throws BenchException if the process ends or the time is over first
+     */
+    void awaitOutput(String text, Duration timeout) throws InterruptedException {
+        Deadline deadline = Deadline.after(Clock.systemUTC(), timeout);
+        while (!output().contains(text)) {
+            if (!process.isAlive() || deadline.isOver()) {
+                throw new BenchException(name + " did not print \"" + text + "\"; its output:\n" + output());
+            }
+            Thread.sleep(OUTPUT_POLL_INTERVAL);
+        }
+    }
+
+    /**
+     * Waits for the end of the process.
+     *
+     * @throws BenchException if it fails or the time is over first
+     */
+    void awaitSuccess(Duration timeout) throws InterruptedException {
+        if (!process.waitFor(timeout.toMillis(), TimeUnit.MILLISECONDS)) {
+            throw new BenchException(name + " did not end; its output:\n" + output());
+        }
+        if (process.exitValue() != 0) {
+            throw new BenchException(name + " ended with " + process.exitValue() + "; its output:\n" + output());
+        }
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    String name() {
+        return name;
+    }
+
+    String output() {
+        try {
+            return Files.exists(output) ? Files.readString(output) : "";
+        } catch (IOException e) {
+            throw new UncheckedIOException("can't read " + output, e);
+        }
+    }
+
+    void requestStop() {
+        process.destroy();
+    }
+
+    @Override
+    public void close() {
+        process.destroy();
+        try {
+            if (!process.waitFor(STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
+                process.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            process.destroyForcibly();
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/bench/RunningDeployment.java
@@ -0,0 +1,229 @@
+package org.geraniumproxy.measure.bench;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumproxy.measure.load.ProxyChannels;
+
+/** A deployment of real processes on loopback. It stops everything it started, by process, when it is closed. */
+public final class RunningDeployment implements AutoCloseable {
+    /** Longest time for a process to start and for the fleet to become ready on a busy machine. */
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(30);
+
+    private static final Duration READY_POLL_INTERVAL = Duration.ofMillis(100);
+
+    /** Length of a key: 256 bits. */
+    private static final int KEY_BYTES = 32;
+
+    private final Deployment deployment;
+    private final Addresses addresses;
+    private final Map<String, String> keys;
+    private final Workspace workspace;
+    private final List<ManagedProcess> processes = new ArrayList<>();
+    private final Databases databases;
+
+    private RunningDeployment(Deployment deployment, Workspace workspace) {
+        this.deployment = deployment;
+        this.workspace = workspace;
+        this.addresses = Addresses.allocate(deployment);
+        this.keys = newKeys(deployment);
+        this.databases = new Databases(deployment, addresses);
+    }
+
+    /**
+     * Starts stand-ins and proxies, applies the configuration and waits until every proxy is ready.
+     *
+     * @param deployment the deployment
+     * @param detectionTimeout fixed timeout for suspecting a primary, empty for the adaptive one
+     * @return the running deployment
+     * @throws BenchException if a process fails or is not ready in time
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public static RunningDeployment start(Deployment deployment, Optional<Duration> detectionTimeout)
+            throws InterruptedException {
+        RunningDeployment running = new RunningDeployment(deployment, Workspace.create());
+        try {
+            running.startStandins();
+            running.startProxies(detectionTimeout);
+            running.awaitHealth("/live");
+            running.applyConfiguration();
+            running.awaitHealth("/ready");
+            running.awaitPrimaries();
+            return running;
+        } catch (RuntimeException | InterruptedException e) {
+            running.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Returns the deployment.
+     *
+     * @return its sizes and names
+     */
+    public Deployment deployment() {
+        return deployment;
+    }
+
+    /**
+     * Returns the databases.
+     *
+     * @return access to them from outside the proxies
+     */
+    public Databases databases() {
+        return databases;
+    }
+
+    /**
+     * Returns the key of each customer.
+     *
+     * @return the keys
+     */
+    public Map<String, String> keys() {
+        return keys;
+    }
+
+    /**
+     * Opens channels to the proxies; the caller closes them.
+     *
+     * @return the channels
+     */
+    public ProxyChannels openProxies() {
+        return ProxyChannels.plainText(
+                addresses.vms().stream().map(Addresses.VmAddresses::caller).toList());
+    }
+
+    /**
+     * Returns the processes that have ended although nothing stopped them.
+     *
+     * @return their names and outputs
+     */
+    public List<String> endedProcesses() {
+        return processes.stream()
+                .filter(process -> !process.isAlive())
+                .map(process -> process.name() + " has ended; its output:\n" + process.output())
+                .toList();
+    }
+
+    /**
+     * Returns what the proxies have logged.
+     *
+     * @return the output of each proxy, in order of their names
+     */
+    public List<String> proxyOutputs() {
+        return processes.stream()
+                .filter(process -> process.name().startsWith("vm-"))
+                .map(ManagedProcess::output)
+                .toList();
+    }
+
+    @Override
+    public void close() {
+        databases.close();
+        processes.reversed().forEach(ManagedProcess::requestStop);
+        processes.reversed().forEach(ManagedProcess::close);
+        workspace.close();
+    }
+
+    private void startStandins() throws InterruptedException {
+        List<String> arguments = new ArrayList<>(List.of(
+                "--store", addresses.store(),
+                "--vm-list", addresses.vmList(),
+                "--slots", Integer.toString(deployment.slots()),
+                "--connections", Integer.toString(deployment.connections()),
+                "--connection-cost-millis",
+                        Long.toString(deployment.connectionCost().toMillis()),
+                "--replication-lag-millis",
+                        Long.toString(deployment.replicationLag().toMillis())));
+        addresses.vms().forEach(vm -> arguments.addAll(List.of("--vm", vm.name())));
+        addresses.databases().forEach((name, address) -> arguments.addAll(List.of("--database", name + "=" + address)));
+        ManagedProcess standins = workspace.start("standin", "standin", arguments);
+        processes.add(standins);
+        standins.awaitOutput("standin: ready", START_TIMEOUT);
+    }
+
+    private void startProxies(Optional<Duration> detectionTimeout) {
+        for (int i = 0; i < addresses.vms().size(); i++) {
+            String name = addresses.vms().get(i).name();
+            String text = DeploymentTexts.settings(deployment, addresses, i, detectionTimeout);
+            Path settings = workspace.write(name + ".toml", text);
+            processes.add(workspace.start(name, "geraniumproxy", List.of("run", "--settings", settings.toString())));
+        }
+    }
+
+    private void applyConfiguration() throws InterruptedException {
+        String text = DeploymentTexts.configuration(deployment, addresses, keys);
+        Path file = workspace.write("configuration.toml", text);
+        List<String> arguments =
+                List.of("apply", file.toString(), "--store", addresses.store(), "--base-revision", "0");
+        try (ManagedProcess control = workspace.start("geraniumctl", "geraniumctl", arguments)) {
+            control.awaitSuccess(START_TIMEOUT);
+        }
+    }
+
+    private void awaitHealth(String path) throws InterruptedException {
+        Deadline deadline = Deadline.after(Clock.systemUTC(), START_TIMEOUT);
+        try (HttpClient client = HttpClient.newHttpClient()) {
+            for (Addresses.VmAddresses vm : addresses.vms()) {
+                while (!isHealthy(client, vm.metrics(), path)) {
+                    checkTime(deadline, vm.name() + " does not answer " + path);
+                    Thread.sleep(READY_POLL_INTERVAL);
+                }
+            }
+        }
+    }
+
+    private void awaitPrimaries() throws InterruptedException {
+        Deadline deadline = Deadline.after(Clock.systemUTC(), START_TIMEOUT);
+        for (String group : deployment.groups()) {
+            while (databases.primary(group).isEmpty()) {
+                checkTime(deadline, group + " has no primary");
+                Thread.sleep(READY_POLL_INTERVAL);
+            }
+        }
+    }
+
+    private void checkTime(Deadline deadline, String failure) {
+        List<String> ended = endedProcesses();
+        if (!ended.isEmpty()) {
+            throw new BenchException(String.join("\n", ended));
+        }
+        if (deadline.isOver()) {
+            throw new BenchException(failure + "; output of the proxies:\n" + String.join("\n", proxyOutputs()));
+        }
+    }
+
+    private static boolean isHealthy(HttpClient client, String address, String path) throws InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .timeout(Duration.ofSeconds(1))
+                .build();
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static Map<String, String> newKeys(Deployment deployment) {
+        SecureRandom random = new SecureRandom();
+        Map<String, String> keys = new HashMap<>();
+        for (Deployment.CustomerSize customer : deployment.customers()) {
+            byte[] key = new byte[KEY_BYTES];
+            random.nextBytes(key);
+            keys.put(customer.name(), HexFormat.of().formatHex(key));
+        }
+        return Map.copyOf(keys);
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/demo/DemoLoad.java
@@ -0,0 +1,102 @@
+package org.geraniumproxy.measure.demo;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.geraniumproxy.measure.bench.Deployment;
+import org.geraniumproxy.measure.bench.RunningDeployment;
+import org.geraniumproxy.measure.load.CallerSession;
+import org.geraniumproxy.measure.load.LoadRecorder;
+import org.geraniumproxy.measure.load.ProxyChannels;
+
+/** Sessions of all customers of a deployment, at times that a seed determines. */
+final class DemoLoad implements AutoCloseable {
+    /** Sessions of a customer; each of them makes one request at a time. */
+    private static final int SESSIONS_PER_CUSTOMER = 4;
+
+    /** Share of its rate that an ordinary customer uses. */
+    private static final double ORDINARY_SHARE = 0.4;
+
+    /** Multiple of its rate that the last customer sends. */
+    private static final double EXCESSIVE_SHARE = 8;
+
+    private final List<Thread> sessions = new ArrayList<>();
+    private final RunningDeployment running;
+    private final ProxyChannels proxies;
+    private final LoadRecorder recorder;
+    private final Clock clock;
+
+    private DemoLoad(RunningDeployment running, Clock clock, LoadRecorder recorder) {
+        this.running = running;
+        this.proxies = running.openProxies();
+        this.clock = clock;
+        this.recorder = recorder;
+    }
+
+    static DemoLoad start(RunningDeployment running, long seed, Clock clock, LoadRecorder recorder) {
+        DemoLoad load = new DemoLoad(running, clock, recorder);
+        SplittableRandom random = new SplittableRandom(seed);
+        for (Deployment.CustomerSize customer : running.deployment().customers()) {
+            for (int number = 0; number < SESSIONS_PER_CUSTOMER; number++) {
+                load.startSession(customer, number, random.split());
+            }
+        }
+        return load;
+    }
+
+    /** Returns the name of the customer that sends more than its rate. */
+    static String excessiveCustomer(Deployment deployment) {
+        return deployment.customers().getLast().name();
+    }
+
+    @Override
+    public void close() {
+        sessions.forEach(Thread::interrupt);
+        try {
+            for (Thread session : sessions) {
+                session.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        proxies.close();
+    }
+
+    private void startSession(Deployment.CustomerSize customer, int number, SplittableRandom random) {
+        Deployment deployment = running.deployment();
+        String name = customer.name() + "-" + number;
+        boolean open = customer.equals(deployment.openCustomer());
+        boolean excessive = customer.name().equals(excessiveCustomer(deployment));
+        String key = open ? "" : running.keys().get(customer.name());
+        CallerSession session = new CallerSession(
+                new CallerSession.Identity(name, customer.name(), key), proxies, random.split(), clock, recorder);
+        double share = excessive ? EXCESSIVE_SHARE : ORDINARY_SHARE;
+        Duration interval = Duration.ofNanos((long) (1e9 * SESSIONS_PER_CUSTOMER / (customer.rate() * share)));
+        SessionScript script = open
+                ? new SessionScript.PublicReader(deployment.names(), name)
+                : excessive
+                        ? new SessionScript.OwnReader(deployment.names(), name)
+                        : new SessionScript.Registrar(deployment.names(), name);
+        sessions.add(Thread.ofVirtual().name(name).start(() -> run(session, script, interval, random)));
+    }
+
+    private void run(CallerSession session, SessionScript script, Duration interval, SplittableRandom random) {
+        try {
+            Thread.sleep(Duration.ofNanos(random.nextLong(interval.toNanos())));
+            for (long step = 0; !Thread.currentThread().isInterrupted(); step++) {
+                Instant next = clock.instant().plus(interval);
+                SessionScript.Step request = script.step(step);
+                session.run(request.operation(), request.options());
+                Duration rest = Duration.between(clock.instant(), next);
+                if (rest.isPositive()) {
+                    Thread.sleep(rest);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/demo/DemoMain.java
@@ -0,0 +1,65 @@
+package org.geraniumproxy.measure.demo;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumproxy.measure.bench.BenchException;
+import org.geraniumproxy.measure.bench.Deployment;
+import org.geraniumproxy.measure.bench.RunningDeployment;
+
+/** Runs the demo of a deployment. */
+public final class DemoMain {
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_NOT_STARTED = 3;
+
+    @Parameter(description = "festival|weed", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Parameter(names = "--help", help = true, description = "shows the options")
+    private boolean help;
+
+    private DemoMain() {}
+
+    /**
+     * Runs the demo and exits with 0 if no invariant was broken, 1 if one was, 2 for wrong usage and 3 if the
+     * deployment did not start.
+     *
+     * @param arguments {@code festival} or {@code weed}
+     * @throws InterruptedException if the main thread is interrupted
+     */
+    public static void main(String[] arguments) throws InterruptedException {
+        DemoMain demo = new DemoMain();
+        JCommander commander =
+                JCommander.newBuilder().programName("demo").addObject(demo).build();
+        Optional<Deployment> deployment;
+        try {
+            commander.parse(arguments);
+            deployment = demo.names.size() == 1 ? Deployment.of(demo.names.getFirst()) : Optional.empty();
+        } catch (ParameterException e) {
+            deployment = Optional.empty();
+        }
+        if (demo.help || deployment.isEmpty()) {
+            commander.usage();
+            System.exit(demo.help ? 0 : EXIT_USAGE);
+        }
+        System.exit(run(deployment.orElseThrow()));
+    }
+
+    private static int run(Deployment deployment) throws InterruptedException {
+        System.out.println("demo: starting stand-ins and " + Deployment.VM_COUNT + " proxies on loopback");
+        try (RunningDeployment running = RunningDeployment.start(deployment, Optional.empty())) {
+            System.out.println("demo: running the load; a primary will be isolated");
+            DemoResult result = new DemoRun(running, Clock.systemUTC()).run();
+            System.out.print(result.text());
+            return result.isSound() ? 0 : EXIT_FAILED;
+        } catch (BenchException e) {
+            System.err.println("demo: " + e.getMessage());
+            return EXIT_NOT_STARTED;
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/demo/DemoRun.java
@@ -0,0 +1,109 @@
+package org.geraniumproxy.measure.demo;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import org.geraniumproxy.measure.bench.Deployment;
+import org.geraniumproxy.measure.bench.RunningDeployment;
+import org.geraniumproxy.measure.failover.FailoverEvent;
+import org.geraniumproxy.measure.failover.FailoverGaps;
+import org.geraniumproxy.measure.failover.FaultInjector;
+import org.geraniumproxy.measure.failover.FaultKind;
+import org.geraniumproxy.measure.failover.WriteProbe;
+import org.geraniumproxy.measure.load.Allowance;
+import org.geraniumproxy.measure.load.BrokenInvariant;
+import org.geraniumproxy.measure.load.DatabaseHistory;
+import org.geraniumproxy.measure.load.HistoryChecks;
+import org.geraniumproxy.measure.load.LoadFigures;
+import org.geraniumproxy.measure.load.LoadRecorder;
+import org.geraniumproxy.measure.load.RateChecks;
+import org.geraniumproxy.measure.load.RequestRecord;
+import org.geraniumproxy.measure.load.SessionChecks;
+
+/** One demo: load, the failure of a primary, and the checks afterwards. */
+final class DemoRun {
+    /** Load before the failure. */
+    private static final Duration BEFORE_FAILURE = Duration.ofSeconds(6);
+
+    /** Time that the failed primary stays away after the promotion of the next one. */
+    private static final Duration OUTAGE = Duration.ofSeconds(3);
+
+    /** Load after the old primary has returned. */
+    private static final Duration AFTER_RETURN = Duration.ofSeconds(5);
+
+    private static final long SEED = 1;
+
+    private final RunningDeployment running;
+    private final Clock clock;
+    private final LoadRecorder customers = new LoadRecorder();
+    private final LoadRecorder probes = new LoadRecorder();
+
+    DemoRun(RunningDeployment running, Clock clock) {
+        this.running = running;
+        this.clock = clock;
+    }
+
+    DemoResult run() throws InterruptedException {
+        String group = running.deployment().groups().getFirst();
+        FailoverEvent failover;
+        try (DemoLoad _ = DemoLoad.start(running, SEED, clock, customers);
+                WriteProbe _ = WriteProbe.start(running, SEED, clock, probes)) {
+            Thread.sleep(BEFORE_FAILURE);
+            failover = new FaultInjector(running.databases(), clock).failPrimary(group, FaultKind.ISOLATED, OUTAGE);
+            Thread.sleep(AFTER_RETURN);
+        }
+        return result(failover);
+    }
+
+    private DemoResult result(FailoverEvent failover) {
+        List<RequestRecord> records = new ArrayList<>(customers.records());
+        records.addAll(probes.records());
+        List<DatabaseHistory> histories = running.databases().histories();
+        List<BrokenInvariant> broken = new ArrayList<>(SessionChecks.check(records));
+        broken.addAll(HistoryChecks.check(
+                records, histories, new HashSet<>(running.keys().values())));
+        broken.addAll(RateChecks.check(records, allowances()));
+        LoadFigures all = LoadFigures.of(records);
+        LoadFigures ofCustomers = LoadFigures.of(customers.records());
+        LoadFigures figures = new LoadFigures(
+                all.requests(),
+                all.acknowledgedWrites(),
+                all.unknown(),
+                all.refused(),
+                all.replicaReads(),
+                all.reads(),
+                ofCustomers.customers());
+        return new DemoResult(
+                figures,
+                FailoverGaps.of(List.of(failover), probes.records()).percentile(100),
+                DemoLoad.excessiveCustomer(running.deployment()),
+                HistoryChecks.lostWrites(records, histories).size(),
+                broken,
+                observations(histories));
+    }
+
+    private Map<String, Allowance> allowances() {
+        Map<String, Allowance> allowances = new HashMap<>();
+        for (Deployment.CustomerSize customer : running.deployment().customers()) {
+            allowances.put(customer.name(), new Allowance(customer.rate(), customer.burst()));
+        }
+        return allowances;
+    }
+
+    private List<String> observations(List<DatabaseHistory> histories) {
+        List<String> observations = new ArrayList<>(running.endedProcesses());
+        for (DatabaseHistory history : histories) {
+            if (history.mostSlots() > running.deployment().slots()) {
+                observations.add(history.backendServer() + " ran " + history.mostSlots() + " statements at once");
+            }
+            if (history.mostConnections() > running.deployment().connections()) {
+                observations.add(history.backendServer() + " had " + history.mostConnections() + " connections");
+            }
+        }
+        return observations;
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/demo/SessionScript.java
@@ -0,0 +1,86 @@
+package org.geraniumproxy.measure.demo;
+
+import java.time.Duration;
+import java.util.List;
+import org.geraniumproxy.measure.bench.Deployment;
+import org.geraniumproxy.measure.load.Operation;
+import org.geraniumproxy.measure.load.RequestOptions;
+
+/** The requests that a session makes, one after another. */
+sealed interface SessionScript {
+    /** Age that public readers accept. */
+    Duration PUBLIC_AGE = Duration.ofSeconds(2);
+
+    /** Requests of a registrar before it starts over. */
+    int REGISTRAR_CYCLE = 6;
+
+    /**
+     * One request.
+     *
+     * @param operation what to do
+     * @param options how
+     */
+    record Step(Operation operation, RequestOptions options) {}
+
+    /**
+     * Registers, pays and reads what it has written.
+     *
+     * @param routes names of the routes
+     * @param session name of the session
+     */
+    record Registrar(Deployment.RouteNames routes, String session) implements SessionScript {}
+
+    /**
+     * Reads public data without a key.
+     *
+     * @param routes names of the routes
+     * @param session name of the session
+     */
+    record PublicReader(Deployment.RouteNames routes, String session) implements SessionScript {}
+
+    /**
+     * Reads its own record again and again.
+     *
+     * @param routes names of the routes
+     * @param session name of the session
+     */
+    record OwnReader(Deployment.RouteNames routes, String session) implements SessionScript {}
+
+    /**
+     * Returns a request of the script.
+     *
+     * @param number its number, from zero
+     * @return the request
+     */
+    default Step step(long number) {
+        return switch (this) {
+            case Registrar registrar -> registrarStep(registrar, number);
+            case PublicReader reader ->
+                new Step(
+                        new Operation.CountKeys("record/"),
+                        RequestOptions.of(reader.routes().view(), reader.session() + number)
+                                .acceptingAge(PUBLIC_AGE));
+            case OwnReader reader ->
+                new Step(
+                        new Operation.ReadOwn("record/" + reader.session()),
+                        RequestOptions.of(reader.routes().register(), reader.session()));
+        };
+    }
+
+    private static Step registrarStep(Registrar registrar, long number) {
+        String session = registrar.session();
+        long cycle = number / REGISTRAR_CYCLE;
+        RequestOptions register = RequestOptions.of(registrar.routes().register(), session);
+        RequestOptions pay = RequestOptions.of(registrar.routes().pay(), session);
+        return switch ((int) (number % REGISTRAR_CYCLE)) {
+            case 0 -> new Step(new Operation.PutNext("record/" + session, cycle + 1), register);
+            case 2 -> new Step(new Operation.AddOnce("payment/" + session + "/" + cycle), pay);
+            case 4 ->
+                new Step(
+                        new Operation.AddTogether(
+                                List.of("fee/" + session + "/" + cycle, "receipt/" + session + "/" + cycle)),
+                        pay);
+            default -> new Step(new Operation.ReadOwn("record/" + session), register);
+        };
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The demo of a deployment. */
+package org.geraniumproxy.measure.demo;
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/failover/FailoverMeasurement.java
@@ -0,0 +1,155 @@
+package org.geraniumproxy.measure.failover;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.geraniumproxy.measure.bench.BenchException;
+import org.geraniumproxy.measure.bench.Deployment;
+import org.geraniumproxy.measure.bench.RunningDeployment;
+import org.geraniumproxy.measure.figures.PartReport;
+import org.geraniumproxy.measure.figures.PolicyFigures;
+import org.geraniumproxy.measure.load.BrokenInvariant;
+import org.geraniumproxy.measure.load.HistoryChecks;
+import org.geraniumproxy.measure.load.LoadFigures;
+import org.geraniumproxy.measure.load.LoadRecorder;
+import org.geraniumproxy.measure.load.RequestRecord;
+import org.geraniumproxy.measure.load.SessionChecks;
+
+/** Measures failovers with adaptive detection and with a fixed timeout as the baseline, in real time. */
+public final class FailoverMeasurement {
+    /** The targets ask for at least 20 failovers. */
+    private static final int FAILOVERS = 20;
+
+    /** Baseline: the time after which a VM that has not been heard from is treated as down. */
+    private static final Duration FIXED_DETECTION_TIMEOUT = Duration.ofSeconds(2);
+
+    /** Target for the worst gap. */
+    private static final Duration WORST_TARGET = Duration.ofSeconds(12);
+
+    /** Target for the median gap at today's sizes. */
+    private static final Duration MEDIAN_TARGET = Duration.ofSeconds(2);
+
+    private static final Duration WARM_UP = Duration.ofSeconds(3);
+    private static final Duration SHORTEST_PAUSE = Duration.ofMillis(500);
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(1500);
+
+    private final Deployment deployment;
+    private final long seed;
+    private final Clock clock;
+
+    private FailoverMeasurement(Deployment deployment, long seed, Clock clock) {
+        this.deployment = deployment;
+        this.seed = seed;
+        this.clock = clock;
+    }
+
+    /** Figures of one policy and what was broken. */
+    private record PolicyRun(PolicyFigures figures, FailoverGaps gaps, List<String> findings) {}
+
+    /**
+     * Prepares a measurement.
+     *
+     * @param deployment the deployment
+     * @param seed determines the order of groups, the faults and the pauses
+     * @return the measurement
+     */
+    public static FailoverMeasurement of(Deployment deployment, long seed) {
+        return new FailoverMeasurement(deployment, seed, Clock.systemUTC());
+    }
+
+    /**
+     * Runs both policies, each on a new deployment with the same faults.
+     *
+     * @return the report
+     * @throws BenchException if a deployment fails
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public PartReport run() throws InterruptedException {
+        PolicyRun adaptive = run("adaptive detection", Optional.empty());
+        PolicyRun fixed = run(
+                "fixed detection timeout of " + FIXED_DETECTION_TIMEOUT.toMillis() + " ms",
+                Optional.of(FIXED_DETECTION_TIMEOUT));
+        List<String> findings = new ArrayList<>(adaptive.findings());
+        missed("median", adaptive.gaps().percentile(50), MEDIAN_TARGET).ifPresent(findings::add);
+        missed("worst", adaptive.gaps().percentile(100), WORST_TARGET).ifPresent(findings::add);
+        findings.addAll(fixed.findings());
+        return new PartReport("failover", List.of(adaptive.figures(), fixed.figures()), findings);
+    }
+
+    private PolicyRun run(String policy, Optional<Duration> detectionTimeout) throws InterruptedException {
+        SplittableRandom random = new SplittableRandom(seed);
+        LoadRecorder recorder = new LoadRecorder();
+        List<FailoverEvent> events = new ArrayList<>();
+        try (RunningDeployment running = RunningDeployment.start(deployment, detectionTimeout)) {
+            try (WriteProbe _ = WriteProbe.start(running, seed, clock, recorder)) {
+                Thread.sleep(WARM_UP);
+                FaultInjector injector = new FaultInjector(running.databases(), clock);
+                for (int number = 0; number < FAILOVERS; number++) {
+                    events.add(failOne(injector, number, random));
+                }
+                Thread.sleep(WARM_UP);
+            }
+            return result(policy, detectionTimeout.isPresent(), running, events, recorder.records());
+        }
+    }
+
+    private FailoverEvent failOne(FaultInjector injector, int number, SplittableRandom random)
+            throws InterruptedException {
+        String group = deployment.groups().get(number % deployment.groups().size());
+        FaultKind kind = random.nextBoolean() ? FaultKind.ISOLATED : FaultKind.DOWN;
+        FailoverEvent event = injector.failPrimary(group, kind, pause(random));
+        Thread.sleep(pause(random));
+        return event;
+    }
+
+    private static Duration pause(SplittableRandom random) {
+        return Duration.ofMillis(random.nextLong(SHORTEST_PAUSE.toMillis(), LONGEST_PAUSE.toMillis()));
+    }
+
+    private static PolicyRun result(
+            String policy,
+            boolean baseline,
+            RunningDeployment running,
+            List<FailoverEvent> events,
+            List<RequestRecord> records) {
+        FailoverGaps gaps = FailoverGaps.of(events, records);
+        List<BrokenInvariant> broken = new ArrayList<>(SessionChecks.check(records));
+        broken.addAll(HistoryChecks.check(
+                records,
+                running.databases().histories(),
+                new HashSet<>(running.keys().values())));
+        List<String> findings = new ArrayList<>(running.endedProcesses());
+        broken.forEach(invariant -> findings.add(policy + ": " + invariant));
+        if (gaps.unfinished() > 0) {
+            findings.add(policy + ": no write was acknowledged after " + gaps.unfinished() + " failovers");
+        }
+        return new PolicyRun(new PolicyFigures(policy, baseline, figures(gaps, records, broken)), gaps, findings);
+    }
+
+    private static Map<String, Double> figures(
+            FailoverGaps gaps, List<RequestRecord> records, List<BrokenInvariant> broken) {
+        LoadFigures load = LoadFigures.of(records);
+        Map<String, Double> figures = new LinkedHashMap<>();
+        figures.put("failovers", (double) gaps.gaps().size());
+        gaps.percentile(50).ifPresent(gap -> figures.put("gap-median-millis", (double) gap.toMillis()));
+        gaps.percentile(99).ifPresent(gap -> figures.put("gap-99th-percentile-millis", (double) gap.toMillis()));
+        gaps.percentile(100).ifPresent(gap -> figures.put("gap-worst-millis", (double) gap.toMillis()));
+        figures.put("writes", (double) load.requests());
+        figures.put("acknowledged-writes", (double) load.acknowledgedWrites());
+        figures.put("unknown-outcomes", (double) load.unknown());
+        figures.put("broken-invariants", (double) broken.size());
+        return figures;
+    }
+
+    private static Optional<String> missed(String name, Optional<Duration> gap, Duration target) {
+        return gap.filter(value -> value.compareTo(target) > 0)
+                .map(value -> "target missed: " + name + " gap " + value.toMillis() + " ms, target " + target.toMillis()
+                        + " ms");
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/failover/WriteProbe.java
@@ -0,0 +1,85 @@
+package org.geraniumproxy.measure.failover;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.geraniumproxy.measure.bench.Deployment;
+import org.geraniumproxy.measure.bench.RunningDeployment;
+import org.geraniumproxy.measure.load.CallerSession;
+import org.geraniumproxy.measure.load.LoadRecorder;
+import org.geraniumproxy.measure.load.Operation;
+import org.geraniumproxy.measure.load.ProxyChannels;
+import org.geraniumproxy.measure.load.RequestOptions;
+
+/** Writes to every group all the time, so that each gap in service shows. */
+public final class WriteProbe implements AutoCloseable {
+    /** Writers per group. Several of them keep writing while calls to a failed primary wait for their deadline. */
+    private static final int WRITERS_PER_GROUP = 4;
+
+    /** Pause between two writes of one writer. */
+    private static final Duration WRITE_INTERVAL = Duration.ofMillis(50);
+
+    /** Time for one call: short, so that a writer tries again soon after a failover. */
+    private static final Duration CALL_DEADLINE = Duration.ofMillis(400);
+
+    private final List<Thread> writers = new ArrayList<>();
+    private final ProxyChannels proxies;
+
+    private WriteProbe(ProxyChannels proxies) {
+        this.proxies = proxies;
+    }
+
+    /**
+     * Starts the writers.
+     *
+     * @param running the deployment
+     * @param seed seed of the choice of proxies
+     * @param clock the clock
+     * @param recorder receives the records
+     * @return the running probe
+     */
+    public static WriteProbe start(RunningDeployment running, long seed, Clock clock, LoadRecorder recorder) {
+        WriteProbe probe = new WriteProbe(running.openProxies());
+        SplittableRandom random = new SplittableRandom(seed);
+        Deployment.CustomerSize customer = running.deployment().customers().get(1);
+        for (String group : running.deployment().groups()) {
+            for (int number = 0; number < WRITERS_PER_GROUP; number++) {
+                String name = "probe-" + group + "-" + number;
+                CallerSession.Identity identity = new CallerSession.Identity(
+                        name, customer.name(), running.keys().get(customer.name()));
+                CallerSession session = new CallerSession(identity, probe.proxies, random.split(), clock, recorder);
+                RequestOptions options = RequestOptions.of(running.deployment().routeOf(group), group)
+                        .within(CALL_DEADLINE, CALL_DEADLINE);
+                probe.writers.add(Thread.ofVirtual().name(name).start(() -> write(session, name, options)));
+            }
+        }
+        return probe;
+    }
+
+    /** Stops the writers after the writes that they are making. */
+    @Override
+    public void close() {
+        writers.forEach(Thread::interrupt);
+        try {
+            for (Thread writer : writers) {
+                writer.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        proxies.close();
+    }
+
+    private static void write(CallerSession session, String name, RequestOptions options) {
+        try {
+            for (long number = 1; !Thread.currentThread().isInterrupted(); number++) {
+                session.run(new Operation.AddOnce(name + "/" + number), options);
+                Thread.sleep(WRITE_INTERVAL);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/failover/package-info.java
@@ -0,0 +1,2 @@
+/** Failovers of real processes in real time, and the gaps that writers see. */
+package org.geraniumproxy.measure.failover;
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/report/MeasureMain.java
@@ -0,0 +1,86 @@
+package org.geraniumproxy.measure.report;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.geraniumproxy.measure.bench.BenchException;
+import org.geraniumproxy.measure.bench.Deployment;
+import org.geraniumproxy.measure.figures.PartReport;
+
+/** Measures the policies of the proxy against their baselines. */
+public final class MeasureMain {
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_NOT_STARTED = 3;
+
+    @Parameter(names = "--deployment", description = "festival|weed", required = true)
+    private String deployment = "";
+
+    @Parameter(names = "--seed", description = "seed of the run")
+    private long seed = 1;
+
+    @Parameter(names = "--format", description = "text|json")
+    private String format = "text";
+
+    @Parameter(names = "--part", description = "failover; may be repeated")
+    private List<String> parts = new ArrayList<>(List.of("failover"));
+
+    @Parameter(names = "--help", help = true, description = "shows the options")
+    private boolean help;
+
+    private MeasureMain() {}
+
+    /**
+     * Runs the parts and prints one report. Exits with 2 for wrong usage and 3 if a deployment did not start.
+     *
+     * @param arguments the options, shown by {@code --help}
+     * @throws InterruptedException if the main thread is interrupted
+     */
+    public static void main(String[] arguments) throws InterruptedException {
+        MeasureMain measure = new MeasureMain();
+        JCommander commander = JCommander.newBuilder()
+                .programName("measure")
+                .addObject(measure)
+                .build();
+        try {
+            commander.parse(arguments);
+            if (measure.help) {
+                commander.usage();
+                return;
+            }
+            System.out.print(measure.run());
+        } catch (ParameterException e) {
+            System.err.println("measure: " + e.getMessage());
+            System.exit(EXIT_USAGE);
+        } catch (BenchException e) {
+            System.err.println("measure: " + e.getMessage());
+            System.exit(EXIT_NOT_STARTED);
+        }
+    }
+
+    private String run() throws InterruptedException {
+        Deployment chosen = Deployment.of(deployment)
+                .orElseThrow(() -> new ParameterException("--deployment must be festival or weed"));
+        ReportFormat written = readFormat(format);
+        List<MeasurePart> chosenParts = new ArrayList<>();
+        for (String part : parts) {
+            chosenParts.add(
+                    MeasurePart.of(part).orElseThrow(() -> new ParameterException("--part is not known: " + part)));
+        }
+        List<PartReport> reports = new ArrayList<>();
+        for (MeasurePart part : chosenParts) {
+            reports.add(part.run(chosen, seed));
+        }
+        return written.write(chosen.name(), seed, reports);
+    }
+
+    private static ReportFormat readFormat(String text) {
+        return switch (text.toLowerCase(Locale.ROOT)) {
+            case "text" -> ReportFormat.TEXT;
+            case "json" -> ReportFormat.JSON;
+            default -> throw new ParameterException("--format must be text or json");
+        };
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/report/package-info.java
@@ -0,0 +1,2 @@
+/** The command that measures policies against their baselines, and its reports. */
+package org.geraniumproxy.measure.report;
--- a/standin/src/main/java/org/geraniumproxy/standin/database/Database.java
+++ b/standin/src/main/java/org/geraniumproxy/standin/database/Database.java
@@ -4,10 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import org.geraniumproxy.core.control.InvariantViolation;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.Term;
 import org.geraniumproxy.core.identity.TermStart;
-import org.geraniumproxy.standin.runtime.Invariant;
 
 /** Terms, role and log of one database. Confined to one thread; time is an argument. */
 final class Database {
@@ -100,8 +100,8 @@
 
     /** Begins to replicate: cuts the divergent tail first and reports the new replicating term only then. */
     void beginReplication(Term term, long truncateAfter, List<TermStart> primaryStarts, Instant now) {
-        Invariant.check(!primary, "a primary never replicates");
-        Invariant.check(term.equals(fencedTerm), "a replica follows only the term that it is fenced at");
+        InvariantViolation.check(!primary, "a primary never replicates");
+        InvariantViolation.check(term.equals(fencedTerm), "a replica follows only the term that it is fenced at");
         log.truncateAfter(truncateAfter);
         termStarts = List.copyOf(primaryStarts);
         replicatingTerm = term;
@@ -113,7 +113,8 @@
     }
 
     void replicate(List<DatabaseLog.Entry> entries) {
-        Invariant.check(!primary && replicatingTerm.equals(fencedTerm), "entries are applied only while replicating");
+        InvariantViolation.check(
+                !primary && replicatingTerm.equals(fencedTerm), "entries are applied only while replicating");
         entries.forEach(log::append);
     }
 
@@ -166,7 +167,8 @@
      * @throws StatementException if a write can't run; the transaction then has had no effect
      */
     LogPosition commit(Transaction transaction) {
-        Invariant.check(transaction.term().equals(replicatingTerm), "a transaction commits only in its own term");
+        InvariantViolation.check(
+                transaction.term().equals(replicatingTerm), "a transaction commits only in its own term");
         Transaction replay = new Transaction(replicatingTerm);
         List<DatabaseLog.Entry> entries = new ArrayList<>();
         for (Transaction.PendingWrite write : transaction.writes()) {
--- a/standin/src/main/java/org/geraniumproxy/standin/database/DatabaseLog.java
+++ b/standin/src/main/java/org/geraniumproxy/standin/database/DatabaseLog.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.geraniumproxy.core.control.InvariantViolation;
 import org.geraniumproxy.core.identity.Term;
 import org.geraniumproxy.core.identity.TermStart;
-import org.geraniumproxy.standin.runtime.Invariant;
 
 /** The log of a database and the values that it yields. Confined to one thread. */
 final class DatabaseLog {
@@ -56,8 +56,8 @@
     }
 
     void append(Entry entry) {
-        Invariant.check(entry.position() == position() + 1, "log positions have no gap");
-        Invariant.check(entry.term().compareTo(lastEntryTerm()) >= 0, "terms of a log never decrease");
+        InvariantViolation.check(entry.position() == position() + 1, "log positions have no gap");
+        InvariantViolation.check(entry.term().compareTo(lastEntryTerm()) >= 0, "terms of a log never decrease");
         if (!entry.term().equals(lastEntryTerm())) {
             segments.add(new TermStart(entry.term(), position()));
         }
@@ -67,7 +67,7 @@
 
     /** Drops the entries past a position. */
     void truncateAfter(long position) {
-        Invariant.check(position <= position(), "a log is never cut past its end");
+        InvariantViolation.check(position <= position(), "a log is never cut past its end");
         if (position == position()) {
             return;
         }
--- a/standin/src/main/java/org/geraniumproxy/standin/store/KeyValueStore.java
+++ b/standin/src/main/java/org/geraniumproxy/standin/store/KeyValueStore.java
@@ -7,7 +7,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
-import org.geraniumproxy.standin.runtime.Invariant;
+import org.geraniumproxy.core.control.InvariantViolation;
 
 /** Keys with revisions, compare-and-swap and leases. Confined to one thread; time is an argument. */
 public final class KeyValueStore {
@@ -81,7 +81,7 @@
             return new Swap(true, Optional.empty());
         }
         Entry written = new Entry(value, revision, lease);
-        Invariant.check(written.revision() > currentRevision, "the revision of a key grows with each write");
+        InvariantViolation.check(written.revision() > currentRevision, "the revision of a key grows with each write");
         entries.put(key, written);
         return new Swap(true, Optional.of(written));
     }
