--- a/measure/src/main/java/org/geraniumproxy/measure/bench/RunningDeployment.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/bench/RunningDeployment.java
@@ -129,6 +129,15 @@
                 .toList();
     }
 
+    /**
+     * Keeps the settings, the configuration and the logs after the end.
+     *
+     * @return the folder that holds them
+     */
+    public Path keepFiles() {
+        return workspace.keep();
+    }
+
     @Override
     public void close() {
         databases.close();
--- a/measure/src/main/java/org/geraniumproxy/measure/bench/Workspace.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/bench/Workspace.java
@@ -13,6 +13,7 @@
 final class Workspace implements AutoCloseable {
     private final Path folder;
     private final Path programs;
+    private boolean kept;
 
     private Workspace(Path folder, Path programs) {
         this.folder = folder;
@@ -39,8 +40,17 @@
         return ManagedProcess.start(name, folder, programs.resolve(program), arguments);
     }
 
+    /** Leaves the folder in place, so that its logs can be read later. */
+    Path keep() {
+        kept = true;
+        return folder;
+    }
+
     @Override
     public void close() {
+        if (kept) {
+            return;
+        }
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder()).forEach(Workspace::delete);
         } catch (IOException e) {
--- a/measure/src/main/java/org/geraniumproxy/measure/demo/DemoMain.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/demo/DemoMain.java
@@ -20,6 +20,9 @@
     @Parameter(description = "festival|weed", required = true)
     private List<String> names = new ArrayList<>();
 
+    @Parameter(names = "--keep-files", description = "keeps settings, configuration and logs, and prints their folder")
+    private boolean keepFiles;
+
     @Parameter(names = "--help", help = true, description = "shows the options")
     private boolean help;
 
@@ -47,12 +50,15 @@
             commander.usage();
             System.exit(demo.help ? 0 : EXIT_USAGE);
         }
-        System.exit(run(deployment.orElseThrow()));
+        System.exit(demo.run(deployment.orElseThrow()));
     }
 
-    private static int run(Deployment deployment) throws InterruptedException {
+    private int run(Deployment deployment) throws InterruptedException {
         System.out.println("demo: starting stand-ins and " + Deployment.VM_COUNT + " proxies on loopback");
         try (RunningDeployment running = RunningDeployment.start(deployment, Optional.empty())) {
+            if (keepFiles) {
+                System.out.println("demo: files are in " + running.keepFiles());
+            }
             System.out.println("demo: running the load; a primary will be isolated");
             DemoResult result = new DemoRun(running, Clock.systemUTC()).run();
             System.out.print(result.text());
