--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/transport/GrpcServers.java
@@ -0,0 +1,43 @@
+package org.geraniumproxy.proxy.transport;
+
+import io.grpc.BindableService;
+import io.grpc.Server;
+import io.grpc.ServerInterceptor;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContext;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+
+/** Starts the gRPC servers of a proxy. */
+public final class GrpcServers {
+    private GrpcServers() {}
+
+    /**
+     * Starts a server.
+     *
+     * @param address address to listen at; port 0 takes a free port
+     * @param sslContext the TLS context, or empty for plain text
+     * @param executor runs the calls
+     * @param interceptors see every call, the first one first
+     * @param services what the server offers
+     * @return the running server
+     * @throws IOException if the address can't be used
+     */
+    public static Server start(
+            InetSocketAddress address,
+            Optional<SslContext> sslContext,
+            Executor executor,
+            List<ServerInterceptor> interceptors,
+            List<? extends BindableService> services)
+            throws IOException {
+        NettyServerBuilder builder = NettyServerBuilder.forAddress(address).executor(executor);
+        sslContext.ifPresent(builder::sslContext);
+        // The library runs the interceptor that was added last first.
+        interceptors.reversed().forEach(builder::intercept);
+        services.forEach(builder::addService);
+        return builder.build().start();
+    }
+}
--- a/proxy/src/main/java/org/geraniumproxy/proxy/transport/NettyChannelFactory.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/transport/NettyChannelFactory.java
@@ -2,6 +2,7 @@
 
 import io.grpc.ManagedChannel;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.netty.channel.ChannelOption;
 import io.grpc.netty.shaded.io.netty.handler.ssl.SslContext;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -11,6 +12,15 @@
     /** Time after which an unused channel gives up its connection, so that links to VMs that have gone are closed. */
     private static final long IDLE_TIMEOUT_SECONDS = 60;
 
+    /**
+     * Longest time to connect. The library's 20 s would hold requests back from the standby while a VM or its region
+     * can't be reached; the longest round trip between regions is 24 ms.
+     */
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    /** Largest message: the answer of a forwarded request travels in one. */
+    private static final int MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024;
+
     private final Optional<SslContext> sslContext;
 
     private NettyChannelFactory(Optional<SslContext> sslContext) {
@@ -40,6 +50,8 @@
     public ManagedChannel create(String address) {
         NettyChannelBuilder builder = NettyChannelBuilder.forTarget(address)
                 .disableServiceConfigLookUp()
+                .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .maxInboundMessageSize(MAXIMUM_MESSAGE_BYTES)
                 .idleTimeout(IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         return sslContext
                 .map(context -> builder.sslContext(context).build())
--- a/proxy/src/test/java/org/geraniumproxy/proxy/testing/LocalTransport.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/testing/LocalTransport.java
@@ -1,6 +1,7 @@
 package org.geraniumproxy.proxy.testing;
 
 import io.grpc.BindableService;
+import io.grpc.ClientInterceptor;
 import io.grpc.ManagedChannel;
 import io.grpc.Server;
 import io.grpc.ServerInterceptor;
@@ -53,14 +54,21 @@
         }
     }
 
+    public ChannelFactory intercepted(ClientInterceptor interceptor) {
+        return address -> builder(address).intercept(interceptor).build();
+    }
+
     @Override
     public ManagedChannel create(String address) {
+        return builder(address).build();
+    }
+
+    private NettyChannelBuilder builder(String address) {
         return NettyChannelBuilder.forAddress(new LocalAddress(prefix + address))
                 .channelType(LocalChannel.class)
                 .eventLoopGroup(group)
                 .usePlaintext()
-                .overrideAuthority("localhost")
-                .build();
+                .overrideAuthority("localhost");
     }
 
     @Override
