Add rate shares, lending between VMs, and its seeded runs

Cause: rate and burst of a customer count over all VMs together, while the balancer sends them uneven traffic and messages get lost, late or doubled.

Change: each holder runs a bucket for its share and lends whole tokens. Lent tokens count against the burst of the share until they are reported, given back or expired; the borrower's validity counts from the sending of its request and so ends first. A larger share is used only after the newest holders were proven current later than the view bound after they were learned. A wait for time alone was ruled out: a VM that skips a change would count as informed.

The test finds an overrun with a lender that expires loans after 10 ms, and with a larger share used at once.

--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/limit/BorrowingPlan.java
@@ -0,0 +1,116 @@
+package org.geraniumproxy.core.limit;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.limit.BorrowerState.BorrowedLoan;
+
+/** Decides which holders to ask for how many tokens, and which loans to give back. */
+final class BorrowingPlan {
+    /** Time after which an unanswered holder counts as unreachable; several times the longest round trip. */
+    static final Duration ANSWER_TIMEOUT = Duration.ofMillis(250);
+
+    /** Demand that loans are taken for in advance: two round trips between regions and some spread. */
+    private static final Duration LOOKAHEAD = Duration.ofMillis(60);
+
+    /** Time after which unspent tokens go back, so that they serve another VM before they expire. */
+    private static final Duration IDLE_LOAN = Duration.ofMillis(150);
+
+    /** Shortest time between two questions to the same holder, which bounds the messages of a VM that waits. */
+    private static final Duration ASK_INTERVAL = Duration.ofMillis(10);
+
+    /** Most tokens of one loan, so that a lost reply costs little. */
+    private static final int MAXIMUM_LOAN = 64;
+
+    /** Holders asked per waiting token; with two, one that is empty does not cost a second round trip. */
+    private static final int ASKED_PER_WAITING = 2;
+
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+    private static final double MILLI_TOKENS_PER_TOKEN = 1000;
+
+    private BorrowingPlan() {}
+
+    static CustomerLimit plan(CustomerLimit limit, LimitView view, Instant now, List<RateEffect> effects) {
+        return ask(giveBack(limit, now, effects), view, now, effects);
+    }
+
+    static void dropExpired(List<BorrowedLoan> loans, Instant now, List<RateEffect> effects) {
+        loans.removeIf(loan -> {
+            boolean expired = !now.isBefore(loan.expiresAt());
+            if (expired) {
+                effects.add(report(loan));
+            }
+            return expired;
+        });
+    }
+
+    /** Spends a token of the loan that expires first. */
+    static boolean spendOne(List<BorrowedLoan> loans) {
+        for (int index = 0; index < loans.size(); index++) {
+            if (loans.get(index).unspent() > 0) {
+                loans.set(index, loans.get(index).spendOne());
+                return true;
+            }
+        }
+        return false;
+    }
+
+    static void reportSpent(List<BorrowedLoan> loans, List<RateEffect> effects) {
+        loans.removeIf(loan -> {
+            boolean used = loan.unspent() == 0;
+            if (used) {
+                effects.add(report(loan));
+            }
+            return used;
+        });
+    }
+
+    private static CustomerLimit giveBack(CustomerLimit limit, Instant now, List<RateEffect> effects) {
+        List<BorrowedLoan> loans = limit.borrower().loans();
+        List<BorrowedLoan> kept = loans.stream()
+                .filter(loan -> now.isBefore(loan.arrivedAt().plus(IDLE_LOAN)))
+                .toList();
+        loans.stream().filter(loan -> !kept.contains(loan)).forEach(loan -> effects.add(report(loan)));
+        return kept.size() == loans.size() ? limit : limit.with(limit.borrower().withLoans(kept));
+    }
+
+    private static CustomerLimit ask(CustomerLimit limit, LimitView view, Instant now, List<RateEffect> effects) {
+        int missing = missingTokens(limit, now);
+        BorrowerState borrower = limit.borrower();
+        List<VmName> candidates = missing > 0 ? candidates(borrower, view, now) : List.of();
+        int each = candidates.isEmpty() ? 0 : Math.min(MAXIMUM_LOAN, Math.ceilDiv(missing, candidates.size()));
+        for (VmName holder : candidates) {
+            if (missing <= 0) {
+                break;
+            }
+            effects.add(new RateEffect.Borrow(holder, borrower.nextLoanIdentifier(), each));
+            borrower = borrower.ask(holder, each, now);
+            missing -= each;
+        }
+        return limit.with(borrower);
+    }
+
+    private static int missingTokens(CustomerLimit limit, Instant now) {
+        double ownRate = limit.lender().share().milliTokensPerSecond() / MILLI_TOKENS_PER_TOKEN;
+        double shortfall = Math.max(0, limit.demand().at(now) - ownRate);
+        int ahead = (int) Math.ceil(shortfall * LOOKAHEAD.toNanos() / NANOSECONDS_PER_SECOND);
+        int wanted = ahead + ASKED_PER_WAITING * limit.waitingRequests();
+        long present = limit.usableTokens() + limit.borrower().pendingTokens();
+        return (int) Math.max(0, wanted - present);
+    }
+
+    private static List<VmName> candidates(BorrowerState borrower, LimitView view, Instant now) {
+        return view.reachable().stream()
+                .filter(holder -> !borrower.isAsking(holder))
+                .filter(holder -> borrower.lastAsked(holder).isBefore(now.minus(ASK_INTERVAL)))
+                .sorted(Comparator.<VmName>comparingInt(holder -> -borrower.expectedTokens(holder))
+                        .thenComparing(borrower::lastAsked))
+                .toList();
+    }
+
+    private static RateEffect report(BorrowedLoan loan) {
+        return new RateEffect.Report(loan.holder(), loan.identifier(), loan.spent(), loan.unspent());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/limit/CustomerLimit.java
@@ -0,0 +1,238 @@
+package org.geraniumproxy.core.limit;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.geraniumproxy.core.control.InvariantViolation;
+import org.geraniumproxy.core.control.Transition;
+
+/**
+ * The limit of one customer on one VM: its share, the tokens lent and borrowed, and the requests that wait, in order.
+ *
+ * <p>Example: {@code limit.on(new RateEvent.RequestArrived(1, deadline), view, now)} returns the next limit and, if a
+ * token is at hand, the effect {@link RateEffect.Admit}.
+ *
+ * @param timing durations that the safety depends on
+ * @param schedule positions that limit the share
+ * @param lender the share's bucket and the loans made from it
+ * @param borrower the tokens borrowed from other holders
+ * @param waiting requests that wait, in order of arrival
+ * @param demand requests per second at this VM
+ */
+public record CustomerLimit(
+        LimitTiming timing,
+        ShareSchedule schedule,
+        LenderState lender,
+        BorrowerState borrower,
+        List<WaitingRequest> waiting,
+        DemandEstimate demand) {
+    /** Longest wait between two looks at a limit, so that no lapse of the view passes unseen. */
+    static final Duration IDLE_INTERVAL = Duration.ofMillis(250);
+
+    private static final Duration ACTIVE_INTERVAL = Duration.ofMillis(50);
+    private static final Duration WAITING_INTERVAL = Duration.ofMillis(10);
+    private static final Duration SHORTEST_INTERVAL = Duration.ofMillis(1);
+
+    /** Copies the list. */
+    public CustomerLimit {
+        waiting = List.copyOf(waiting);
+    }
+
+    /**
+     * Returns the limit of a customer of which this VM knows nothing yet.
+     *
+     * @param timing durations that the safety depends on
+     * @param firstLoanIdentifier identifier of the first loan, above every one that this VM used before
+     * @param now the present moment
+     * @return the limit
+     */
+    public static CustomerLimit initial(LimitTiming timing, long firstLoanIdentifier, Instant now) {
+        return new CustomerLimit(
+                timing,
+                ShareSchedule.UNKNOWN,
+                LenderState.empty(now),
+                BorrowerState.empty(firstLoanIdentifier),
+                List.of(),
+                DemandEstimate.none(now));
+    }
+
+    /**
+     * Applies an event.
+     *
+     * @param event the event
+     * @param view what the VM knows about the limit now
+     * @param now the present moment
+     * @return the next limit and its effects
+     */
+    public Transition<CustomerLimit, RateEffect> on(RateEvent event, LimitView view, Instant now) {
+        List<RateEffect> effects = new ArrayList<>();
+        CustomerLimit next = advance(view, now)
+                .apply(event, now, effects)
+                .serve(now, effects)
+                .refuse(view, now, effects);
+        next = BorrowingPlan.plan(next, view, now, effects);
+        InvariantViolation.check(
+                next.waiting.isEmpty() || next.usableTokens() == 0, "no request waits while a token is at hand");
+        return Transition.to(next, effects);
+    }
+
+    /**
+     * Returns the moment at which the limit is to be looked at again if nothing happens before.
+     *
+     * @param now the present moment
+     * @return the moment
+     */
+    public Instant nextWake(Instant now) {
+        if (waiting.isEmpty()) {
+            boolean idle = borrower.loans().isEmpty() && borrower.pending().isEmpty();
+            return now.plus(idle ? IDLE_INTERVAL : ACTIVE_INTERVAL);
+        }
+        Duration wait = lender.bucket().timeUntil(1, lender.share().milliTokensPerSecond());
+        Duration bounded = wait.compareTo(WAITING_INTERVAL) < 0 ? wait : WAITING_INTERVAL;
+        return now.plus(bounded.compareTo(SHORTEST_INTERVAL) < 0 ? SHORTEST_INTERVAL : bounded);
+    }
+
+    /**
+     * Returns the tokens that requests at this VM may use now.
+     *
+     * @return own and borrowed tokens
+     */
+    public long usableTokens() {
+        return lender.bucket().wholeTokens() + borrower.usableTokens();
+    }
+
+    /**
+     * Returns the number of requests that wait for a token.
+     *
+     * @return the number
+     */
+    public int waitingRequests() {
+        return waiting.size();
+    }
+
+    /**
+     * Returns the tokens that are lent to other VMs.
+     *
+     * @return tokens lent and not yet reported or expired
+     */
+    public long lentTokens() {
+        return lender.lentTokens();
+    }
+
+    private CustomerLimit advance(LimitView view, Instant now) {
+        ShareSchedule observed = schedule.observe(view, now, timing);
+        LenderState advanced = lender.advance(now, observed.share(view));
+        BorrowerState settled = borrower.abandonBefore(now.minus(BorrowingPlan.ANSWER_TIMEOUT));
+        return new CustomerLimit(timing, observed, advanced, settled, waiting, demand);
+    }
+
+    private CustomerLimit apply(RateEvent event, Instant now, List<RateEffect> effects) {
+        return switch (event) {
+            case RateEvent.RequestArrived arrived -> arrive(arrived, now);
+            case RateEvent.LoanRequested requested -> lend(requested, now, effects);
+            case RateEvent.LoanReported reported ->
+                with(lender.returned(reported.loan(), reported.spent(), reported.unspent()));
+            case RateEvent.OfferArrived offer -> receive(offer, now);
+            case RateEvent.HolderUnreachable unreachable ->
+                with(borrower.findPending(unreachable.loanIdentifier())
+                        .map(asked -> borrower.answered(asked, 0, 0))
+                        .orElse(borrower));
+            case RateEvent.TimePassed _ -> this;
+        };
+    }
+
+    private CustomerLimit arrive(RateEvent.RequestArrived arrived, Instant now) {
+        WaitingRequest request = new WaitingRequest(arrived.request(), now, arrived.deadline());
+        List<WaitingRequest> extended =
+                Stream.concat(waiting.stream(), Stream.of(request)).toList();
+        return new CustomerLimit(timing, schedule, lender, borrower, extended, demand.withArrival(now));
+    }
+
+    private CustomerLimit lend(RateEvent.LoanRequested requested, Instant now, List<RateEffect> effects) {
+        boolean lends = schedule.isCurrent() && waiting.isEmpty();
+        LenderState.Lent lent = lender.lend(requested.loan(), lends ? Math.max(0, requested.wanted()) : 0, now, timing);
+        int remaining = lends ? saturated(lent.state().bucket().wholeTokens()) : 0;
+        LoanOffer offer = new LoanOffer(saturated(lent.granted()), LimitTiming.LOAN_VALIDITY, remaining);
+        effects.add(new RateEffect.Offer(requested.loan(), offer));
+        return with(lent.state());
+    }
+
+    /** An offer that was not asked for, or was given up, is ignored: its tokens expire at the lender. */
+    private CustomerLimit receive(RateEvent.OfferArrived offer, Instant now) {
+        Optional<BorrowerState.PendingLoan> asked = borrower.findPending(offer.loanIdentifier());
+        if (asked.isEmpty()) {
+            return this;
+        }
+        BorrowerState answered = borrower.answered(asked.get(), offer.granted(), offer.remaining());
+        Duration validity = offer.validity().compareTo(timing.borrowerValidity()) < 0
+                ? offer.validity()
+                : timing.borrowerValidity();
+        Instant expiresAt = asked.get().sentAt().plus(validity);
+        if (offer.granted() <= 0 || !now.isBefore(expiresAt)) {
+            return with(answered);
+        }
+        return with(answered.add(new BorrowerState.BorrowedLoan(
+                asked.get().holder(), offer.loanIdentifier(), offer.granted(), 0, now, expiresAt)));
+    }
+
+    /** Borrowed tokens go first, because they expire. */
+    private CustomerLimit serve(Instant now, List<RateEffect> effects) {
+        List<BorrowerState.BorrowedLoan> loans = new ArrayList<>(borrower.loans());
+        BorrowingPlan.dropExpired(loans, now, effects);
+        LenderState bucket = lender;
+        int served = 0;
+        for (WaitingRequest request : waiting) {
+            boolean inTime = now.isBefore(request.deadline());
+            if (inTime && !BorrowingPlan.spendOne(loans)) {
+                if (bucket.bucket().wholeTokens() == 0) {
+                    break;
+                }
+                bucket = bucket.takeOne();
+            }
+            effects.add(
+                    inTime
+                            ? new RateEffect.Admit(request.request())
+                            : new RateEffect.Refuse(request.request(), retryAfter()));
+            served++;
+        }
+        BorrowingPlan.reportSpent(loans, effects);
+        List<WaitingRequest> remaining = waiting.subList(served, waiting.size());
+        return new CustomerLimit(timing, schedule, bucket, borrower.withLoans(loans), remaining, demand);
+    }
+
+    private CustomerLimit refuse(LimitView view, Instant now, List<RateEffect> effects) {
+        if (waiting.isEmpty()) {
+            return this;
+        }
+        Instant allEmptySince = RefusalRule.allEmptySince(borrower, view, now);
+        List<WaitingRequest> remaining = new ArrayList<>();
+        for (WaitingRequest request : waiting) {
+            boolean late = !now.isBefore(request.deadline());
+            if (late || RefusalRule.isOverRate(request, remaining.size(), allEmptySince, view, now)) {
+                effects.add(new RateEffect.Refuse(request.request(), retryAfter()));
+            } else {
+                remaining.add(request);
+            }
+        }
+        return new CustomerLimit(timing, schedule, lender, borrower, remaining, demand);
+    }
+
+    private Duration retryAfter() {
+        return lender.bucket().timeUntil(1, lender.share().milliTokensPerSecond());
+    }
+
+    CustomerLimit with(LenderState next) {
+        return new CustomerLimit(timing, schedule, next, borrower, waiting, demand);
+    }
+
+    CustomerLimit with(BorrowerState next) {
+        return new CustomerLimit(timing, schedule, lender, next, waiting, demand);
+    }
+
+    private static int saturated(long value) {
+        return (int) Math.min(value, Integer.MAX_VALUE);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/limit/LimitView.java
@@ -0,0 +1,65 @@
+package org.geraniumproxy.core.limit;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumproxy.core.configuration.Customer;
+import org.geraniumproxy.core.control.ControlSnapshot;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.VmName;
+
+/**
+ * What a VM knows about a customer's limit.
+ *
+ * @param self this VM
+ * @param ratePerSecond the customer's rate, zero if it is not configured
+ * @param burst the customer's burst, zero if it is not configured
+ * @param holders the VMs that hold the customer's shares, in order
+ * @param reachable the other holders that are neither down nor leaving
+ * @param provenAt start of the newest exchange that proved the view current
+ */
+public record LimitView(
+        VmName self,
+        double ratePerSecond,
+        int burst,
+        List<VmName> holders,
+        List<VmName> reachable,
+        Optional<Instant> provenAt) {
+    /** Copies the lists. */
+    public LimitView {
+        holders = List.copyOf(holders);
+        reachable = List.copyOf(reachable);
+    }
+
+    /**
+     * Returns the view of a customer in a snapshot.
+     *
+     * @param snapshot the snapshot
+     * @param name the customer
+     * @return the view
+     */
+    public static LimitView of(ControlSnapshot snapshot, CustomerName name) {
+        Customer customer = snapshot.currentConfiguration().customers().get(name);
+        if (customer == null) {
+            return new LimitView(snapshot.self(), 0, 0, List.of(), List.of(), snapshot.viewProvenAt());
+        }
+        List<VmName> holders = HolderSelection.holders(name, snapshot.roster(), customer.burst());
+        List<VmName> reachable = holders.stream()
+                .filter(vm -> !vm.equals(snapshot.self()))
+                .filter(vm -> !snapshot.unavailableVms().contains(vm))
+                .toList();
+        return new LimitView(
+                snapshot.self(),
+                customer.ratePerSecond(),
+                customer.burst(),
+                holders,
+                reachable,
+                snapshot.viewProvenAt());
+    }
+
+    boolean isCurrent(Instant now, LimitTiming timing) {
+        return provenAt.map(proof -> Duration.between(proof, now).compareTo(timing.viewBound()) <= 0)
+                .orElse(false);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/limit/ShareSchedule.java
@@ -0,0 +1,80 @@
+package org.geraniumproxy.core.limit;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.geraniumproxy.core.identity.VmName;
+
+/**
+ * The positions among a customer's holders that limit this VM's share. After a change of holders the old positions stay
+ * in play, so that the smaller share counts, until every VM that has not learned of the change must have stopped.
+ *
+ * <p>An old position is dropped only when the newest holders were proven current at a moment later than the view bound
+ * after they were learned. A VM that had not learned of them by then has stopped, also one that skips them and learns
+ * of a later change first. A VM whose view lapsed starts from nothing, because it may have missed a change.
+ *
+ * @param inPlay positions that limit the share, the newest one last; empty while the view is too old
+ * @param holders newest known holders
+ * @param learnedAt moment at which they were learned
+ * @param provenAt newest proof of the view
+ */
+record ShareSchedule(List<HolderPosition> inPlay, List<VmName> holders, Instant learnedAt, Optional<Instant> provenAt) {
+    /** Nothing is known yet. */
+    static final ShareSchedule UNKNOWN = new ShareSchedule(List.of(), List.of(), Instant.EPOCH, Optional.empty());
+
+    ShareSchedule {
+        inPlay = List.copyOf(inPlay);
+        holders = List.copyOf(holders);
+    }
+
+    ShareSchedule observe(LimitView view, Instant now, LimitTiming timing) {
+        if (!view.isCurrent(now, timing)) {
+            return new ShareSchedule(List.of(), List.of(), now, provenAt);
+        }
+        HolderPosition position = HolderPosition.of(view.self(), view.holders());
+        if (inPlay.isEmpty() || hasLapsed(view.provenAt().orElseThrow(), timing)) {
+            List<HolderPosition> positions = List.of(HolderPosition.NONE, position);
+            return new ShareSchedule(positions, view.holders(), now, view.provenAt()).settle(now, timing);
+        }
+        if (!holders.equals(view.holders())) {
+            List<HolderPosition> positions = withNewest(position);
+            return new ShareSchedule(positions, view.holders(), now, view.provenAt()).settle(now, timing);
+        }
+        return new ShareSchedule(inPlay, holders, learnedAt, view.provenAt()).settle(now, timing);
+    }
+
+    RateShare share(LimitView view) {
+        return inPlay.stream()
+                .map(position -> RateShare.of(view.ratePerSecond(), view.burst(), position))
+                .reduce(RateShare::minimum)
+                .orElse(RateShare.NONE);
+    }
+
+    boolean isCurrent() {
+        return !inPlay.isEmpty();
+    }
+
+    /** The newest position is the last one in play, also if it was in play before. */
+    private List<HolderPosition> withNewest(HolderPosition position) {
+        Stream<HolderPosition> older = inPlay.stream().filter(other -> !other.equals(position));
+        return Stream.concat(older, Stream.of(position)).toList();
+    }
+
+    private boolean hasLapsed(Instant newProof, LimitTiming timing) {
+        return provenAt.map(previous -> Duration.between(previous, newProof).compareTo(timing.viewBound()) > 0)
+                .orElse(true);
+    }
+
+    private ShareSchedule settle(Instant now, LimitTiming timing) {
+        boolean waited = !now.isBefore(learnedAt.plus(timing.raiseDelay()));
+        boolean proven = provenAt.map(proof -> proof.isAfter(learnedAt.plus(timing.proofDelay()))
+                        || timing.raiseDelay().isZero())
+                .orElse(false);
+        if (!waited || !proven || inPlay.size() == 1) {
+            return this;
+        }
+        return new ShareSchedule(List.of(inPlay.getLast()), holders, learnedAt, provenAt);
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/limit/LimitNode.java
@@ -0,0 +1,116 @@
+package org.geraniumproxy.measure.limit;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.limit.CustomerLimit;
+import org.geraniumproxy.core.limit.LimitTiming;
+import org.geraniumproxy.core.limit.LimitView;
+import org.geraniumproxy.core.limit.RateEffect;
+import org.geraniumproxy.core.limit.RateEvent;
+import org.geraniumproxy.core.membership.Roster;
+import org.geraniumproxy.core.membership.Vm;
+
+/** A VM of a run: the real limit, a view, and a clock of its own that differs from all others. */
+final class LimitNode {
+    private final Vm vm;
+    private final Duration clockOffset;
+    private final LimitTiming timing;
+    private CustomerLimit limit;
+    private Roster roster = Roster.EMPTY;
+    private List<VmName> holders = List.of();
+    private Optional<Instant> provenAt = Optional.empty();
+    private Instant pausedUntil = Instant.MIN;
+    private Instant isolatedUntil = Instant.MIN;
+    private final List<Runnable> held = new ArrayList<>();
+    private int incarnation;
+
+    LimitNode(Vm vm, Duration clockOffset, LimitTiming timing, Instant now) {
+        this.vm = vm;
+        this.clockOffset = clockOffset;
+        this.timing = timing;
+        this.limit = CustomerLimit.initial(timing, 1, ownClock(now));
+    }
+
+    Vm vm() {
+        return vm;
+    }
+
+    Transition<CustomerLimit, RateEffect> apply(RateEvent event, LimitView view, Instant now) {
+        Transition<CustomerLimit, RateEffect> transition = limit.on(event, view, ownClock(now));
+        limit = transition.state();
+        return transition;
+    }
+
+    Instant ownClock(Instant now) {
+        return now.plus(clockOffset);
+    }
+
+    Duration untilWake(Instant now) {
+        return Duration.between(ownClock(now), limit.nextWake(ownClock(now)));
+    }
+
+    List<VmName> holders() {
+        return holders;
+    }
+
+    Optional<Instant> provenAt() {
+        return provenAt;
+    }
+
+    /** Takes over the answer of a view exchange that began at a moment of the simulated time. */
+    void learn(Roster newest, List<VmName> newestHolders, Instant begunAt) {
+        if (newest.revision() >= roster.revision()) {
+            roster = newest;
+            holders = newestHolders;
+            Instant proof = ownClock(begunAt);
+            provenAt =
+                    Optional.of(provenAt.filter(known -> known.isAfter(proof)).orElse(proof));
+        }
+    }
+
+    /** Starts the process again: everything it knew is lost. */
+    void restart(Instant now) {
+        incarnation++;
+        limit = CustomerLimit.initial(timing, incarnation * 1_000_000_000L, ownClock(now));
+        roster = Roster.EMPTY;
+        holders = List.of();
+        provenAt = Optional.empty();
+        held.clear();
+    }
+
+    int incarnation() {
+        return incarnation;
+    }
+
+    void pauseUntil(Instant moment) {
+        pausedUntil = moment;
+    }
+
+    boolean isPaused(Instant now) {
+        return now.isBefore(pausedUntil);
+    }
+
+    /** Keeps an action until the pause ends. */
+    void hold(Runnable action) {
+        held.add(action);
+    }
+
+    void runHeld() {
+        List<Runnable> actions = List.copyOf(held);
+        held.clear();
+        actions.forEach(Runnable::run);
+    }
+
+    void isolateUntil(Instant moment) {
+        isolatedUntil = moment;
+    }
+
+    boolean isIsolated(Instant now) {
+        return now.isBefore(isolatedUntil);
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/simulation/package-info.java
@@ -0,0 +1,2 @@
+/** Simulated time and the environments of the two deployments. */
+package org.geraniumproxy.measure.simulation;
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/soak/SeedRange.java
@@ -0,0 +1,40 @@
+package org.geraniumproxy.measure.soak;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Seeds of a series of runs.
+ *
+ * @param first first seed
+ * @param last last seed, not below the first
+ */
+public record SeedRange(long first, long last) {
+    private static final Pattern RANGE = Pattern.compile("(\\d{1,18})\\.\\.(\\d{1,18})");
+
+    /**
+     * Validates the range.
+     *
+     * @throws IllegalArgumentException if the last seed is below the first
+     */
+    public SeedRange {
+        if (last < first) {
+            throw new IllegalArgumentException("the last seed must not be below the first: " + first + ".." + last);
+        }
+    }
+
+    /**
+     * Reads a range such as {@code 1..200}.
+     *
+     * @param text the text
+     * @return the range
+     * @throws IllegalArgumentException if the text is not a range
+     */
+    public static SeedRange parse(String text) {
+        Matcher matcher = RANGE.matcher(text);
+        if (!matcher.matches()) {
+            throw new IllegalArgumentException("seeds must be given as FIRST..LAST, for example 1..200: " + text);
+        }
+        return new SeedRange(Long.parseLong(matcher.group(1)), Long.parseLong(matcher.group(2)));
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/soak/SoakMain.java
@@ -0,0 +1,90 @@
+package org.geraniumproxy.measure.soak;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.LongStream;
+import org.geraniumproxy.core.control.InvariantViolation;
+import org.geraniumproxy.core.limit.LimitTiming;
+import org.geraniumproxy.measure.limit.LimitResult;
+import org.geraniumproxy.measure.limit.LimitRun;
+import org.geraniumproxy.measure.limit.LimitScenario;
+import org.geraniumproxy.measure.simulation.Deployment;
+
+/** Runs seeded random runs with every kind of fault, on at most half of the cores, and reports broken limits. */
+public final class SoakMain {
+    private static final int EXIT_BROKEN = 1;
+    private static final int EXIT_USAGE = 2;
+
+    @Parameter(names = "--seeds", description = "seeds to run, for example 1..200", required = true)
+    private String seeds = "1..1";
+
+    @Parameter(names = "--deployment", description = "festival or weed")
+    private String deployment = "festival";
+
+    @Parameter(names = "--help", help = true, description = "show this text")
+    private boolean help;
+
+    private SoakMain() {}
+
+    /**
+     * Runs the seeds.
+     *
+     * @param arguments the command line
+     * @throws Exception if a run fails for another reason than a broken invariant
+     */
+    public static void main(String[] arguments) throws Exception {
+        System.exit(new SoakMain().execute(arguments));
+    }
+
+    private int execute(String[] arguments) throws Exception {
+        JCommander commands =
+                JCommander.newBuilder().programName("soak").addObject(this).build();
+        try {
+            commands.parse(arguments);
+            if (help) {
+                commands.usage();
+                return 0;
+            }
+            return run(SeedRange.parse(seeds), Deployment.named(deployment));
+        } catch (ParameterException | IllegalArgumentException e) {
+            System.err.println("soak: " + e.getMessage());
+            return EXIT_USAGE;
+        }
+    }
+
+    private static int run(SeedRange range, Deployment deployment) throws Exception {
+        int threads = Math.max(1, Runtime.getRuntime().availableProcessors() / 2);
+        long broken = 0;
+        try (ExecutorService executor = Executors.newFixedThreadPool(threads)) {
+            List<Future<Optional<String>>> runs = new ArrayList<>();
+            LongStream.rangeClosed(range.first(), range.last())
+                    .forEach(seed -> runs.add(executor.submit(() -> findingOf(seed, deployment))));
+            for (Future<Optional<String>> run : runs) {
+                Optional<String> finding = run.get();
+                finding.ifPresent(System.out::println);
+                broken += finding.isPresent() ? 1 : 0;
+            }
+        }
+        System.out.println("soak: " + (range.last() - range.first() + 1) + " runs on simulated time, " + broken
+                + " with a broken limit or invariant");
+        return broken == 0 ? 0 : EXIT_BROKEN;
+    }
+
+    private static Optional<String> findingOf(long seed, Deployment deployment) {
+        try {
+            LimitResult result = LimitRun.run(LimitScenario.faulty(deployment, seed, LimitTiming.STANDARD));
+            return result.largestOverrun() == 0
+                    ? Optional.empty()
+                    : Optional.of("seed " + seed + ": " + result.largestOverrun() + " tokens over rate and burst");
+        } catch (InvariantViolation e) {
+            return Optional.of("seed " + seed + ": " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/soak/package-info.java
@@ -0,0 +1,2 @@
+/** Long series of seeded random runs. */
+package org.geraniumproxy.measure.soak;
--- /dev/null
+++ b/measure/src/test/java/org/geraniumproxy/measure/limit/LimitRun_run_Test.java
@@ -0,0 +1,80 @@
+package org.geraniumproxy.measure.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.time.Duration;
+import java.util.function.LongFunction;
+import java.util.stream.LongStream;
+import org.geraniumproxy.core.limit.LimitTiming;
+import org.geraniumproxy.measure.simulation.Deployment;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against admissions over rate plus burst, and against refusals within the rate. */
+class LimitRun_run_Test {
+    @ParameterizedTest
+    @EnumSource(Deployment.class)
+    void should_never_exceed_rate_and_burst_whatever_goes_wrong(Deployment deployment) {
+        // given 10 seeds with lost, late, duplicated messages, pauses, isolations, restarts and changes of the roster
+        LongFunction<LimitScenario> scenario = seed -> LimitScenario.faulty(deployment, seed, LimitTiming.STANDARD);
+
+        // when / then
+        assertThat(worstOverrun(scenario, 10), is(0.0));
+    }
+
+    @Test
+    void should_exceed_the_limit_if_the_lender_forgets_loans_before_the_borrower() {
+        // given
+        LimitTiming weakened = LimitTiming.STANDARD.withLenderValidity(Duration.ofMillis(10));
+
+        // when / then: the check finds the fault, so it guards the rule
+        assertThat(
+                worstOverrun(seed -> LimitScenario.faulty(Deployment.FESTIVAL, seed, weakened), 10), greaterThan(0.0));
+    }
+
+    @Test
+    void should_exceed_the_limit_if_a_larger_share_is_used_at_once() {
+        // given
+        LimitTiming weakened = LimitTiming.STANDARD.withRaiseDelay(Duration.ZERO);
+
+        // when / then: the check finds the fault, so it guards the rule
+        assertThat(
+                worstOverrun(seed -> LimitScenario.faulty(Deployment.FESTIVAL, seed, weakened), 10), greaterThan(0.0));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Deployment.class)
+    void should_refuse_fewer_than_one_in_a_thousand_wrongly_with_an_uneven_balancer(Deployment deployment) {
+        // given
+        LimitScenario scenario = LimitScenario.uneven(deployment, 1, 200, 50, true);
+
+        // when
+        LimitResult result = LimitRun.run(scenario);
+
+        // then
+        assertThat(result.wronglyRefusedShare(), lessThan(0.001));
+        assertThat(result.largestOverrun(), is(0.0));
+    }
+
+    @Test
+    void should_give_the_same_figures_for_the_same_seed() {
+        // given
+        LimitScenario scenario = LimitScenario.faulty(Deployment.WEED, 5, LimitTiming.STANDARD);
+
+        // when / then
+        assertThat(LimitRun.run(scenario), equalTo(LimitRun.run(scenario)));
+    }
+
+    private static double worstOverrun(LongFunction<LimitScenario> scenario, int seeds) {
+        return LongStream.rangeClosed(1, seeds)
+                .mapToObj(scenario)
+                .mapToDouble(each -> LimitRun.run(each).largestOverrun())
+                .max()
+                .orElseThrow();
+    }
+}
