--- a/proxy/src/main/java/org/geraniumproxy/proxy/backend/GrpcBackendConnection.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/backend/GrpcBackendConnection.java
@@ -15,12 +15,15 @@
 import org.geraniumproxy.protocol.ConnectionRequest;
 import org.geraniumproxy.protocol.End;
 import org.geraniumproxy.protocol.Refusal;
+import org.jboss.logging.Logger;
 
 /**
  * A connection over one stream. Anything on the stream that is not the next part of the answer to the running command
  * breaks the connection, because a later answer could no longer be matched to its request.
  */
 final class GrpcBackendConnection implements BackendConnection {
+    private static final Logger log = Logger.getLogger(GrpcBackendConnection.class);
+
     /** Request number of the first command; numbers of callers' commands start after it. */
     private static final long CONFIRMATION_NUMBER = 0;
 
@@ -124,27 +127,13 @@
     @Override
     public void close() {
         ClientCallStreamObserver<ConnectionRequest> stream;
-        boolean wasReady;
         synchronized (lock) {
-            wasReady = state instanceof Ready;
             stream = requests;
             fail("the connection was closed");
         }
         if (stream != null) {
-            end(stream, wasReady);
-        }
-    }
-
-    private static void end(ClientCallStreamObserver<ConnectionRequest> stream, boolean wasReady) {
-        if (!wasReady) {
+            // An orderly end would wait for the backend server, which may be cut off, and keep the stream until then.
             stream.cancel("the connection is closed", null);
-            return;
-        }
-        try {
-            stream.onCompleted();
-        } catch (IllegalStateException e) {
-            // The stream has ended on its own, which is what was wanted.
-            stream.cancel("the connection is closed", e);
         }
     }
 
@@ -161,6 +150,7 @@
     }
 
     private void breakStream(String detail) {
+        log.warnf("backend: a connection is broken: %s", detail);
         fail(detail);
         requests.cancel(detail, null);
     }
--- a/proxy/src/main/java/org/geraniumproxy/proxy/caller/CallerTransactionStream.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/caller/CallerTransactionStream.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.function.Supplier;
 import org.geraniumproxy.core.admission.CallerRequest;
-import org.geraniumproxy.core.outcome.NotRunReason;
 import org.geraniumproxy.core.outcome.Outcome;
 import org.geraniumproxy.protocol.ExecuteReply;
 import org.geraniumproxy.protocol.TransactionRequest;
@@ -161,7 +160,11 @@
     }
 
     private static Status statusOf(Outcome.NotRun reason) {
-        Status status = reason.reason() == NotRunReason.KEY_WITHDRAWN ? Status.PERMISSION_DENIED : Status.UNAVAILABLE;
+        Status status = switch (reason.reason()) {
+            case KEY_WITHDRAWN -> Status.PERMISSION_DENIED;
+            case DEADLINE_UNREACHABLE -> Status.DEADLINE_EXCEEDED;
+            default -> Status.UNAVAILABLE;
+        };
         return status.withDescription(reason.reason() + ": " + reason.detail());
     }
 }
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryHandler.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryHandler.java
@@ -161,7 +161,7 @@
         if (limited.isPresent()) {
             return new Admission.Refused(limited.get());
         }
-        return AdmissionDecision.decide(context.snapshot(), request, arrivedAt) instanceof Admission.Refused refused
+        return AdmissionDecision.decide(context.snapshot(), request, context.now()) instanceof Admission.Refused refused
                 ? refused
                 : admitted;
     }
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryTransaction.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryTransaction.java
@@ -15,8 +15,8 @@
 import org.geraniumproxy.proxy.telemetry.InFlightRequests;
 
 /**
- * A caller's open transaction. It ends when its key is withdrawn or the view of the keys is too old, also while the
- * caller is silent.
+ * A caller's open transaction. It ends when its key is withdrawn, the view of the keys is too old, or its deadline has
+ * passed, also while the caller is silent.
  */
 public final class EntryTransaction implements AutoCloseable {
     /** Time between two looks at the configuration. A withdrawn key must stop working within 5 s. */
@@ -73,7 +73,7 @@
     }
 
     /**
-     * Tells when the transaction was ended because the caller may no longer use it.
+     * Tells when the transaction was ended because the caller may no longer use it, or because its deadline has passed.
      *
      * @return completes with the reason
      */
@@ -141,6 +141,12 @@
 
     /** Admits the beginning of the transaction once more, under the present configuration. */
     private Optional<Outcome.NotRun> findRevocation() {
+        if (!context.now().isBefore(admitted.request().deadline())) {
+            return Optional.of(new Outcome.NotRun(
+                    NotRunReason.DEADLINE_UNREACHABLE,
+                    "the deadline of the transaction has passed; it is rolled back",
+                    Duration.ZERO));
+        }
         Admission admission = AdmissionDecision.decide(context.snapshot(), request, context.now());
         if (!(admission instanceof Admission.Refused refused)) {
             return Optional.empty();
