Split the failover gap into its phases

Cause: the targets ask for detection, agreement, fencing, catching up and learning, not only for the gap.

Change: the fault injector looks at the group record and the surviving databases every 5 ms; the phases add up to the gap. The observed failover is renamed so that it does not share its name with the event in core.

Ruled out: to read the phases from the logs of the proxies, because their texts and clocks would become part of the measurement.

--- a/measure/src/main/java/org/geraniumproxy/measure/bench/Databases.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/bench/Databases.java
@@ -9,18 +9,22 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.measure.load.DatabaseHistory;
 import org.geraniumproxy.protocol.BackendServiceGrpc;
 import org.geraniumproxy.protocol.FaultReply;
 import org.geraniumproxy.protocol.FaultRequest;
 import org.geraniumproxy.protocol.FaultServiceGrpc;
+import org.geraniumproxy.protocol.GetRequest;
 import org.geraniumproxy.protocol.HistoryReply;
 import org.geraniumproxy.protocol.HistoryRequest;
 import org.geraniumproxy.protocol.StatusReply;
 import org.geraniumproxy.protocol.StatusRequest;
+import org.geraniumproxy.protocol.StoreServiceGrpc;
+import org.geraniumproxy.proxy.store.StoreKeys;
 import org.geraniumproxy.standin.Transport;
 
-/** The stand-in databases of a running deployment, seen from outside the proxies. */
+/** The stand-in databases of a running deployment and their published records, seen from outside the proxies. */
 public final class Databases implements AutoCloseable {
     /** Time for one call: the databases are on the same machine, and an isolated one does not answer. */
     private static final long CALL_TIMEOUT_MILLIS = 500;
@@ -30,10 +34,12 @@
 
     private final Deployment deployment;
     private final Map<String, ManagedChannel> channels = new LinkedHashMap<>();
+    private final ManagedChannel store;
 
     Databases(Deployment deployment, Addresses addresses) {
         this.deployment = deployment;
         Transport transport = new Transport.Tcp();
+        this.store = transport.open(addresses.store());
         for (String group : deployment.groups()) {
             for (String name : deployment.databases(group)) {
                 channels.put(name, transport.open(addresses.databases().get(name)));
@@ -70,6 +76,34 @@
         }
     }
 
+    /**
+     * Asks the databases of a group for their status.
+     *
+     * @param group the group
+     * @param except name of a database that is not asked
+     * @return the statuses of those that answer
+     */
+    public List<StatusReply> statuses(String group, String except) {
+        return deployment.databases(group).stream()
+                .filter(name -> !name.equals(except))
+                .flatMap(name -> status(name).stream())
+                .toList();
+    }
+
+    /**
+     * Returns the revision of the published record of a group.
+     *
+     * @param group the group
+     * @return the revision, zero if there is no record
+     */
+    public long recordRevision(String group) {
+        String key = StoreKeys.group(GroupName.of(group));
+        return StoreServiceGrpc.newBlockingStub(store)
+                .withDeadlineAfter(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .get(GetRequest.newBuilder().setKey(key).build())
+                .getRevision();
+    }
+
     /**
      * Replaces the faults of a database.
      *
@@ -113,5 +147,6 @@
     @Override
     public void close() {
         channels.values().forEach(ManagedChannel::shutdownNow);
+        store.shutdownNow();
     }
 }
--- a/measure/src/main/java/org/geraniumproxy/measure/demo/DemoRun.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/demo/DemoRun.java
@@ -9,10 +9,10 @@
 import java.util.Map;
 import org.geraniumproxy.measure.bench.Deployment;
 import org.geraniumproxy.measure.bench.RunningDeployment;
-import org.geraniumproxy.measure.failover.FailoverEvent;
 import org.geraniumproxy.measure.failover.FailoverGaps;
 import org.geraniumproxy.measure.failover.FaultInjector;
 import org.geraniumproxy.measure.failover.FaultKind;
+import org.geraniumproxy.measure.failover.ObservedFailover;
 import org.geraniumproxy.measure.failover.WriteProbe;
 import org.geraniumproxy.measure.load.Allowance;
 import org.geraniumproxy.measure.load.BrokenInvariant;
@@ -49,7 +49,7 @@
 
     DemoResult run() throws InterruptedException {
         String group = running.deployment().groups().getFirst();
-        FailoverEvent failover;
+        ObservedFailover failover;
         try (DemoLoad _ = DemoLoad.start(running, SEED, clock, customers);
                 WriteProbe _ = WriteProbe.start(running, SEED, clock, probes)) {
             Thread.sleep(BEFORE_FAILURE);
@@ -59,7 +59,7 @@
         return result(failover);
     }
 
-    private DemoResult result(FailoverEvent failover) {
+    private DemoResult result(ObservedFailover failover) {
         List<RequestRecord> records = new ArrayList<>(customers.records());
         records.addAll(probes.records());
         List<DatabaseHistory> histories = running.databases().histories();
--- a/measure/src/main/java/org/geraniumproxy/measure/failover/FailoverGaps.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/failover/FailoverGaps.java
@@ -6,20 +6,39 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.geraniumproxy.measure.load.CallResult;
 import org.geraniumproxy.measure.load.RequestRecord;
 
 /**
- * Gaps in service, one for each failover, in ascending order.
+ * Gaps in service, one for each failover.
  *
  * @param gaps the gaps
  * @param unfinished failovers after which no write was acknowledged
  */
-public record FailoverGaps(List<Duration> gaps, int unfinished) {
-    /** Sorts the gaps. */
+public record FailoverGaps(List<Gap> gaps, int unfinished) {
+    /**
+     * A gap with its phases, which add up to it.
+     *
+     * @param total from the last acknowledgement before the failover to the first one after it
+     * @param detection until the promotion was announced
+     * @param agreement until a database was fenced
+     * @param fencing until the new primary was promoted
+     * @param catchingUp until another database replicated from it
+     * @param learning until a caller got the first acknowledgement
+     */
+    public record Gap(
+            Duration total,
+            Duration detection,
+            Duration agreement,
+            Duration fencing,
+            Duration catchingUp,
+            Duration learning) {}
+
+    /** Copies the gaps. */
     public FailoverGaps {
-        gaps = gaps.stream().sorted().toList();
+        gaps = List.copyOf(gaps);
     }
 
     /**
@@ -30,44 +49,69 @@
      * @param records the records of the writers
      * @return the gaps
      */
-    public static FailoverGaps of(List<FailoverEvent> events, List<RequestRecord> records) {
-        List<Duration> gaps = new ArrayList<>();
-        for (FailoverEvent event : events) {
+    public static FailoverGaps of(List<ObservedFailover> events, List<RequestRecord> records) {
+        List<Gap> gaps = new ArrayList<>();
+        for (ObservedFailover event : events) {
             gap(event, records).ifPresent(gaps::add);
         }
         return new FailoverGaps(gaps, events.size() - gaps.size());
     }
 
     /**
-     * Returns a percentile by the nearest rank.
+     * Returns a percentile of the gaps by the nearest rank.
      *
      * @param percent from 0 to 100
-     * @return the gap, empty if there are none
+     * @return the duration, empty if there are no gaps
      */
     public Optional<Duration> percentile(double percent) {
+        return percentile(percent, Gap::total);
+    }
+
+    /**
+     * Returns a percentile of the gaps or of one of their phases by the nearest rank.
+     *
+     * @param percent from 0 to 100
+     * @param part chooses the gap or a phase
+     * @return the duration, empty if there are no gaps
+     */
+    public Optional<Duration> percentile(double percent, Function<Gap, Duration> part) {
         if (gaps.isEmpty()) {
             return Optional.empty();
         }
-        int rank = (int) Math.ceil(percent / 100 * gaps.size());
-        return Optional.of(gaps.get(Math.max(rank, 1) - 1));
+        List<Duration> sorted = gaps.stream().map(part).sorted().toList();
+        int rank = (int) Math.ceil(percent / 100 * sorted.size());
+        return Optional.of(sorted.get(Math.max(rank, 1) - 1));
     }
 
-    private static Optional<Duration> gap(FailoverEvent event, List<RequestRecord> records) {
+    private static Optional<Gap> gap(ObservedFailover event, List<RequestRecord> records) {
         Optional<Instant> first = acknowledgements(records, event.newPrimary())
-                .filter(request -> request.endedAt().isAfter(event.failedAt()))
-                .map(RequestRecord::endedAt)
+                .filter(end -> end.isAfter(event.failedAt()))
                 .min(Comparator.naturalOrder());
         Optional<Instant> last = first.flatMap(end -> acknowledgements(records, event.oldPrimary())
-                .map(RequestRecord::endedAt)
-                .filter(endedAt -> endedAt.isBefore(end))
+                .filter(earlier -> earlier.isBefore(end))
                 .max(Comparator.naturalOrder()));
-        return last.map(start -> Duration.between(start, first.orElseThrow()));
+        return last.map(start -> split(start, event.phases(), first.orElseThrow()));
+    }
+
+    /** A phase whose end was seen only after the first acknowledgement ends with it. */
+    private static Gap split(Instant start, FailoverPhases phases, Instant end) {
+        List<Instant> ends = phases.ends(start).stream()
+                .map(moment -> moment.isAfter(end) ? end : moment)
+                .toList();
+        return new Gap(
+                Duration.between(start, end),
+                Duration.between(start, ends.get(0)),
+                Duration.between(ends.get(0), ends.get(1)),
+                Duration.between(ends.get(1), ends.get(2)),
+                Duration.between(ends.get(2), ends.get(3)),
+                Duration.between(ends.get(3), end));
     }
 
-    private static Stream<RequestRecord> acknowledgements(List<RequestRecord> records, String backendServer) {
+    private static Stream<Instant> acknowledgements(List<RequestRecord> records, String backendServer) {
         return records.stream()
                 .filter(RequestRecord::isAcknowledgedWrite)
                 .filter(request -> request.result() instanceof CallResult.Answered answered
-                        && answered.servedBy().equals(backendServer));
+                        && answered.servedBy().equals(backendServer))
+                .map(RequestRecord::endedAt);
     }
 }
--- a/measure/src/main/java/org/geraniumproxy/measure/failover/FailoverMeasurement.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/failover/FailoverMeasurement.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 import org.geraniumproxy.measure.bench.BenchException;
 import org.geraniumproxy.measure.bench.Deployment;
 import org.geraniumproxy.measure.bench.RunningDeployment;
@@ -85,7 +86,7 @@
     private PolicyRun run(String policy, Optional<Duration> detectionTimeout) throws InterruptedException {
         SplittableRandom random = new SplittableRandom(seed);
         LoadRecorder recorder = new LoadRecorder();
-        List<FailoverEvent> events = new ArrayList<>();
+        List<ObservedFailover> events = new ArrayList<>();
         try (RunningDeployment running = RunningDeployment.start(deployment, detectionTimeout)) {
             try (WriteProbe _ = WriteProbe.start(running, seed, clock, recorder)) {
                 Thread.sleep(WARM_UP);
@@ -99,11 +100,11 @@
         }
     }
 
-    private FailoverEvent failOne(FaultInjector injector, int number, SplittableRandom random)
+    private ObservedFailover failOne(FaultInjector injector, int number, SplittableRandom random)
             throws InterruptedException {
         String group = deployment.groups().get(number % deployment.groups().size());
         FaultKind kind = random.nextBoolean() ? FaultKind.ISOLATED : FaultKind.DOWN;
-        FailoverEvent event = injector.failPrimary(group, kind, pause(random));
+        ObservedFailover event = injector.failPrimary(group, kind, pause(random));
         Thread.sleep(pause(random));
         return event;
     }
@@ -116,7 +117,7 @@
             String policy,
             boolean baseline,
             RunningDeployment running,
-            List<FailoverEvent> events,
+            List<ObservedFailover> events,
             List<RequestRecord> records) {
         FailoverGaps gaps = FailoverGaps.of(events, records);
         List<BrokenInvariant> broken = new ArrayList<>(SessionChecks.check(records));
@@ -137,9 +138,12 @@
         LoadFigures load = LoadFigures.of(records);
         Map<String, Double> figures = new LinkedHashMap<>();
         figures.put("failovers", (double) gaps.gaps().size());
-        gaps.percentile(50).ifPresent(gap -> figures.put("gap-median-millis", (double) gap.toMillis()));
-        gaps.percentile(99).ifPresent(gap -> figures.put("gap-99th-percentile-millis", (double) gap.toMillis()));
-        gaps.percentile(100).ifPresent(gap -> figures.put("gap-worst-millis", (double) gap.toMillis()));
+        addPercentiles(figures, "gap", gaps, FailoverGaps.Gap::total);
+        addPercentiles(figures, "detection", gaps, FailoverGaps.Gap::detection);
+        addPercentiles(figures, "agreement", gaps, FailoverGaps.Gap::agreement);
+        addPercentiles(figures, "fencing", gaps, FailoverGaps.Gap::fencing);
+        addPercentiles(figures, "catching-up", gaps, FailoverGaps.Gap::catchingUp);
+        addPercentiles(figures, "learning", gaps, FailoverGaps.Gap::learning);
         figures.put("writes", (double) load.requests());
         figures.put("acknowledged-writes", (double) load.acknowledgedWrites());
         figures.put("unknown-outcomes", (double) load.unknown());
@@ -147,6 +151,17 @@
         return figures;
     }
 
+    private static void addPercentiles(
+            Map<String, Double> figures, String name, FailoverGaps gaps, Function<FailoverGaps.Gap, Duration> part) {
+        addMillis(figures, name + "-median-millis", gaps.percentile(50, part));
+        addMillis(figures, name + "-99th-percentile-millis", gaps.percentile(99, part));
+        addMillis(figures, name + "-worst-millis", gaps.percentile(100, part));
+    }
+
+    private static void addMillis(Map<String, Double> figures, String name, Optional<Duration> value) {
+        value.ifPresent(duration -> figures.put(name, (double) duration.toMillis()));
+    }
+
     private static Optional<String> missed(String name, Optional<Duration> gap, Duration target) {
         return gap.filter(value -> value.compareTo(target) > 0)
                 .map(value -> "target missed: " + name + " gap " + value.toMillis() + " ms, target " + target.toMillis()
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/failover/FailoverPhases.java
@@ -0,0 +1,58 @@
+package org.geraniumproxy.measure.failover;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumproxy.protocol.StatusReply;
+
+/**
+ * Moments of a failover as the store and the surviving databases show them.
+ *
+ * @param announcedAt the group record changed
+ * @param fencedAt a database was fenced at a later term
+ * @param promotedAt a database became primary of a later term
+ * @param replicatedAt another database replicated from it
+ */
+public record FailoverPhases(
+        Optional<Instant> announcedAt,
+        Optional<Instant> fencedAt,
+        Optional<Instant> promotedAt,
+        Optional<Instant> replicatedAt) {
+    /** Nothing has been seen. */
+    static final FailoverPhases NONE =
+            new FailoverPhases(Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+
+    /** Adds what one look at the group shows; the first sight of each phase counts. */
+    FailoverPhases seen(Instant now, boolean recordChanged, long oldTerm, List<StatusReply> survivors) {
+        boolean fenced = survivors.stream().anyMatch(status -> status.getFencedTerm() > oldTerm);
+        boolean promoted =
+                survivors.stream().anyMatch(status -> status.getPrimary() && status.getReplicatingTerm() > oldTerm);
+        boolean replicated = promoted
+                && survivors.stream().anyMatch(status -> !status.getPrimary() && status.getReplicatingTerm() > oldTerm);
+        return new FailoverPhases(
+                first(announcedAt, recordChanged, now),
+                first(fencedAt, fenced, now),
+                first(promotedAt, promoted, now),
+                first(replicatedAt, replicated, now));
+    }
+
+    /** Returns the ends of detection, agreement, fencing and catching up; a phase that was not seen takes no time. */
+    List<Instant> ends(Instant start) {
+        Instant detection = latest(start, announcedAt.or(() -> fencedAt));
+        Instant agreement = latest(detection, fencedAt);
+        Instant fencing = latest(agreement, promotedAt);
+        return List.of(detection, agreement, fencing, latest(fencing, replicatedAt));
+    }
+
+    boolean isComplete() {
+        return promotedAt.isPresent() && replicatedAt.isPresent();
+    }
+
+    private static Optional<Instant> first(Optional<Instant> earlier, boolean seen, Instant now) {
+        return earlier.isPresent() || !seen ? earlier : Optional.of(now);
+    }
+
+    private static Instant latest(Instant before, Optional<Instant> end) {
+        return end.filter(moment -> moment.isAfter(before)).orElse(before);
+    }
+}
--- a/measure/src/main/java/org/geraniumproxy/measure/failover/FaultInjector.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/failover/FaultInjector.java
@@ -3,7 +3,6 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.function.BooleanSupplier;
 import org.geraniumproxy.measure.bench.BenchException;
 import org.geraniumproxy.measure.bench.Databases;
 import org.geraniumproxy.measure.bench.Deadline;
@@ -18,7 +17,8 @@
     /** Longest wait until the old primary follows the new one. */
     private static final Duration FOLLOW_TIMEOUT = Duration.ofSeconds(20);
 
-    private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
+    /** Interval of the looks at a group, which is the resolution of the phases. */
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(5);
 
     private final Databases databases;
     private final Clock clock;
@@ -44,30 +44,54 @@
      * @throws BenchException if the group has no primary, or no other one in time
      * @throws InterruptedException if the thread is interrupted
      */
-    public FailoverEvent failPrimary(String group, FaultKind kind, Duration outage) throws InterruptedException {
+    public ObservedFailover failPrimary(String group, FaultKind kind, Duration outage) throws InterruptedException {
         StatusReply old =
                 databases.primary(group).orElseThrow(() -> new BenchException(group + " has no primary to fail"));
+        long revision = databases.recordRevision(group);
         Instant failedAt = clock.instant();
         databases.inject(old.getBackendServer(), kind.request());
+        FailoverPhases phases;
         StatusReply next;
-        Instant healedAt;
         try {
-            await(PROMOTION_TIMEOUT, group + " got no new primary", () -> hasPrimaryAfter(group, old));
-            next = databases.primary(group).orElseThrow();
+            phases = awaitPromotion(old, group, revision);
+            next = databases
+                    .primary(group)
+                    .orElseThrow(() -> new BenchException(group + " lost its new primary at once"));
             Thread.sleep(outage);
         } finally {
             databases.inject(old.getBackendServer(), FaultRequest.getDefaultInstance());
-            healedAt = clock.instant();
         }
-        await(FOLLOW_TIMEOUT, old.getBackendServer() + " does not follow", () -> follows(old, next));
-        return new FailoverEvent(group, kind, old.getBackendServer(), next.getBackendServer(), failedAt, healedAt);
+        awaitFollowing(old, next);
+        return new ObservedFailover(group, kind, old.getBackendServer(), next.getBackendServer(), failedAt, phases);
     }
 
-    private boolean hasPrimaryAfter(String group, StatusReply old) {
-        return databases
-                .primary(group)
-                .filter(status -> status.getReplicatingTerm() > old.getReplicatingTerm())
-                .isPresent();
+    /** Looks at the group until another database replicates from the new primary. */
+    private FailoverPhases awaitPromotion(StatusReply old, String group, long revision) throws InterruptedException {
+        Deadline deadline = Deadline.after(clock, PROMOTION_TIMEOUT);
+        FailoverPhases phases = FailoverPhases.NONE;
+        while (!phases.isComplete()) {
+            if (deadline.isOver()) {
+                throw new BenchException(group + " got no new primary within " + PROMOTION_TIMEOUT);
+            }
+            Thread.sleep(POLL_INTERVAL);
+            boolean recordChanged = databases.recordRevision(group) != revision;
+            phases = phases.seen(
+                    clock.instant(),
+                    recordChanged,
+                    old.getReplicatingTerm(),
+                    databases.statuses(group, old.getBackendServer()));
+        }
+        return phases;
+    }
+
+    private void awaitFollowing(StatusReply old, StatusReply next) throws InterruptedException {
+        Deadline deadline = Deadline.after(clock, FOLLOW_TIMEOUT);
+        while (!follows(old, next)) {
+            if (deadline.isOver()) {
+                throw new BenchException(old.getBackendServer() + " does not follow within " + FOLLOW_TIMEOUT);
+            }
+            Thread.sleep(POLL_INTERVAL);
+        }
     }
 
     private boolean follows(StatusReply old, StatusReply next) {
@@ -77,14 +101,4 @@
                 .filter(status -> status.getReplicatingTerm() >= next.getReplicatingTerm())
                 .isPresent();
     }
-
-    private void await(Duration timeout, String failure, BooleanSupplier condition) throws InterruptedException {
-        Deadline deadline = Deadline.after(clock, timeout);
-        while (!condition.getAsBoolean()) {
-            if (deadline.isOver()) {
-                throw new BenchException(failure + " within " + timeout);
-            }
-            Thread.sleep(POLL_INTERVAL);
-        }
-    }
 }
--- a/measure/src/main/java/org/geraniumproxy/measure/failover/FailoverEvent.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/failover/ObservedFailover.java
@@ -10,7 +10,7 @@
  * @param oldPrimary the primary that failed
  * @param newPrimary the primary of the next term
  * @param failedAt moment at which the old primary failed
- * @param healedAt moment at which the old primary was reachable again
+ * @param phases moments of the failover
  */
-public record FailoverEvent(
-        String group, FaultKind kind, String oldPrimary, String newPrimary, Instant failedAt, Instant healedAt) {}
+public record ObservedFailover(
+        String group, FaultKind kind, String oldPrimary, String newPrimary, Instant failedAt, FailoverPhases phases) {}
--- a/measure/src/test/java/org/geraniumproxy/measure/failover/FailoverGaps_measure_Test.java
+++ b/measure/src/test/java/org/geraniumproxy/measure/failover/FailoverGaps_measure_Test.java
@@ -16,8 +16,13 @@
 import org.junit.jupiter.api.Test;
 
 final class FailoverGaps_measure_Test {
-    private static final FailoverEvent EVENT = new FailoverEvent(
-            "ledger-1", FaultKind.DOWN, "a", "b", Instant.ofEpochMilli(1000), Instant.ofEpochMilli(5000));
+    private static final ObservedFailover EVENT = new ObservedFailover(
+            "ledger-1",
+            FaultKind.DOWN,
+            "a",
+            "b",
+            Instant.ofEpochMilli(1000),
+            new FailoverPhases(at(1300), at(1350), at(1450), at(1460)));
 
     /** Guards against a gap that begins at the fault, or ends with a write that the new primary served earlier. */
     @Test
@@ -26,7 +31,20 @@
         List<RequestRecord> records =
                 List.of(write("b", 500), write("a", 990), write("a", 1010), write("b", 1700), write("a", 9000));
         // then
-        assertThat(FailoverGaps.of(List.of(EVENT), records).gaps(), contains(Duration.ofMillis(690)));
+        assertThat(FailoverGaps.of(List.of(EVENT), records).gaps(), contains(gap(690, 290, 50, 100, 10, 240)));
+    }
+
+    /** Guards against phases that do not add up when one of them was not seen, or seen late. */
+    @Test
+    void should_give_no_time_to_phases_that_were_not_seen() {
+        // given
+        FailoverPhases phases = new FailoverPhases(Optional.empty(), at(1400), at(1450), at(2000));
+        ObservedFailover event =
+                new ObservedFailover("ledger-1", FaultKind.DOWN, "a", "b", Instant.ofEpochMilli(1000), phases);
+        // when
+        FailoverGaps gaps = FailoverGaps.of(List.of(event), List.of(write("a", 1000), write("b", 1700)));
+        // then
+        assertThat(gaps.gaps(), contains(gap(700, 400, 0, 50, 250, 0)));
     }
 
     /** Guards against a failover without service that vanishes from the figures. */
@@ -41,11 +59,29 @@
     @Test
     void should_take_percentiles_by_the_nearest_rank() {
         FailoverGaps gaps = new FailoverGaps(
-                LongStream.rangeClosed(1, 20).mapToObj(Duration::ofMillis).toList(), 0);
+                LongStream.rangeClosed(1, 20)
+                        .mapToObj(millis -> gap(millis, millis, 0, 0, 0, 0))
+                        .toList(),
+                0);
         assertThat(gaps.percentile(50), is(Optional.of(Duration.ofMillis(10))));
         assertThat(gaps.percentile(99), is(Optional.of(Duration.ofMillis(20))));
     }
 
+    private static Optional<Instant> at(long millis) {
+        return Optional.of(Instant.ofEpochMilli(millis));
+    }
+
+    private static FailoverGaps.Gap gap(
+            long total, long detection, long agreement, long fencing, long catchingUp, long learning) {
+        return new FailoverGaps.Gap(
+                Duration.ofMillis(total),
+                Duration.ofMillis(detection),
+                Duration.ofMillis(agreement),
+                Duration.ofMillis(fencing),
+                Duration.ofMillis(catchingUp),
+                Duration.ofMillis(learning));
+    }
+
     private static RequestRecord write(String servedBy, long endMillis) {
         return new RequestRecord(
                 "s",
