--- a/core/src/main/java/org/geraniumproxy/core/limit/CustomerLimit.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/CustomerLimit.java
@@ -123,7 +123,7 @@
     }
 
     private CustomerLimit advance(LimitView view, Instant now) {
-        ShareSchedule observed = schedule.observe(view, now, timing);
+        ShareSchedule observed = schedule.observe(view.self(), view.holders(), view.provenAt(), now, timing);
         LenderState advanced = lender.advance(now, observed.share(view));
         BorrowerState settled = borrower.abandonBefore(now.minus(BorrowingPlan.ANSWER_TIMEOUT));
         return new CustomerLimit(timing, observed, advanced, settled, waiting, demand);
--- a/core/src/main/java/org/geraniumproxy/core/limit/HolderPosition.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/HolderPosition.java
@@ -13,12 +13,24 @@
     /** Not a holder. */
     public static final HolderPosition NONE = new HolderPosition(0, -1);
 
-    static HolderPosition of(VmName vm, List<VmName> holders) {
+    /**
+     * Finds the place of a VM.
+     *
+     * @param vm the VM
+     * @param holders the holders in order
+     * @return its place
+     */
+    public static HolderPosition of(VmName vm, List<VmName> holders) {
         int index = holders.indexOf(vm);
         return index < 0 ? NONE : new HolderPosition(holders.size(), index);
     }
 
-    boolean isHolder() {
+    /**
+     * Tells whether the VM is a holder.
+     *
+     * @return true if it is
+     */
+    public boolean isHolder() {
         return index >= 0;
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/limit/HolderSelection.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/HolderSelection.java
@@ -1,8 +1,6 @@
 package org.geraniumproxy.core.limit;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,6 +9,7 @@
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.membership.Roster;
 import org.geraniumproxy.core.membership.Vm;
+import org.geraniumproxy.core.routing.RendezvousHash;
 
 /** Chooses the VMs that hold a customer's shares. */
 public final class HolderSelection {
@@ -32,12 +31,9 @@
      * @return the holders in order
      */
     public static List<VmName> holders(CustomerName customer, Roster roster, int burst) {
-        List<Vm> ranked = roster.vms().stream()
-                .filter(vm -> !vm.leaving())
-                .sorted(Comparator.<Vm>comparingLong(vm -> weight(customer, vm.name()))
-                        .reversed()
-                        .thenComparing(Vm::name))
-                .toList();
+        List<Vm> staying = roster.vms().stream().filter(vm -> !vm.leaving()).toList();
+        List<Vm> ranked =
+                RendezvousHash.rank(customer.value(), staying, vm -> vm.name().value());
         int count = Math.min(MAXIMUM_HOLDERS, Math.min(burst, ranked.size()));
         return spread(ranked).stream().limit(count).map(Vm::name).toList();
     }
@@ -52,13 +48,4 @@
         first.addAll(others);
         return first;
     }
-
-    private static long weight(CustomerName customer, VmName vm) {
-        long hash = 0xcbf29ce484222325L;
-        for (byte octet : (customer.value() + "/" + vm.value()).getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ octet) * 0x100000001b3L;
-        }
-        hash = (hash ^ (hash >>> 32)) * 0xd6e8feb86659fd93L;
-        return hash ^ (hash >>> 32);
-    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/limit/LimitView.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/LimitView.java
@@ -1,6 +1,5 @@
 package org.geraniumproxy.core.limit;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -57,9 +56,4 @@
                 reachable,
                 snapshot.viewProvenAt());
     }
-
-    boolean isCurrent(Instant now, LimitTiming timing) {
-        return provenAt.map(proof -> Duration.between(proof, now).compareTo(timing.viewBound()) <= 0)
-                .orElse(false);
-    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/limit/ShareSchedule.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/ShareSchedule.java
@@ -20,29 +20,42 @@
  * @param learnedAt moment at which they were learned
  * @param provenAt newest proof of the view
  */
-record ShareSchedule(List<HolderPosition> inPlay, List<VmName> holders, Instant learnedAt, Optional<Instant> provenAt) {
+public record ShareSchedule(
+        List<HolderPosition> inPlay, List<VmName> holders, Instant learnedAt, Optional<Instant> provenAt) {
     /** Nothing is known yet. */
-    static final ShareSchedule UNKNOWN = new ShareSchedule(List.of(), List.of(), Instant.EPOCH, Optional.empty());
+    public static final ShareSchedule UNKNOWN =
+            new ShareSchedule(List.of(), List.of(), Instant.EPOCH, Optional.empty());
 
-    ShareSchedule {
+    /** Copies the lists. */
+    public ShareSchedule {
         inPlay = List.copyOf(inPlay);
         holders = List.copyOf(holders);
     }
 
-    ShareSchedule observe(LimitView view, Instant now, LimitTiming timing) {
-        if (!view.isCurrent(now, timing)) {
+    /**
+     * Takes a look at the view.
+     *
+     * @param self this VM
+     * @param newest the holders, in order
+     * @param newestProof start of the newest exchange that proved the view current
+     * @param now the present moment
+     * @param timing durations that the safety depends on
+     * @return the schedule after the look
+     */
+    public ShareSchedule observe(
+            VmName self, List<VmName> newest, Optional<Instant> newestProof, Instant now, LimitTiming timing) {
+        if (!isCurrent(newestProof, now, timing)) {
             return new ShareSchedule(List.of(), List.of(), now, provenAt);
         }
-        HolderPosition position = HolderPosition.of(view.self(), view.holders());
-        if (inPlay.isEmpty() || hasLapsed(view.provenAt().orElseThrow(), timing)) {
+        HolderPosition position = HolderPosition.of(self, newest);
+        if (inPlay.isEmpty() || hasLapsed(newestProof.orElseThrow(), timing)) {
             List<HolderPosition> positions = List.of(HolderPosition.NONE, position);
-            return new ShareSchedule(positions, view.holders(), now, view.provenAt()).settle(now, timing);
+            return new ShareSchedule(positions, newest, now, newestProof).settle(now, timing);
         }
-        if (!holders.equals(view.holders())) {
-            List<HolderPosition> positions = withNewest(position);
-            return new ShareSchedule(positions, view.holders(), now, view.provenAt()).settle(now, timing);
+        if (!holders.equals(newest)) {
+            return new ShareSchedule(withNewest(position), newest, now, newestProof).settle(now, timing);
         }
-        return new ShareSchedule(inPlay, holders, learnedAt, view.provenAt()).settle(now, timing);
+        return new ShareSchedule(inPlay, holders, learnedAt, newestProof).settle(now, timing);
     }
 
     RateShare share(LimitView view) {
@@ -52,10 +65,20 @@
                 .orElse(RateShare.NONE);
     }
 
-    boolean isCurrent() {
+    /**
+     * Tells whether the view was proven current at the last look.
+     *
+     * @return true if any share may be used
+     */
+    public boolean isCurrent() {
         return !inPlay.isEmpty();
     }
 
+    private static boolean isCurrent(Optional<Instant> proof, Instant now, LimitTiming timing) {
+        return proof.map(moment -> Duration.between(moment, now).compareTo(timing.viewBound()) <= 0)
+                .orElse(false);
+    }
+
     /** The newest position is the last one in play, also if it was in play before. */
     private List<HolderPosition> withNewest(HolderPosition position) {
         Stream<HolderPosition> older = inPlay.stream().filter(other -> !other.equals(position));
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/pool/FairQueue.java
@@ -0,0 +1,152 @@
+package org.geraniumproxy.core.pool;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.geraniumproxy.core.control.InvariantViolation;
+import org.geraniumproxy.core.identity.CustomerName;
+
+/**
+ * Waiting requests of one backend server in the order of a policy. Under weighted fair queuing a request gets the
+ * virtual finish time max(virtual time, last finish of its customer) + cost / weight, and the smallest one goes first;
+ * the virtual time is the finish time of the request that was served last. A customer that sends more than its share
+ * only moves its own requests back.
+ *
+ * @param policy the policy
+ * @param waiting waiting requests by customer, in order of arrival
+ * @param lastFinish last virtual finish time of each customer that is ahead of the virtual time
+ * @param virtualTime the virtual time
+ * @param nextSequence order of the next arrival
+ */
+record FairQueue(
+        QueuePolicy policy,
+        Map<CustomerName, List<QueuedRequest>> waiting,
+        Map<CustomerName, Double> lastFinish,
+        double virtualTime,
+        long nextSequence) {
+    /** Most waiting requests of one customer. */
+    static final int MAXIMUM_PER_CUSTOMER = 256;
+
+    /** A request taken from the queue, and the queue without it. */
+    record Taken(SlotRequest request, FairQueue queue) {}
+
+    FairQueue {
+        waiting = Map.copyOf(waiting);
+        lastFinish = Map.copyOf(lastFinish);
+    }
+
+    static FairQueue empty(QueuePolicy policy) {
+        return new FairQueue(policy, Map.of(), Map.of(), 0, 0);
+    }
+
+    boolean isFull(CustomerName customer) {
+        return waiting.getOrDefault(customer, List.of()).size() >= MAXIMUM_PER_CUSTOMER;
+    }
+
+    int size() {
+        int total = 0;
+        for (List<QueuedRequest> requests : waiting.values()) {
+            total += requests.size();
+        }
+        return total;
+    }
+
+    FairQueue add(SlotRequest request) {
+        InvariantViolation.check(!isFull(request.customer()), "the queue of a customer is bounded");
+        double finish = finishOf(request);
+        Map<CustomerName, List<QueuedRequest>> extended = new HashMap<>(waiting);
+        QueuedRequest queued = new QueuedRequest(request, finish, nextSequence);
+        extended.merge(
+                request.customer(),
+                List.of(queued),
+                (present, added) ->
+                        Stream.concat(present.stream(), added.stream()).toList());
+        Map<CustomerName, Double> finishes = new HashMap<>(lastFinish);
+        finishes.put(request.customer(), finish);
+        return new FairQueue(policy, extended, finishes, virtualTime, nextSequence + 1);
+    }
+
+    /** Cost of the waiting requests that go before a new one. */
+    double costAheadOf(SlotRequest request) {
+        QueuedRequest added = new QueuedRequest(request, finishOf(request), nextSequence);
+        Comparator<QueuedRequest> order = order();
+        double cost = 0;
+        for (List<QueuedRequest> requests : waiting.values()) {
+            for (QueuedRequest other : requests) {
+                if (order.compare(other, added) > 0) {
+                    break;
+                }
+                cost += other.request().cost();
+            }
+        }
+        return cost;
+    }
+
+    /** Takes the first request that a condition allows. */
+    Optional<Taken> take(Predicate<SlotRequest> condition) {
+        return waiting.values().stream()
+                .flatMap(requests ->
+                        requests.stream().filter(queued -> condition.test(queued.request())).findFirst().stream())
+                .min(order())
+                .map(first -> new Taken(first.request(), without(first)));
+    }
+
+    /** Removes the requests whose deadline has passed and adds them to a list. */
+    FairQueue dropExpired(Instant now, List<SlotRequest> expired) {
+        Map<CustomerName, List<QueuedRequest>> remaining = new HashMap<>();
+        int before = expired.size();
+        waiting.forEach((customer, requests) -> {
+            List<QueuedRequest> kept = new ArrayList<>();
+            for (QueuedRequest queued : requests) {
+                if (now.isBefore(queued.request().deadline())) {
+                    kept.add(queued);
+                } else {
+                    expired.add(queued.request());
+                }
+            }
+            if (!kept.isEmpty()) {
+                remaining.put(customer, kept);
+            }
+        });
+        return expired.size() == before
+                ? this
+                : new FairQueue(policy, remaining, lastFinish, virtualTime, nextSequence);
+    }
+
+    private FairQueue without(QueuedRequest first) {
+        CustomerName customer = first.request().customer();
+        Map<CustomerName, List<QueuedRequest>> remaining = new HashMap<>(waiting);
+        List<QueuedRequest> others = waiting.get(customer).stream()
+                .filter(other -> !other.equals(first))
+                .toList();
+        if (others.isEmpty()) {
+            remaining.remove(customer);
+        } else {
+            remaining.put(customer, others);
+        }
+        double now = Math.max(virtualTime, first.virtualFinish());
+        Map<CustomerName, Double> finishes = new HashMap<>(lastFinish);
+        finishes.values().removeIf(finish -> finish <= now);
+        return new FairQueue(policy, remaining, finishes, now, nextSequence);
+    }
+
+    private double finishOf(SlotRequest request) {
+        double start = Math.max(virtualTime, lastFinish.getOrDefault(request.customer(), virtualTime));
+        return start + request.cost() / request.weight();
+    }
+
+    private Comparator<QueuedRequest> order() {
+        Comparator<QueuedRequest> byArrival = Comparator.comparingLong(QueuedRequest::sequence);
+        return switch (policy) {
+            case QueuePolicy.WeightedFair _ ->
+                Comparator.comparingDouble(QueuedRequest::virtualFinish).thenComparing(byArrival);
+            case QueuePolicy.FirstComeFirstServed _ -> byArrival;
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/pool/PoolState.java
@@ -0,0 +1,187 @@
+package org.geraniumproxy.core.pool;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumproxy.core.control.InvariantViolation;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.outcome.NotRunReason;
+
+/**
+ * Slots, connections and waiting requests of one database on the VM that owns them. A slot is the right to run a
+ * statement; a transaction keeps its connection and gives the slot back between its statements.
+ *
+ * @param queue waiting requests
+ * @param running slots in use by number of their request
+ * @param connections connections of this VM
+ * @param serviceTime expected time of a statement
+ */
+public record PoolState(
+        FairQueue queue, Map<Long, RunningSlot> running, ConnectionCount connections, ServiceTime serviceTime) {
+    /** Copies the map. */
+    public PoolState {
+        running = Map.copyOf(running);
+    }
+
+    /**
+     * Returns the state of a database without connections.
+     *
+     * @param policy order of the waiting requests
+     * @return the state
+     */
+    public static PoolState initial(QueuePolicy policy) {
+        return new PoolState(FairQueue.empty(policy), Map.of(), ConnectionCount.NONE, ServiceTime.INITIAL);
+    }
+
+    /**
+     * Applies an event.
+     *
+     * @param event the event
+     * @param view what the VM knows about the database
+     * @param now the present moment
+     * @return the next state and its effects
+     */
+    public Transition<PoolState, PoolEffect> on(PoolEvent event, PoolView view, Instant now) {
+        List<PoolEffect> effects = new ArrayList<>();
+        PoolState next = apply(event, view, now, effects)
+                .refuseExpired(now, effects)
+                .grant(view, now, effects)
+                .closeSurplus(view, effects)
+                .openMissing(view, now, effects);
+        InvariantViolation.check(
+                next.connections.total() <= Math.max(view.connectionShare(), connections.total()),
+                "a VM opens no connection beyond its share");
+        return Transition.to(next, effects);
+    }
+
+    /**
+     * Returns the number of waiting requests.
+     *
+     * @return the number
+     */
+    public int waitingRequests() {
+        return queue.size();
+    }
+
+    /**
+     * Returns the number of slots in use.
+     *
+     * @return the number
+     */
+    public int usedSlots() {
+        return running.size();
+    }
+
+    /**
+     * Returns the connections of this VM, also those being opened.
+     *
+     * @return the number
+     */
+    public int totalConnections() {
+        return connections.total();
+    }
+
+    private PoolState apply(PoolEvent event, PoolView view, Instant now, List<PoolEffect> effects) {
+        return switch (event) {
+            case PoolEvent.SlotRequested requested -> enqueue(requested.request(), view, now, effects);
+            case PoolEvent.SlotReleased released -> release(released.number(), now);
+            case PoolEvent.ConnectionReturned returned -> with(connections.giveBack(returned.clean()));
+            case PoolEvent.ConnectionOpened _ -> with(connections.opened(now, view));
+            case PoolEvent.OpeningFailed _ -> with(connections.failed(now));
+            case PoolEvent.IdleConnectionsLost lost -> with(connections.closeIdle(lost.count()));
+            case PoolEvent.TimePassed _ -> this;
+        };
+    }
+
+    private PoolState enqueue(SlotRequest request, PoolView view, Instant now, List<PoolEffect> effects) {
+        if (queue.isFull(request.customer())) {
+            effects.add(new PoolEffect.Refuse(request, NotRunReason.QUEUE_FULL));
+            return this;
+        }
+        if (now.plus(expectedTime(request, view)).isAfter(request.deadline())) {
+            effects.add(new PoolEffect.Refuse(request, NotRunReason.DEADLINE_UNREACHABLE));
+            return this;
+        }
+        return with(queue.add(request));
+    }
+
+    /** Time to the expected end: the work ahead over all slots, half a statement where all are in use, and its own. */
+    private Duration expectedTime(SlotRequest request, PoolView view) {
+        double ahead = queue.costAheadOf(request);
+        boolean busy = running.size() >= view.slots();
+        double inProgress = busy ? 0.5 : 0;
+        return serviceTime.of((ahead + inProgress) / view.slots() + request.cost());
+    }
+
+    private PoolState release(long number, Instant now) {
+        RunningSlot slot = running.get(number);
+        InvariantViolation.check(slot != null, "a slot is given back once");
+        Map<Long, RunningSlot> others = new HashMap<>(running);
+        others.remove(number);
+        ServiceTime updated = serviceTime.withSample(
+                Duration.between(slot.since(), now), slot.request().cost());
+        return new PoolState(queue, others, connections, updated);
+    }
+
+    private PoolState refuseExpired(Instant now, List<PoolEffect> effects) {
+        List<SlotRequest> expired = new ArrayList<>();
+        FairQueue remaining = queue.dropExpired(now, expired);
+        expired.forEach(request -> effects.add(new PoolEffect.Refuse(request, NotRunReason.DEADLINE_UNREACHABLE)));
+        return with(remaining);
+    }
+
+    /** A transaction that holds a connection passes requests that wait for one, so that its connection comes back. */
+    private PoolState grant(PoolView view, Instant now, List<PoolEffect> effects) {
+        PoolState state = this;
+        while (state.running.size() < view.slots()) {
+            boolean idle = state.connections.idle() > 0;
+            Optional<FairQueue.Taken> taken = state.queue.take(request -> idle || request.holdsConnection());
+            if (taken.isEmpty()) {
+                return state;
+            }
+            SlotRequest request = taken.get().request();
+            Map<Long, RunningSlot> extended = new HashMap<>(state.running);
+            extended.put(request.number(), new RunningSlot(request, now));
+            ConnectionCount used = request.holdsConnection() ? state.connections : state.connections.hold();
+            state = new PoolState(taken.get().queue(), extended, used, state.serviceTime);
+            effects.add(new PoolEffect.Grant(request));
+            InvariantViolation.check(extended.size() <= view.slots(), "no more statements run than there are slots");
+        }
+        return state;
+    }
+
+    private PoolState closeSurplus(PoolView view, List<PoolEffect> effects) {
+        int overShare = connections.total() - view.connectionShare();
+        int overUse = connections.idle() - view.slots();
+        int surplus = Math.min(connections.idle(), Math.max(0, Math.max(overShare, overUse)));
+        if (surplus == 0) {
+            return this;
+        }
+        effects.add(new PoolEffect.CloseIdle(surplus));
+        return with(connections.closeIdle(surplus));
+    }
+
+    /** Keeps one warm connection per slot, and opens more while requests wait for connections of transactions. */
+    private PoolState openMissing(PoolView view, Instant now, List<PoolEffect> effects) {
+        int warm = view.slots() - connections.total();
+        int needed = Math.min(queue.size(), view.slots() - running.size()) - connections.idle() - connections.opening();
+        int count = Math.min(Math.max(warm, needed), connections.mayOpen(view, now));
+        if (count <= 0) {
+            return this;
+        }
+        effects.add(new PoolEffect.Open(count));
+        return with(connections.open(count));
+    }
+
+    private PoolState with(FairQueue next) {
+        return new PoolState(next, running, connections, serviceTime);
+    }
+
+    private PoolState with(ConnectionCount next) {
+        return new PoolState(queue, running, next, serviceTime);
+    }
+}
--- a/core/src/test/java/org/geraniumproxy/core/limit/ShareSchedule_observe_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/limit/ShareSchedule_observe_Test.java
@@ -75,7 +75,7 @@
     private void observeEverySecond(int first, int last, List<VmName> holders) {
         for (int second = first; second <= last; second++) {
             Instant now = START.plusSeconds(second);
-            schedule = schedule.observe(view(holders, now), now, LimitTiming.STANDARD);
+            schedule = schedule.observe(SELF, holders, Optional.of(now), now, LimitTiming.STANDARD);
         }
     }
 
