Add the slot queue, connection budgets, retries and the owners of limits and slots

Cause: slots and connections are scarce and belong to the coordinator; a customer that sends more than its share must not take them from the others.

Change: weighted fair queue with virtual finish times, bounded and refusing early; connections by rank, opened only within the own share and the room of the database's last report; RetryBudget, RetryDecision and Authentication in the core; LendingRateLimiter and FairSlotPool as owners over single-threaded executors. The holders use the rendezvous hash of core.routing.

--- a/core/src/main/java/org/geraniumproxy/core/limit/CustomerLimit.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/CustomerLimit.java
@@ -122,6 +122,18 @@
         return lender.lentTokens();
     }
 
+    /**
+     * Tells whether nothing depends on this limit any more: no request waits and no loan is open.
+     *
+     * @return true if it may be forgotten once its customer is not configured
+     */
+    public boolean isUnused() {
+        return waiting.isEmpty()
+                && borrower.loans().isEmpty()
+                && borrower.pending().isEmpty()
+                && lender.loans().isEmpty();
+    }
+
     private CustomerLimit advance(LimitView view, Instant now) {
         ShareSchedule observed = schedule.observe(view.self(), view.holders(), view.provenAt(), now, timing);
         LenderState advanced = lender.advance(now, observed.share(view));
--- a/core/src/main/java/org/geraniumproxy/core/limit/LimitView.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/LimitView.java
@@ -36,14 +36,14 @@
      *
      * @param snapshot the snapshot
      * @param name the customer
+     * @param holders the customer's holders by {@link HolderSelection}, which the caller may keep for a roster
      * @return the view
      */
-    public static LimitView of(ControlSnapshot snapshot, CustomerName name) {
+    public static LimitView of(ControlSnapshot snapshot, CustomerName name, List<VmName> holders) {
         Customer customer = snapshot.currentConfiguration().customers().get(name);
         if (customer == null) {
             return new LimitView(snapshot.self(), 0, 0, List.of(), List.of(), snapshot.viewProvenAt());
         }
-        List<VmName> holders = HolderSelection.holders(name, snapshot.roster(), customer.burst());
         List<VmName> reachable = holders.stream()
                 .filter(vm -> !vm.equals(snapshot.self()))
                 .filter(vm -> !snapshot.unavailableVms().contains(vm))
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/limit/LendingRateLimiter.java
@@ -0,0 +1,231 @@
+package org.geraniumproxy.proxy.limit;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.geraniumproxy.core.control.ControlSnapshot;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.limit.CustomerLimit;
+import org.geraniumproxy.core.limit.LimitTiming;
+import org.geraniumproxy.core.limit.LimitView;
+import org.geraniumproxy.core.limit.LoanKey;
+import org.geraniumproxy.core.limit.LoanOffer;
+import org.geraniumproxy.core.limit.RateDecision;
+import org.geraniumproxy.core.limit.RateEffect;
+import org.geraniumproxy.core.limit.RateEvent;
+import org.geraniumproxy.core.membership.Vm;
+import org.geraniumproxy.proxy.control.SnapshotSource;
+import org.geraniumproxy.proxy.peer.PeerClient;
+import org.geraniumproxy.proxy.peer.TokenLender;
+import org.jboss.logging.Logger;
+
+/**
+ * Owner of the token buckets of this VM. All state belongs to one single-threaded executor; other threads send events
+ * and get futures.
+ */
+public final class LendingRateLimiter implements RateLimiter, TokenLender {
+    private static final Logger log = Logger.getLogger(LendingRateLimiter.class);
+
+    /** Interval of the look at every limit; the bound on a lapse of the view that stays unseen. */
+    private static final Duration TICK = Duration.ofMillis(200);
+
+    /** Loan identifiers of one process; identifiers of a process that starts a millisecond later lie above them. */
+    private static final long IDENTIFIERS_PER_MILLISECOND = 1000;
+
+    private final PeerClient peers;
+    private final SnapshotSource snapshots;
+    private final Clock clock;
+    private final Executor owner;
+    private final ScheduledExecutorService timer;
+    private final HolderCache holders = new HolderCache();
+    private final Map<CustomerName, CustomerLimit> limits = new HashMap<>();
+    private final Map<CustomerName, Instant> wakes = new HashMap<>();
+    private final Map<Long, CompletableFuture<RateDecision>> waiting = new HashMap<>();
+    private final Map<LoanKey, CompletableFuture<LoanOffer>> offers = new HashMap<>();
+    private long nextRequest;
+
+    /**
+     * Creates the limiter. It does nothing before {@link #start()}.
+     *
+     * @param peers calls to other VMs
+     * @param snapshots the newest control state
+     * @param clock the clock
+     * @param owner the single-threaded executor that owns the buckets
+     * @param timer sends time events to the owner
+     */
+    public LendingRateLimiter(
+            PeerClient peers, SnapshotSource snapshots, Clock clock, Executor owner, ScheduledExecutorService timer) {
+        this.peers = peers;
+        this.snapshots = snapshots;
+        this.clock = clock;
+        this.owner = owner;
+        this.timer = timer;
+    }
+
+    /** Begins to look at every customer's limit regularly, so that shares come into force and views are watched. */
+    public void start() {
+        var unused =
+                timer.scheduleAtFixedRate(() -> owner.execute(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public CompletableFuture<RateDecision> acquire(CustomerName customer, Instant deadline) {
+        CompletableFuture<RateDecision> decision = new CompletableFuture<>();
+        submit(decision, () -> {
+            long request = nextRequest++;
+            waiting.put(request, decision);
+            apply(customer, new RateEvent.RequestArrived(request, deadline));
+        });
+        return decision;
+    }
+
+    @Override
+    public CompletableFuture<LoanOffer> lend(
+            VmName borrower, CustomerName customer, int wanted, long loanIdentifier, long rosterRevision) {
+        CompletableFuture<LoanOffer> offer = new CompletableFuture<>();
+        submit(offer, () -> {
+            LoanKey loan = new LoanKey(borrower, loanIdentifier);
+            offers.put(loan, offer);
+            apply(customer, new RateEvent.LoanRequested(loan, wanted));
+        });
+        return offer;
+    }
+
+    @Override
+    public CompletableFuture<Void> returned(
+            VmName borrower, CustomerName customer, long loanIdentifier, int spent, int unspent) {
+        CompletableFuture<Void> noted = new CompletableFuture<>();
+        submit(noted, () -> {
+            apply(customer, new RateEvent.LoanReported(new LoanKey(borrower, loanIdentifier), spent, unspent));
+            noted.complete(null);
+        });
+        return noted;
+    }
+
+    private void submit(CompletableFuture<?> result, Runnable action) {
+        owner.execute(() -> {
+            try {
+                action.run();
+            } catch (RuntimeException e) {
+                log.error("limit: event failed", e);
+                result.completeExceptionally(e);
+            }
+        });
+    }
+
+    private void tick() {
+        Set<CustomerName> customers = new HashSet<>(
+                snapshots.snapshot().currentConfiguration().customers().keySet());
+        customers.addAll(limits.keySet());
+        for (CustomerName customer : customers) {
+            try {
+                apply(customer, new RateEvent.TimePassed());
+            } catch (RuntimeException e) {
+                log.errorf(e, "limit: look at customer %s failed", customer);
+            }
+        }
+    }
+
+    private void apply(CustomerName customer, RateEvent event) {
+        Instant now = clock.instant();
+        ControlSnapshot snapshot = snapshots.snapshot();
+        LimitView view = holders.view(snapshot, customer);
+        CustomerLimit limit = limits.computeIfAbsent(customer, _ -> initial(now));
+        Transition<CustomerLimit, RateEffect> transition = limit.on(event, view, now);
+        limits.put(customer, transition.state());
+        transition.effects().forEach(effect -> carryOut(snapshot, customer, effect));
+        scheduleWake(customer, transition.state(), now);
+        forgetRemoved(snapshot, customer, transition.state());
+    }
+
+    private CustomerLimit initial(Instant now) {
+        return CustomerLimit.initial(LimitTiming.STANDARD, now.toEpochMilli() * IDENTIFIERS_PER_MILLISECOND, now);
+    }
+
+    private void forgetRemoved(ControlSnapshot snapshot, CustomerName customer, CustomerLimit limit) {
+        boolean configured = snapshot.currentConfiguration().customers().containsKey(customer);
+        if (!configured && limit.isUnused()) {
+            limits.remove(customer);
+            wakes.remove(customer);
+        }
+    }
+
+    private void scheduleWake(CustomerName customer, CustomerLimit limit, Instant now) {
+        Instant wake = limit.nextWake(now);
+        Instant scheduled = wakes.get(customer);
+        boolean covered = scheduled != null && scheduled.isAfter(now) && !scheduled.isAfter(wake);
+        if (covered || Duration.between(now, wake).compareTo(TICK) >= 0) {
+            return;
+        }
+        wakes.put(customer, wake);
+        long delay = Math.max(1, Duration.between(now, wake).toNanos());
+        var unused = timer.schedule(
+                () -> submit(new CompletableFuture<Void>(), () -> wake(customer, wake)), delay, TimeUnit.NANOSECONDS);
+    }
+
+    private void wake(CustomerName customer, Instant wake) {
+        wakes.remove(customer, wake);
+        apply(customer, new RateEvent.TimePassed());
+    }
+
+    private void carryOut(ControlSnapshot snapshot, CustomerName customer, RateEffect effect) {
+        switch (effect) {
+            case RateEffect.Admit admit -> decide(admit.request(), new RateDecision.Admitted());
+            case RateEffect.Refuse refuse -> decide(refuse.request(), new RateDecision.Refused(refuse.retryAfter()));
+            case RateEffect.Borrow borrow -> borrow(snapshot, customer, borrow);
+            case RateEffect.Report report ->
+                find(snapshot, report.holder())
+                        .forEach(vm -> peers.returnTokens(
+                                vm, customer, report.loanIdentifier(), report.spent(), report.unspent()));
+            case RateEffect.Offer offer -> {
+                CompletableFuture<LoanOffer> waitingOffer = offers.remove(offer.loan());
+                if (waitingOffer != null) {
+                    waitingOffer.complete(offer.offer());
+                }
+            }
+        }
+    }
+
+    private void decide(long request, RateDecision decision) {
+        CompletableFuture<RateDecision> waitingRequest = waiting.remove(request);
+        if (waitingRequest != null) {
+            waitingRequest.complete(decision);
+        }
+    }
+
+    private void borrow(ControlSnapshot snapshot, CustomerName customer, RateEffect.Borrow borrow) {
+        long loan = borrow.loanIdentifier();
+        List<Vm> holder = find(snapshot, borrow.holder());
+        if (holder.isEmpty()) {
+            owner.execute(() -> apply(customer, new RateEvent.HolderUnreachable(loan)));
+            return;
+        }
+        long revision = snapshot.roster().revision();
+        var unused = peers.borrow(holder.getFirst(), customer, borrow.wanted(), loan, revision)
+                .whenComplete((offer, failure) ->
+                        submit(new CompletableFuture<Void>(), () -> apply(customer, answer(loan, offer, failure))));
+    }
+
+    private static RateEvent answer(long loan, LoanOffer offer, Throwable failure) {
+        if (failure != null || offer == null) {
+            log.debugf("limit: a holder did not answer a request for tokens");
+            return new RateEvent.HolderUnreachable(loan);
+        }
+        return new RateEvent.OfferArrived(loan, offer.granted(), offer.validity(), offer.remaining());
+    }
+
+    private static List<Vm> find(ControlSnapshot snapshot, VmName name) {
+        return snapshot.roster().find(name).stream().toList();
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/pool/DatabasePool.java
@@ -0,0 +1,198 @@
+package org.geraniumproxy.proxy.pool;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.geraniumproxy.core.configuration.BackendServer;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.outcome.NotRunReason;
+import org.geraniumproxy.core.pool.PoolEffect;
+import org.geraniumproxy.core.pool.PoolEvent;
+import org.geraniumproxy.core.pool.PoolState;
+import org.geraniumproxy.core.pool.PoolView;
+import org.geraniumproxy.core.pool.QueuePolicy;
+import org.geraniumproxy.core.pool.SlotRequest;
+import org.geraniumproxy.proxy.backend.BackendClient;
+import org.geraniumproxy.proxy.backend.BackendConnection;
+import org.geraniumproxy.proxy.pool.SlotPool.SlotGrant;
+import org.jboss.logging.Logger;
+
+/** Slots and connections of one database. Confined to the owner of the pool. */
+final class DatabasePool {
+    private static final Logger log = Logger.getLogger(DatabasePool.class);
+
+    /** Cost of a statement; the proxy does not read statements and so counts all alike. */
+    private static final double STATEMENT_COST = 1;
+
+    private final BackendClient client;
+    private final Clock clock;
+    private final Executor owner;
+    private final Map<Long, Waiter> waiters = new HashMap<>();
+    private final Deque<BackendConnection> idle = new ArrayDeque<>();
+    private PoolState state;
+    private Optional<BackendServer> server = Optional.empty();
+    private PoolView view = new PoolView(1, 0, 0, Optional.empty());
+    private long nextNumber;
+
+    /** Receives the answer to a request for a slot. */
+    private interface Waiter {
+        void granted(long number);
+
+        void refused(NotRunReason reason);
+    }
+
+    DatabasePool(BackendClient client, Clock clock, Executor owner, QueuePolicy policy) {
+        this.client = client;
+        this.clock = clock;
+        this.owner = owner;
+        this.state = PoolState.initial(policy);
+    }
+
+    void update(BackendServer newServer, PoolView newView) {
+        server = Optional.of(newServer);
+        view = newView;
+    }
+
+    void timePassed() {
+        apply(new PoolEvent.TimePassed());
+    }
+
+    /** Closes idle connections of a database that the configuration no longer names; true once none is in use. */
+    boolean isEmptyAfterRemoval() {
+        view = new PoolView(view.slots(), 0, 0, Optional.empty());
+        timePassed();
+        return state.totalConnections() == 0 && state.waitingRequests() == 0;
+    }
+
+    void acquire(CustomerName customer, int weight, Instant deadline, CompletableFuture<SlotGrant> grant) {
+        request(customer, weight, deadline, false, new Waiter() {
+            @Override
+            public void granted(long number) {
+                BackendConnection connection = idle.remove();
+                grant.complete(new SlotGrant.Granted(
+                        new PooledLease(DatabasePool.this, owner, connection, customer, weight, number)));
+            }
+
+            @Override
+            public void refused(NotRunReason reason) {
+                grant.complete(new SlotGrant.Refused(reason, detail(reason)));
+            }
+        });
+    }
+
+    void resume(PooledLease lease, Instant deadline, CompletableFuture<Boolean> resumed) {
+        request(lease.customer(), lease.weight(), deadline, true, new Waiter() {
+            @Override
+            public void granted(long number) {
+                lease.resumed(number);
+                resumed.complete(true);
+            }
+
+            @Override
+            public void refused(NotRunReason reason) {
+                resumed.complete(false);
+            }
+        });
+    }
+
+    void releaseSlot(long number) {
+        apply(new PoolEvent.SlotReleased(number));
+    }
+
+    void giveBack(BackendConnection connection) {
+        boolean clean = connection.isClean();
+        if (clean) {
+            idle.add(connection);
+        } else {
+            connection.close();
+        }
+        apply(new PoolEvent.ConnectionReturned(clean));
+    }
+
+    private void request(CustomerName customer, int weight, Instant deadline, boolean holds, Waiter waiter) {
+        long number = nextNumber++;
+        waiters.put(number, waiter);
+        apply(new PoolEvent.SlotRequested(new SlotRequest(number, customer, weight, STATEMENT_COST, deadline, holds)));
+    }
+
+    private void apply(PoolEvent event) {
+        dropBroken(event);
+        carryOut(event);
+    }
+
+    /** Replaces idle connections that broke, before a request gets one of them. */
+    private void dropBroken(PoolEvent event) {
+        int before = idle.size();
+        idle.removeIf(connection -> {
+            boolean broken = !connection.isClean();
+            if (broken) {
+                connection.close();
+            }
+            return broken;
+        });
+        int lost = before - idle.size();
+        if (lost > 0 && !(event instanceof PoolEvent.ConnectionReturned)) {
+            log.infof("backend: %d idle connections to %s were broken", lost, name());
+        }
+        if (lost > 0) {
+            carryOut(new PoolEvent.IdleConnectionsLost(lost));
+        }
+    }
+
+    private void carryOut(PoolEvent event) {
+        Transition<PoolState, PoolEffect> transition = state.on(event, view, clock.instant());
+        state = transition.state();
+        for (PoolEffect effect : transition.effects()) {
+            switch (effect) {
+                case PoolEffect.Grant grant -> {
+                    long number = grant.request().number();
+                    waiters.remove(number).granted(number);
+                }
+                case PoolEffect.Refuse refuse ->
+                    waiters.remove(refuse.request().number()).refused(refuse.reason());
+                case PoolEffect.Open open -> open(open.count());
+                case PoolEffect.CloseIdle close -> closeIdle(close.count());
+            }
+        }
+    }
+
+    private void open(int count) {
+        for (int opened = 0; opened < count; opened++) {
+            var unused = client.open(server.orElseThrow())
+                    .whenComplete((connection, failure) -> owner.execute(() -> {
+                        if (connection == null) {
+                            log.infof("backend: can't open a connection to %s", name());
+                            apply(new PoolEvent.OpeningFailed());
+                        } else {
+                            idle.add(connection);
+                            apply(new PoolEvent.ConnectionOpened());
+                        }
+                    }));
+        }
+    }
+
+    private void closeIdle(int count) {
+        for (int closed = 0; closed < count; closed++) {
+            idle.remove().close();
+        }
+    }
+
+    private String name() {
+        return server.map(known -> known.name().value()).orElse("a removed database");
+    }
+
+    private static String detail(NotRunReason reason) {
+        return switch (reason) {
+            case QUEUE_FULL -> "the customer's queue for the database is full";
+            case DEADLINE_UNREACHABLE -> "no slot is expected before the deadline";
+            default -> "no slot is available";
+        };
+    }
+}
