Add seeded runs of the supervision on simulated time

The supervision needs evidence under combined faults, which unit tests of single steps do not give. Each run connects the real decision to three fake databases and two or three supervisors with separate clocks; messages are delayed, lost, duplicated and reordered, databases and supervisors isolated, supervisors paused and restarted, store replies lost.

The first runs did not end: each report of a database, also one that a write had asked for, started another status request, so their number grew without bound. Status requests now carry a number, and only the answer to the last one starts the next.

The choice now waits up to 700 ms for another majority before it falls on a leaving database.

--- a/core/src/main/java/org/geraniumproxy/core/failover/DatabaseState.java
+++ b/core/src/main/java/org/geraniumproxy/core/failover/DatabaseState.java
@@ -11,6 +11,7 @@
  * @param heardAt moment at which the last reply arrived
  * @param intervals intervals between its replies
  * @param pollSentAt moment at which the outstanding status request was sent, empty if none is outstanding
+ * @param pollNumber number of the last status request of the poll
  * @param followSentAt moment at which it was last told to follow
  */
 public record DatabaseState(
@@ -18,10 +19,11 @@
         Optional<Instant> heardAt,
         ReplyIntervals intervals,
         Optional<Instant> pollSentAt,
+        long pollNumber,
         Optional<Instant> followSentAt) {
     /** A database that has not been asked yet. */
     public static final DatabaseState UNKNOWN = new DatabaseState(
-            Optional.empty(), Optional.empty(), ReplyIntervals.INITIAL, Optional.empty(), Optional.empty());
+            Optional.empty(), Optional.empty(), ReplyIntervals.INITIAL, Optional.empty(), 0, Optional.empty());
 
     DatabaseState heard(BackendStatus report, Instant now) {
         boolean newest = status.map(known -> !report.requestSentAt().isBefore(known.requestSentAt()))
@@ -29,15 +31,27 @@
         ReplyIntervals newIntervals = heardAt.map(last -> intervals.observe(Duration.between(last, now)))
                 .orElse(intervals);
         return new DatabaseState(
-                newest ? Optional.of(report) : status, Optional.of(now), newIntervals, pollSentAt, followSentAt);
+                newest ? Optional.of(report) : status,
+                Optional.of(now),
+                newIntervals,
+                pollSentAt,
+                pollNumber,
+                followSentAt);
     }
 
-    DatabaseState withPollSentAt(Optional<Instant> sentAt) {
-        return new DatabaseState(status, heardAt, intervals, sentAt, followSentAt);
+    DatabaseState withPollSent(Instant sentAt) {
+        return new DatabaseState(status, heardAt, intervals, Optional.of(sentAt), pollNumber + 1, followSentAt);
+    }
+
+    /** Only the answer to the last request ends it; otherwise a late answer would start a second series of requests. */
+    DatabaseState withPollAnswered(long answered) {
+        return answered == pollNumber
+                ? new DatabaseState(status, heardAt, intervals, Optional.empty(), pollNumber, followSentAt)
+                : this;
     }
 
     DatabaseState withFollowSentAt(Instant sentAt) {
-        return new DatabaseState(status, heardAt, intervals, pollSentAt, Optional.of(sentAt));
+        return new DatabaseState(status, heardAt, intervals, pollSentAt, pollNumber, Optional.of(sentAt));
     }
 
     boolean isHeardWithin(Duration timeout, Instant now) {
--- a/core/src/main/java/org/geraniumproxy/core/failover/FailoverDecision.java
+++ b/core/src/main/java/org/geraniumproxy/core/failover/FailoverDecision.java
@@ -39,8 +39,9 @@
     private static Transition<GroupState, FailoverEffect> apply(GroupState state, FailoverEvent event, Instant now) {
         return switch (event) {
             case FailoverEvent.TimePassed passed -> Transition.to(state);
-            case FailoverEvent.StatusReceived received ->
-                Transition.to(heard(clearPoll(state, received.status()), received.status(), now));
+            case FailoverEvent.PollAnswered answered ->
+                Transition.to(heard(endPoll(state, answered), answered.status(), now));
+            case FailoverEvent.StatusReceived received -> Transition.to(heard(state, received.status(), now));
             case FailoverEvent.AnnouncementAnswered answered ->
                 PromotionSteps.announcementAnswered(state, answered, now);
             case FailoverEvent.AnnouncementFailed failed ->
@@ -55,9 +56,9 @@
         };
     }
 
-    private static GroupState clearPoll(GroupState state, BackendStatus status) {
-        BackendServerName name = status.backendServer();
-        return state.withDatabase(name, state.database(name).withPollSentAt(Optional.empty()));
+    private static GroupState endPoll(GroupState state, FailoverEvent.PollAnswered answered) {
+        BackendServerName name = answered.status().backendServer();
+        return state.withDatabase(name, state.database(name).withPollAnswered(answered.poll()));
     }
 
     private static GroupState heard(GroupState state, BackendStatus status, Instant now) {
@@ -78,8 +79,9 @@
                     .orElse(false);
             if (sentAt.isEmpty() || isLost) {
                 Duration wait = isLost ? Duration.ZERO : FailoverTimes.STATUS_WAIT;
-                effects.add(new FailoverEffect.RequestStatus(name, wait));
-                next = next.withDatabase(name, next.database(name).withPollSentAt(Optional.of(now)));
+                DatabaseState polled = next.database(name).withPollSent(now);
+                effects.add(new FailoverEffect.RequestStatus(name, wait, polled.pollNumber()));
+                next = next.withDatabase(name, polled);
             }
         }
         return Transition.to(next, effects);
--- a/core/src/main/java/org/geraniumproxy/core/failover/FailoverEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/failover/FailoverEffect.java
@@ -11,8 +11,9 @@
      *
      * @param backendServer the database
      * @param longestWait longest wait at the database
+     * @param poll number to return in {@link FailoverEvent.PollAnswered}
      */
-    record RequestStatus(BackendServerName backendServer, Duration longestWait) implements FailoverEffect {}
+    record RequestStatus(BackendServerName backendServer, Duration longestWait, long poll) implements FailoverEffect {}
 
     /**
      * Announce a promotion in the group record, unless the record holds a higher term.
--- a/core/src/main/java/org/geraniumproxy/core/failover/FailoverEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/failover/FailoverEvent.java
@@ -11,7 +11,15 @@
     record TimePassed() implements FailoverEvent {}
 
     /**
-     * A database has reported its status.
+     * A database has answered a {@link FailoverEffect.RequestStatus}.
+     *
+     * @param poll number of the request
+     * @param status the report
+     */
+    record PollAnswered(long poll, BackendStatus status) implements FailoverEvent {}
+
+    /**
+     * A database has reported its status to a request that traffic caused.
      *
      * @param status the report
      */
--- a/core/src/main/java/org/geraniumproxy/core/failover/FailoverTimes.java
+++ b/core/src/main/java/org/geraniumproxy/core/failover/FailoverTimes.java
@@ -32,6 +32,12 @@
      */
     public static final Duration FENCE_GRACE = Duration.ofMillis(100);
 
+    /**
+     * Time that the remaining databases have to answer a fence if the choice would fall on a leaving database: two
+     * repetitions. Promoting a leaving database makes a second switch necessary.
+     */
+    public static final Duration SWITCH_FENCE_GRACE = Duration.ofMillis(700);
+
     /** Time that the standby leaves to the coordinator before it acts itself. */
     public static final Duration STANDBY_DELAY = Duration.ofMillis(500);
 
--- a/core/src/main/java/org/geraniumproxy/core/failover/PromotionSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/failover/PromotionSteps.java
@@ -170,15 +170,24 @@
     }
 
     private static boolean isFencingComplete(GroupState state, Promotion.Fencing fencing, Instant now) {
+        Instant majorityAt = fencing.majorityAt().orElseThrow();
+        if (state.isLeaving(choose(state, fencing).backendServer())) {
+            return fencing.fenced().keySet().containsAll(state.names())
+                    || isPast(majorityAt, FailoverTimes.SWITCH_FENCE_GRACE, now);
+        }
         return fencing.fenced().keySet().containsAll(state.reachable(now))
-                || isPast(fencing.majorityAt().orElseThrow(), FailoverTimes.FENCE_GRACE, now);
+                || isPast(majorityAt, FailoverTimes.FENCE_GRACE, now);
     }
 
-    private static Transition<GroupState, FailoverEffect> promote(
-            GroupState state, Promotion.Fencing fencing, Instant now) {
+    private static BackendStatus choose(GroupState state, Promotion.Fencing fencing) {
         Set<BackendServerName> leaving =
                 state.names().stream().filter(state::isLeaving).collect(Collectors.toSet());
-        BackendStatus chosen = LogChoice.choose(state.group(), fencing.fenced().values(), leaving);
+        return LogChoice.choose(state.group(), fencing.fenced().values(), leaving);
+    }
+
+    private static Transition<GroupState, FailoverEffect> promote(
+            GroupState state, Promotion.Fencing fencing, Instant now) {
+        BackendStatus chosen = choose(state, fencing);
         return Transition.to(
                 state.withPromotion(new Promotion.Promoting(fencing.term(), chosen, now, now)),
                 List.of(new FailoverEffect.Promote(chosen.backendServer(), fencing.term())));
--- /dev/null
+++ b/core/src/test/java/org/geraniumproxy/core/failover/FakeDatabase.java
@@ -0,0 +1,168 @@
+package org.geraniumproxy.core.failover;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.Term;
+import org.geraniumproxy.core.identity.TermStart;
+
+/** Database that keeps the requirements of the design on terms, log and replication. */
+final class FakeDatabase {
+    private static final int REPLICATION_INTERVAL_MILLIS = 20;
+
+    /** One write: the term that it was committed under and its identifier. */
+    record Entry(long term, long write) {}
+
+    private final BackendServerName name;
+    private final SimulatedTime time;
+    private final SimulatedNetwork network;
+    private List<Entry> log = List.of();
+    private TreeMap<Long, Long> termStarts = new TreeMap<>();
+    private long fencedTerm;
+    private long replicatingTerm;
+    private boolean primary;
+    private boolean leaving;
+    private Optional<FakeDatabase> source = Optional.empty();
+    private long sourceTerm;
+    private long heardAtMillis;
+
+    FakeDatabase(BackendServerName name, SimulatedTime time, SimulatedNetwork network) {
+        this.name = name;
+        this.time = time;
+        this.network = network;
+        time.after(REPLICATION_INTERVAL_MILLIS, this::pull);
+    }
+
+    BackendServerName name() {
+        return name;
+    }
+
+    List<Entry> log() {
+        return log;
+    }
+
+    boolean isPrimary() {
+        return primary;
+    }
+
+    void leave() {
+        leaving = true;
+    }
+
+    boolean fence(long term) {
+        if (term < fencedTerm) {
+            return false;
+        }
+        raise(term);
+        return true;
+    }
+
+    OptionalLong promote(long term) {
+        if (term != fencedTerm || (replicatingTerm == term && !primary)) {
+            return OptionalLong.empty();
+        }
+        if (!primary) {
+            primary = true;
+            replicatingTerm = term;
+            source = Optional.empty();
+            termStarts.put(term, (long) log.size());
+        }
+        return OptionalLong.of(termStarts.get(term));
+    }
+
+    void follow(long term, FakeDatabase newSource) {
+        if (term < fencedTerm || newSource == this) {
+            return;
+        }
+        raise(term);
+        if (sourceTerm != term) {
+            source = Optional.of(newSource);
+            sourceTerm = term;
+            heardAtMillis = time.millis();
+        }
+    }
+
+    /** Commits a write and returns its position, or refuses it before any effect. */
+    OptionalLong commit(long term, long write) {
+        if (!primary || fencedTerm != term) {
+            return OptionalLong.empty();
+        }
+        List<Entry> longer = new ArrayList<>(log);
+        longer.add(new Entry(term, write));
+        log = List.copyOf(longer);
+        return OptionalLong.of(log.size());
+    }
+
+    BackendStatus status(Instant requestSentAt) {
+        List<TermStart> starts = termStarts.entrySet().stream()
+                .map(start -> new TermStart(Term.of(start.getKey()), start.getValue()))
+                .toList();
+        return new BackendStatus(
+                name,
+                requestSentAt,
+                Term.of(fencedTerm),
+                Term.of(replicatingTerm),
+                Term.of(log.isEmpty() ? 0 : log.getLast().term()),
+                log.size(),
+                primary,
+                primary ? Duration.ZERO : Duration.ofMillis(time.millis() - heardAtMillis),
+                0,
+                leaving,
+                starts);
+    }
+
+    private void raise(long term) {
+        if (term > fencedTerm) {
+            fencedTerm = term;
+            replicatingTerm = 0;
+            primary = false;
+            source = Optional.empty();
+        }
+    }
+
+    private void pull() {
+        time.after(REPLICATION_INTERVAL_MILLIS, this::pull);
+        if (source.isPresent()) {
+            FakeDatabase from = source.get();
+            long term = sourceTerm;
+            List<Entry> own = log;
+            network.send(name.value(), from.name.value(), () -> from.serve(this, term, own));
+        }
+    }
+
+    private void serve(FakeDatabase replica, long term, List<Entry> replicaLog) {
+        if (!primary || fencedTerm != term) {
+            return;
+        }
+        int common = 0;
+        while (common < Math.min(log.size(), replicaLog.size())
+                && log.get(common).equals(replicaLog.get(common))) {
+            common++;
+        }
+        int cut = common;
+        List<Entry> entries = log.subList(common, log.size());
+        TreeMap<Long, Long> starts = new TreeMap<>(termStarts);
+        network.send(name.value(), replica.name.value(), () -> replica.receive(this, term, cut, entries, starts));
+    }
+
+    private void receive(FakeDatabase from, long term, int cut, List<Entry> entries, Map<Long, Long> starts) {
+        if (fencedTerm != term || source.filter(from::equals).isEmpty()) {
+            return;
+        }
+        heardAtMillis = time.millis();
+        if (replicatingTerm == term && cut + entries.size() <= log.size()) {
+            return;
+        }
+        List<Entry> copied = new ArrayList<>(log.subList(0, cut));
+        copied.addAll(entries);
+        log = List.copyOf(copied);
+        termStarts = new TreeMap<>(starts);
+        replicatingTerm = term;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumproxy/core/failover/SimulatedStore.java
@@ -0,0 +1,34 @@
+package org.geraniumproxy.core.failover;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.geraniumproxy.core.identity.Term;
+
+/** Holds the group record. While it is down, requests still take effect half of the time, but no reply arrives. */
+final class SimulatedStore {
+    static final String NAME = "store";
+
+    private final SimulatedNetwork network;
+    private Optional<GroupRecord> record = Optional.empty();
+    private boolean replying = true;
+
+    SimulatedStore(SimulatedNetwork network) {
+        this.network = network;
+    }
+
+    void setReplying(boolean replying) {
+        this.replying = replying;
+    }
+
+    void put(String from, GroupRecord wanted, Consumer<Term> onReply) {
+        network.send(from, NAME, () -> {
+            if (record.map(wanted::replaces).orElse(true)) {
+                record = Optional.of(wanted);
+            }
+            Term term = record.orElseThrow().term();
+            if (replying) {
+                network.send(NAME, from, () -> onReply.accept(term));
+            }
+        });
+    }
+}
