--- a/core/src/main/java/org/geraniumproxy/core/control/InvariantViolation.java
+++ b/core/src/main/java/org/geraniumproxy/core/control/InvariantViolation.java
@@ -1,23 +1,28 @@
 package org.geraniumproxy.core.control;
 
-/** A guarantee of the system was found broken. It is a fault of the program, not of its environment. */
+/** Error of a program that has reached a state which its own rules exclude. */
 public final class InvariantViolation extends IllegalStateException {
     private static final long serialVersionUID = 1L;
 
-    private InvariantViolation(String message) {
+    /**
+     * Creates the error.
+     *
+     * @param message the broken invariant
+     */
+    public InvariantViolation(String message) {
         super(message);
     }
 
     /**
      * Checks an invariant.
      *
-     * @param holds whether it holds
-     * @param invariant the invariant in words
+     * @param holds whether the invariant holds
+     * @param message the invariant and where it broke
      * @throws InvariantViolation if it does not hold
      */
-    public static void require(boolean holds, String invariant) {
+    public static void check(boolean holds, String message) {
         if (!holds) {
-            throw new InvariantViolation("invariant violated: " + invariant);
+            throw new InvariantViolation(message);
         }
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/limit/HolderSelection.java
@@ -0,0 +1,51 @@
+package org.geraniumproxy.core.limit;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.FailureDomain;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.membership.Roster;
+import org.geraniumproxy.core.membership.Vm;
+import org.geraniumproxy.core.routing.RendezvousHash;
+
+/** Chooses the VMs that hold a customer's shares. */
+public final class HolderSelection {
+    /**
+     * Most holders of one customer. Seven covers the failure domains of the design size, and a proxy that runs out of
+     * tokens has at most seven VMs to ask.
+     */
+    public static final int MAXIMUM_HOLDERS = 7;
+
+    private HolderSelection() {}
+
+    /**
+     * Returns the holders of a customer, one per failure domain first. VMs that announced in the roster that they are
+     * leaving hold no share.
+     *
+     * @param customer the customer
+     * @param roster the roster
+     * @param burst the customer's burst; there are no more holders than tokens in it
+     * @return the holders in order
+     */
+    public static List<VmName> holders(CustomerName customer, Roster roster, int burst) {
+        List<Vm> staying = roster.vms().stream().filter(vm -> !vm.leaving()).toList();
+        List<Vm> ranked =
+                RendezvousHash.rank(customer.value(), staying, vm -> vm.name().value());
+        int count = Math.min(MAXIMUM_HOLDERS, Math.min(burst, ranked.size()));
+        return spread(ranked).stream().limit(count).map(Vm::name).toList();
+    }
+
+    private static List<Vm> spread(List<Vm> ranked) {
+        Set<FailureDomain> covered = new HashSet<>();
+        List<Vm> first = new ArrayList<>();
+        List<Vm> others = new ArrayList<>();
+        for (Vm vm : ranked) {
+            (covered.add(vm.failureDomain()) ? first : others).add(vm);
+        }
+        first.addAll(others);
+        return first;
+    }
+}
--- a/core/src/main/java/org/geraniumproxy/core/membership/ViewState.java
+++ b/core/src/main/java/org/geraniumproxy/core/membership/ViewState.java
@@ -135,7 +135,7 @@
 
     ViewState withConfiguration(KnownConfiguration next) {
         if (next.number() == configuration.number()) {
-            InvariantViolation.require(
+            InvariantViolation.check(
                     next.revision().equals(configuration.revision()),
                     "all VMs know the same configuration under one revision");
         }
--- a/core/src/main/java/org/geraniumproxy/core/membership/ViewTopology.java
+++ b/core/src/main/java/org/geraniumproxy/core/membership/ViewTopology.java
@@ -1,8 +1,7 @@
 package org.geraniumproxy.core.membership;
 
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +10,7 @@
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.routing.RendezvousHash;
 
 /**
  * Which VMs ask the store, which ones vote, and which peers a VM asks. Every VM computes the same answer from the same
@@ -37,14 +37,15 @@
     private final Roster roster;
     private final Map<VmName, Vm> byName;
     private final List<VmName> voters;
-    private final List<Vm> watcherOrder;
+    private final Map<RegionName, List<Vm>> watcherOrder;
     private final List<VmName> treeOrder;
 
     private ViewTopology(Roster roster) {
         this.roster = roster;
         this.byName = roster.vms().stream().collect(Collectors.toUnmodifiableMap(Vm::name, vm -> vm));
         this.voters = chooseVoters(roster);
-        this.watcherOrder = ordered("watcher", roster.vms());
+        this.watcherOrder = ordered("watcher", roster.vms()).stream()
+                .collect(Collectors.groupingBy(Vm::region, LinkedHashMap::new, Collectors.toUnmodifiableList()));
         this.treeOrder = ordered("tree", roster.vms()).stream().map(Vm::name).toList();
     }
 
@@ -85,13 +86,13 @@
      */
     public Set<VmName> watchers(Set<VmName> unavailable) {
         Set<VmName> watchers = new LinkedHashSet<>(voters);
-        Map<RegionName, Integer> perRegion = new HashMap<>();
-        for (Vm vm : watcherOrder) {
-            boolean available = !unavailable.contains(vm.name());
-            if (available && perRegion.merge(vm.region(), 1, Integer::sum) <= WATCHERS_PER_REGION) {
-                watchers.add(vm.name());
-            }
-        }
+        watcherOrder
+                .values()
+                .forEach(region -> region.stream()
+                        .map(Vm::name)
+                        .filter(vm -> !unavailable.contains(vm))
+                        .limit(WATCHERS_PER_REGION)
+                        .forEach(watchers::add));
         return watchers;
     }
 
@@ -158,25 +159,6 @@
     }
 
     private static List<Vm> ordered(String purpose, List<Vm> vms) {
-        return vms.stream()
-                .map(vm -> new ScoredVm(score(purpose, vm.name().value()), vm))
-                .sorted(Comparator.comparingLong(ScoredVm::score)
-                        .reversed()
-                        .thenComparing(scored -> scored.vm().name()))
-                .map(ScoredVm::vm)
-                .toList();
-    }
-
-    private record ScoredVm(long score, Vm vm) {}
-
-    private static long score(String purpose, String vm) {
-        long hash = 0xcbf29ce484222325L;
-        String text = purpose + '/' + vm;
-        for (int index = 0; index < text.length(); index++) {
-            hash = (hash ^ text.charAt(index)) * 0x100000001b3L;
-        }
-        hash ^= hash >>> 33;
-        hash *= 0xff51afd7ed558ccdL;
-        return hash ^ (hash >>> 33);
+        return RendezvousHash.rank(purpose, vms, vm -> vm.name().value());
     }
 }
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/failover/FaultInjector.java
@@ -0,0 +1,104 @@
+package org.geraniumproxy.measure.failover;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import org.geraniumproxy.measure.bench.BenchException;
+import org.geraniumproxy.measure.bench.Databases;
+import org.geraniumproxy.measure.bench.Deadline;
+import org.geraniumproxy.protocol.FaultRequest;
+import org.geraniumproxy.protocol.StatusReply;
+
+/** Lets primaries of a running deployment fail and recover. */
+public final class FaultInjector {
+    /** Longest wait for a new primary: the target of 12 s for a failover, and a margin to see a late one. */
+    private static final Duration PROMOTION_TIMEOUT = Duration.ofSeconds(20);
+
+    /** Longest wait until the old primary follows the new one. */
+    private static final Duration FOLLOW_TIMEOUT = Duration.ofSeconds(20);
+
+    /** Interval of the looks at a group, which is the resolution of the phases. */
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(5);
+
+    private final Databases databases;
+    private final Clock clock;
+
+    /**
+     * Creates an injector.
+     *
+     * @param databases the databases
+     * @param clock the clock
+     */
+    public FaultInjector(Databases databases, Clock clock) {
+        this.databases = databases;
+        this.clock = clock;
+    }
+
+    /**
+     * Lets the primary of a group fail, waits for the next one and lets the old one recover and follow it.
+     *
+     * @param group the group
+     * @param kind how the primary fails
+     * @param outage how long the old primary stays away after the promotion
+     * @return what happened
+     * @throws BenchException if the group has no primary, or no other one in time
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public ObservedFailover failPrimary(String group, FaultKind kind, Duration outage) throws InterruptedException {
+        StatusReply old =
+                databases.primary(group).orElseThrow(() -> new BenchException(group + " has no primary to fail"));
+        long revision = databases.recordRevision(group);
+        Instant failedAt = clock.instant();
+        databases.inject(old.getBackendServer(), kind.request());
+        FailoverPhases phases;
+        StatusReply next;
+        try {
+            phases = awaitPromotion(old, group, revision);
+            next = databases
+                    .primary(group)
+                    .orElseThrow(() -> new BenchException(group + " lost its new primary at once"));
+            Thread.sleep(outage);
+        } finally {
+            databases.inject(old.getBackendServer(), FaultRequest.getDefaultInstance());
+        }
+        awaitFollowing(old, next);
+        return new ObservedFailover(group, kind, old.getBackendServer(), next.getBackendServer(), failedAt, phases);
+    }
+
+    /** Looks at the group until another database replicates from the new primary. */
+    private FailoverPhases awaitPromotion(StatusReply old, String group, long revision) throws InterruptedException {
+        Deadline deadline = Deadline.after(clock, PROMOTION_TIMEOUT);
+        FailoverPhases phases = FailoverPhases.NONE;
+        while (!phases.isComplete()) {
+            if (deadline.isOver()) {
+                throw new BenchException(group + " got no new primary within " + PROMOTION_TIMEOUT);
+            }
+            Thread.sleep(POLL_INTERVAL);
+            boolean recordChanged = databases.recordRevision(group) != revision;
+            phases = phases.seen(
+                    clock.instant(),
+                    recordChanged,
+                    old.getReplicatingTerm(),
+                    databases.statuses(group, old.getBackendServer()));
+        }
+        return phases;
+    }
+
+    private void awaitFollowing(StatusReply old, StatusReply next) throws InterruptedException {
+        Deadline deadline = Deadline.after(clock, FOLLOW_TIMEOUT);
+        while (!follows(old, next)) {
+            if (deadline.isOver()) {
+                throw new BenchException(old.getBackendServer() + " does not follow within " + FOLLOW_TIMEOUT);
+            }
+            Thread.sleep(POLL_INTERVAL);
+        }
+    }
+
+    private boolean follows(StatusReply old, StatusReply next) {
+        return databases
+                .status(old.getBackendServer())
+                .filter(status -> !status.getPrimary())
+                .filter(status -> status.getReplicatingTerm() >= next.getReplicatingTerm())
+                .isPresent();
+    }
+}
