--- a/proxy/src/main/java/org/geraniumproxy/proxy/control/ControlThread.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/control/ControlThread.java
@@ -334,7 +334,7 @@
                 identity.name(),
                 state.configuration().revision(),
                 state.roster(),
-                state.unavailable(now),
+                unavailable(now),
                 state.provenAt(now),
                 state.draining(),
                 groups);
@@ -343,6 +343,15 @@
         }
     }
 
+    /** A VM that is being stopped counts itself out, so that it hands its groups over. */
+    private Set<VmName> unavailable(Instant now) {
+        Set<VmName> unavailable = state.unavailable(now);
+        if (state.draining()) {
+            unavailable.add(identity.name());
+        }
+        return unavailable;
+    }
+
     private static boolean differs(ControlSnapshot before, ControlSnapshot after) {
         return before.configuration().revision() != after.configuration().revision()
                 || before.roster().revision() != after.roster().revision()
