--- a/measure/src/main/java/org/geraniumproxy/measure/bench/RunningDeployment.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/bench/RunningDeployment.java
@@ -176,7 +176,7 @@
         String text = DeploymentTexts.configuration(deployment, addresses, keys);
         Path file = workspace.write("configuration.toml", text);
         List<String> arguments =
-                List.of("apply", file.toString(), "--store", addresses.store(), "--base-revision", "0");
+                List.of("apply", file.toString(), "--store", addresses.store(), "--plain-text", "--base-revision", "0");
         try (ManagedProcess control = workspace.start("geraniumctl", "geraniumctl", arguments)) {
             control.awaitSuccess(START_TIMEOUT);
         }
