--- a/core/src/main/java/org/geraniumproxy/core/pool/FairQueue.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/FairQueue.java
@@ -33,6 +33,9 @@
     /** Most waiting requests of one customer. */
     static final int MAXIMUM_PER_CUSTOMER = 256;
 
+    /** Most waiting requests of all customers in the queue in order of arrival. */
+    static final int MAXIMUM_IN_ORDER = 256;
+
     /** A request taken from the queue, and the queue without it. */
     record Taken(SlotRequest request, FairQueue queue) {}
 
@@ -45,8 +48,13 @@
         return new FairQueue(policy, Map.of(), Map.of(), 0, 0);
     }
 
+    /** A queue in order of arrival knows no customers and so has one bound for all of them. */
     boolean isFull(CustomerName customer) {
-        return waiting.getOrDefault(customer, List.of()).size() >= MAXIMUM_PER_CUSTOMER;
+        return switch (policy) {
+            case QueuePolicy.WeightedFair _ ->
+                waiting.getOrDefault(customer, List.of()).size() >= MAXIMUM_PER_CUSTOMER;
+            case QueuePolicy.FirstComeFirstServed _ -> size() >= MAXIMUM_IN_ORDER;
+        };
     }
 
     int size() {
@@ -99,8 +107,10 @@
 
     /** Removes the requests whose deadline has passed and adds them to a list. */
     FairQueue dropExpired(Instant now, List<SlotRequest> expired) {
+        if (!hasExpired(now)) {
+            return this;
+        }
         Map<CustomerName, List<QueuedRequest>> remaining = new HashMap<>();
-        int before = expired.size();
         waiting.forEach((customer, requests) -> {
             List<QueuedRequest> kept = new ArrayList<>();
             for (QueuedRequest queued : requests) {
@@ -114,16 +124,25 @@
                 remaining.put(customer, kept);
             }
         });
-        return expired.size() == before
-                ? this
-                : new FairQueue(policy, remaining, lastFinish, virtualTime, nextSequence);
+        return new FairQueue(policy, remaining, lastFinish, virtualTime, nextSequence);
+    }
+
+    private boolean hasExpired(Instant now) {
+        for (List<QueuedRequest> requests : waiting.values()) {
+            for (QueuedRequest queued : requests) {
+                if (!now.isBefore(queued.request().deadline())) {
+                    return true;
+                }
+            }
+        }
+        return false;
     }
 
     private FairQueue without(QueuedRequest first) {
         CustomerName customer = first.request().customer();
         Map<CustomerName, List<QueuedRequest>> remaining = new HashMap<>(waiting);
         List<QueuedRequest> others = waiting.get(customer).stream()
-                .filter(other -> !other.equals(first))
+                .filter(other -> other.sequence() != first.sequence())
                 .toList();
         if (others.isEmpty()) {
             remaining.remove(customer);
--- /dev/null
+++ b/core/src/test/java/org/geraniumproxy/core/pool/PoolState_on_Test.java
@@ -0,0 +1,141 @@
+package org.geraniumproxy.core.pool;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.geraniumproxy.core.configuration.BackendServer;
+import org.geraniumproxy.core.configuration.DatabaseGroup;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.FailureDomain;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.RegionName;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.outcome.NotRunReason;
+import org.junit.jupiter.api.Test;
+
+/** Guards the connections of a database, the bound of the queue and transactions that wait for a slot. */
+class PoolState_on_Test {
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final CustomerName CUSTOMER = CustomerName.of("troupes");
+    private static final VmName SELF = VmName.of("vm-b");
+    private static final VmName DEAD = VmName.of("vm-a");
+    private static final VmName THIRD = VmName.of("vm-c");
+    private static final DatabaseGroup GROUP = new DatabaseGroup(
+            GroupName.of("ledger"),
+            List.of(new BackendServer(
+                    BackendServerName.of("ledger-a"),
+                    "127.0.0.1:1",
+                    RegionName.of("lima"),
+                    FailureDomain.of("lima-1"))),
+            2,
+            16,
+            4);
+
+    private PoolState pool = PoolState.initial(QueuePolicy.standard());
+    private ConnectionBudget budget = ConnectionBudget.UNKNOWN;
+    private int open;
+    private long nextNumber;
+
+    @Test
+    void should_never_open_more_connections_than_the_database_has_while_those_of_a_dead_coordinator_are_open() {
+        // given a standby whose slots are all in transactions, and a dead coordinator with 12 open connections
+        int openOfDead = 12;
+        for (int tenth = 0; tenth < 600; tenth++) {
+            Instant now = START.plusMillis(100L * tenth);
+            if (tenth > 250 && tenth % 10 == 0) {
+                openOfDead = Math.max(0, openOfDead - 1);
+            }
+            List<VmName> ranks = tenth < 100 ? List.of(DEAD, SELF) : List.of(SELF, THIRD);
+            budget = budget.observe(SELF, ranks, Optional.of(now), now);
+
+            // when: transactions take every connection and give their slot back
+            PoolView view = view(openOfDead + open, now);
+            apply(new PoolEvent.SlotRequested(request(now, false)), view, now);
+
+            // then
+            assertThat(openOfDead + open, lessThanOrEqualTo(GROUP.connections()));
+            assertThat(open, lessThanOrEqualTo(tenth < 131 ? 4 : 12));
+        }
+        assertThat(open, is(12));
+    }
+
+    @Test
+    void should_let_a_transaction_with_a_connection_pass_requests_that_wait_for_one() {
+        // given no connection and a waiting request
+        PoolView view = new PoolView(2, 16, 0, Optional.empty());
+        apply(new PoolEvent.SlotRequested(request(START, false)), view, START);
+
+        // when
+        List<PoolEffect> effects = apply(new PoolEvent.SlotRequested(request(START, true)), view, START);
+
+        // then
+        assertThat(effects, contains(instanceOf(PoolEffect.Grant.class)));
+    }
+
+    @Test
+    void should_refuse_early_what_would_miss_its_deadline_and_what_is_over_the_bound() {
+        // given requests that wait long enough for the bound to be reached
+        PoolView view = new PoolView(2, 16, 0, Optional.empty());
+        for (int sent = 0; sent < FairQueue.MAXIMUM_PER_CUSTOMER; sent++) {
+            assertThat(apply(new PoolEvent.SlotRequested(request(START, false)), view, START), is(empty()));
+        }
+
+        // when
+        List<PoolEffect> overBound = apply(new PoolEvent.SlotRequested(request(START, false)), view, START);
+        SlotRequest urgent = new SlotRequest(-1, CustomerName.of("other"), 1, 1, START.plusMillis(4), false);
+        List<PoolEffect> hopeless = apply(new PoolEvent.SlotRequested(urgent), view, START);
+
+        // then
+        assertThat(reasons(overBound), contains(NotRunReason.QUEUE_FULL));
+        assertThat(reasons(hopeless), contains(NotRunReason.DEADLINE_UNREACHABLE));
+    }
+
+    private PoolView view(int reported, Instant now) {
+        return new PoolView(
+                GROUP.slots(),
+                GROUP.connections(),
+                budget.connections(GROUP),
+                Optional.of(new ConnectionReport(now, reported)));
+    }
+
+    private SlotRequest request(Instant now, boolean holdsConnection) {
+        return new SlotRequest(nextNumber++, CUSTOMER, 1, 1, now.plusSeconds(10), holdsConnection);
+    }
+
+    private List<PoolEffect> apply(PoolEvent event, PoolView view, Instant now) {
+        Transition<PoolState, PoolEffect> transition = pool.on(event, view, now);
+        pool = transition.state();
+        for (PoolEffect effect : transition.effects()) {
+            switch (effect) {
+                case PoolEffect.Open opening -> {
+                    open += opening.count();
+                    for (int opened = 0; opened < opening.count(); opened++) {
+                        apply(new PoolEvent.ConnectionOpened(), view, now);
+                    }
+                }
+                case PoolEffect.CloseIdle close -> open -= close.count();
+                case PoolEffect.Grant grant
+                when !grant.request().holdsConnection() ->
+                    apply(new PoolEvent.SlotReleased(grant.request().number()), view, now);
+                default -> {}
+            }
+        }
+        return transition.effects();
+    }
+
+    private static List<NotRunReason> reasons(List<PoolEffect> effects) {
+        return effects.stream()
+                .map(effect -> ((PoolEffect.Refuse) effect).reason())
+                .collect(Collectors.toList());
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/fairness/FairnessRun.java
@@ -0,0 +1,186 @@
+package org.geraniumproxy.measure.fairness;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.HdrHistogram.Histogram;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.pool.ConnectionReport;
+import org.geraniumproxy.core.pool.PoolEffect;
+import org.geraniumproxy.core.pool.PoolEvent;
+import org.geraniumproxy.core.pool.PoolState;
+import org.geraniumproxy.core.pool.PoolView;
+import org.geraniumproxy.core.pool.QueuePolicy;
+import org.geraniumproxy.core.pool.SlotRequest;
+import org.geraniumproxy.measure.simulation.Deployment;
+import org.geraniumproxy.measure.simulation.SimulatedTime;
+
+/**
+ * Eight customers at one database: two large ones and six small ones, which together ask for 80% of what its slots can
+ * serve, except that the first large one sends eight times its rate. The real queue decides on simulated time.
+ */
+public final class FairnessRun {
+    private static final Duration LENGTH = Duration.ofMinutes(2);
+    private static final Duration PATIENCE = Duration.ofSeconds(2);
+    private static final double MEAN_SERVICE_SECONDS = 0.010;
+    private static final double USUAL_LOAD = 0.8;
+    private static final double NEIGHBOUR_FACTOR = 8;
+    private static final int LARGE_CUSTOMERS = 2;
+    private static final int SMALL_CUSTOMERS = 6;
+    private static final int LARGE_WEIGHT = 3;
+    private static final int TOTAL_WEIGHT = LARGE_CUSTOMERS * LARGE_WEIGHT + SMALL_CUSTOMERS;
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+    private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
+    private static final CustomerName NEIGHBOUR = CustomerName.of("large-0");
+
+    private final Deployment deployment;
+    private final Random random;
+    private final SimulatedTime time = new SimulatedTime();
+    private final List<QueueCustomer> customers;
+    private final Map<CustomerName, Tally> tallies = new HashMap<>();
+    private final Map<Long, Instant> arrivals = new HashMap<>();
+    private PoolState pool;
+    private int openConnections;
+    private long nextNumber;
+    private double busySeconds;
+
+    private static final class Tally {
+        private long arrived;
+        private long served;
+        private final Histogram latency = new Histogram(Duration.ofMinutes(1).toNanos(), 3);
+    }
+
+    private FairnessRun(Deployment deployment, long seed, QueuePolicy policy) {
+        this.deployment = deployment;
+        this.random = new Random(seed);
+        this.pool = PoolState.initial(policy);
+        this.customers = customers(capacityPerSecond());
+        customers.forEach(customer -> tallies.put(customer.name(), new Tally()));
+    }
+
+    /**
+     * Runs the customers against a policy.
+     *
+     * @param deployment slots and connections
+     * @param seed seed of the run
+     * @param policy order of the waiting requests
+     * @return the figures; the same seed gives the same figures
+     */
+    public static FairnessResult run(Deployment deployment, long seed, QueuePolicy policy) {
+        return new FairnessRun(deployment, seed, policy).run();
+    }
+
+    private FairnessResult run() {
+        apply(new PoolEvent.TimePassed());
+        customers.forEach(customer -> time.after(untilNext(customer), () -> arrive(customer)));
+        time.runUntil(SimulatedTime.START.plus(LENGTH));
+        double worstShare = 1;
+        double worstLatency = 0;
+        for (QueueCustomer customer : customers) {
+            Tally tally = tallies.get(customer.name());
+            if (!customer.name().equals(NEIGHBOUR)) {
+                worstShare = Math.min(worstShare, tally.served / entitlement(customer, tally));
+                double latency = tally.latency.getValueAtPercentile(99) / NANOSECONDS_PER_MILLISECOND;
+                worstLatency = Math.max(worstLatency, latency);
+            }
+        }
+        Tally neighbour = tallies.get(NEIGHBOUR);
+        return new FairnessResult(
+                worstShare,
+                worstLatency,
+                (double) neighbour.served / neighbour.arrived,
+                busySeconds / (deployment.slots() * (double) LENGTH.toSeconds()));
+    }
+
+    /** What a customer asked for, at most its weight's part of the capacity. */
+    private double entitlement(QueueCustomer customer, Tally tally) {
+        double part = capacityPerSecond() * customer.weight() / TOTAL_WEIGHT;
+        return Math.min((double) tally.arrived, part * LENGTH.toSeconds());
+    }
+
+    private void arrive(QueueCustomer customer) {
+        time.after(untilNext(customer), () -> arrive(customer));
+        long number = nextNumber++;
+        arrivals.put(number, time.now());
+        tallies.get(customer.name()).arrived++;
+        Instant deadline = time.now().plus(PATIENCE);
+        apply(new PoolEvent.SlotRequested(
+                new SlotRequest(number, customer.name(), customer.weight(), 1, deadline, false)));
+    }
+
+    private void apply(PoolEvent event) {
+        PoolView view = new PoolView(
+                deployment.slots(),
+                deployment.connections(),
+                deployment.connections(),
+                Optional.of(new ConnectionReport(time.now(), openConnections)));
+        Transition<PoolState, PoolEffect> transition = pool.on(event, view, time.now());
+        pool = transition.state();
+        transition.effects().forEach(this::carryOut);
+    }
+
+    private void carryOut(PoolEffect effect) {
+        switch (effect) {
+            case PoolEffect.Grant grant -> serve(grant.request());
+            case PoolEffect.Refuse refuse -> arrivals.remove(refuse.request().number());
+            case PoolEffect.Open open -> {
+                for (int opened = 0; opened < open.count(); opened++) {
+                    time.after(deployment.connectionCost(), () -> {
+                        openConnections++;
+                        apply(new PoolEvent.ConnectionOpened());
+                    });
+                }
+            }
+            case PoolEffect.CloseIdle close -> openConnections -= close.count();
+        }
+    }
+
+    private void serve(SlotRequest request) {
+        double seconds = exponential(1 / MEAN_SERVICE_SECONDS);
+        busySeconds += seconds;
+        time.after(nanoseconds(seconds), () -> {
+            Tally tally = tallies.get(request.customer());
+            tally.served++;
+            Instant arrived = arrivals.remove(request.number());
+            tally.latency.recordValue(Duration.between(arrived, time.now()).toNanos());
+            apply(new PoolEvent.SlotReleased(request.number()));
+            apply(new PoolEvent.ConnectionReturned(true));
+        });
+    }
+
+    private Duration untilNext(QueueCustomer customer) {
+        return nanoseconds(exponential(customer.ratePerSecond()));
+    }
+
+    private double exponential(double perSecond) {
+        return -Math.log(1 - random.nextDouble()) / perSecond;
+    }
+
+    private static Duration nanoseconds(double seconds) {
+        return Duration.ofNanos((long) (seconds * NANOSECONDS_PER_SECOND));
+    }
+
+    private double capacityPerSecond() {
+        return deployment.slots() / MEAN_SERVICE_SECONDS;
+    }
+
+    private static List<QueueCustomer> customers(double capacity) {
+        double perWeight = capacity * USUAL_LOAD / TOTAL_WEIGHT;
+        List<QueueCustomer> all = new ArrayList<>();
+        for (int index = 0; index < LARGE_CUSTOMERS; index++) {
+            CustomerName name = CustomerName.of("large-" + index);
+            double factor = name.equals(NEIGHBOUR) ? NEIGHBOUR_FACTOR : 1;
+            all.add(new QueueCustomer(name, perWeight * LARGE_WEIGHT * factor, LARGE_WEIGHT));
+        }
+        for (int index = 0; index < SMALL_CUSTOMERS; index++) {
+            all.add(new QueueCustomer(CustomerName.of("small-" + index), perWeight, 1));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/fairness/package-info.java
@@ -0,0 +1,2 @@
+/** Runs of the slot queue on simulated time. */
+package org.geraniumproxy.measure.fairness;
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/reads/ReadsReport.java
@@ -0,0 +1,76 @@
+package org.geraniumproxy.measure.reads;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.geraniumproxy.measure.figures.PartReport;
+import org.geraniumproxy.measure.figures.PolicyFigures;
+import org.geraniumproxy.measure.simulation.Deployment;
+
+/**
+ * The placement of reads against all reads at the primary, and against a random replica with a check afterwards, at
+ * three lags. Real core decisions on simulated time.
+ */
+public final class ReadsReport {
+    /** The stated target for reads that replicas may serve, at typical lag. */
+    private static final double TARGET_REPLICA_SHARE = 0.90;
+
+    private static final Duration TYPICAL_LAG = Duration.ofMillis(20);
+    private static final List<Duration> LAGS = List.of(Duration.ZERO, TYPICAL_LAG, Duration.ofMillis(500));
+
+    private ReadsReport() {}
+
+    /**
+     * Runs the measurement.
+     *
+     * @param deployment latencies between the coordinator and the databases
+     * @param seed seed of the runs
+     * @return the figures
+     */
+    public static PartReport run(Deployment deployment, long seed) {
+        List<PolicyFigures> policies = new ArrayList<>();
+        List<String> findings = new ArrayList<>();
+        for (Duration lag : LAGS) {
+            String suffix = ", lag " + lag.toMillis() + " ms";
+            ReadResult ours = ReadRun.run(deployment, new ReadPolicy.Placement(), lag, seed);
+            policies.add(figures("replica placement" + suffix, false, ours));
+            policies.add(figures(
+                    "all at the primary" + suffix,
+                    true,
+                    ReadRun.run(deployment, new ReadPolicy.AllAtPrimary(), lag, seed)));
+            policies.add(figures(
+                    "random replica, checked afterwards" + suffix,
+                    true,
+                    ReadRun.run(deployment, new ReadPolicy.RandomReplica(), lag, seed)));
+            if (ours.stale() > 0) {
+                findings.add("stale answers at lag " + lag.toMillis() + " ms");
+            }
+            if (lag.equals(TYPICAL_LAG) && share(ours.servedByReplica(), ours) <= TARGET_REPLICA_SHARE) {
+                findings.add("replicas serve no more than 90% of the reads at typical lag");
+            }
+        }
+        return new PartReport(
+                "reads: real core decisions on simulated time, accepted age 2 s, a quarter of the sessions also writes",
+                policies,
+                findings);
+    }
+
+    private static PolicyFigures figures(String policy, boolean baseline, ReadResult result) {
+        Map<String, Double> figures = new LinkedHashMap<>();
+        figures.put("reads", (double) result.reads());
+        figures.put("served by replicas, percent", 100 * share(result.servedByReplica(), result));
+        figures.put(
+                "of sessions that write, percent",
+                100.0 * result.writersServedByReplica() / Math.max(1, result.writersReads()));
+        figures.put("run twice, percent", 100 * share(result.repeated(), result));
+        figures.put("waited for a replica, percent", 100 * share(result.waited(), result));
+        figures.put("stale answers", (double) result.stale());
+        return new PolicyFigures(policy, baseline, figures);
+    }
+
+    private static double share(long part, ReadResult result) {
+        return result.reads() == 0 ? 0 : (double) part / result.reads();
+    }
+}
--- a/measure/src/main/java/org/geraniumproxy/measure/report/MeasureMain.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/report/MeasureMain.java
@@ -24,8 +24,8 @@
     @Parameter(names = "--format", description = "text|json")
     private String format = "text";
 
-    @Parameter(names = "--part", description = "failover; may be repeated")
-    private List<String> parts = new ArrayList<>(List.of("failover"));
+    @Parameter(names = "--part", description = "limits|fairness|reads|failover|all; may be repeated")
+    private List<String> parts = new ArrayList<>(List.of("all"));
 
     @Parameter(names = "--help", help = true, description = "shows the options")
     private boolean help;
@@ -66,8 +66,12 @@
         ReportFormat written = readFormat(format);
         List<MeasurePart> chosenParts = new ArrayList<>();
         for (String part : parts) {
-            chosenParts.add(
-                    MeasurePart.of(part).orElseThrow(() -> new ParameterException("--part is not known: " + part)));
+            if (part.equals("all")) {
+                chosenParts.addAll(MeasurePart.all());
+            } else {
+                chosenParts.add(
+                        MeasurePart.of(part).orElseThrow(() -> new ParameterException("--part is not known: " + part)));
+            }
         }
         List<PartReport> reports = new ArrayList<>();
         for (MeasurePart part : chosenParts) {
--- a/measure/src/main/java/org/geraniumproxy/measure/report/MeasurePart.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/report/MeasurePart.java
@@ -1,27 +1,52 @@
 package org.geraniumproxy.measure.report;
 
+import java.util.List;
 import java.util.Optional;
 import org.geraniumproxy.measure.bench.Deployment;
 import org.geraniumproxy.measure.failover.FailoverMeasurement;
+import org.geraniumproxy.measure.fairness.FairnessReport;
 import org.geraniumproxy.measure.figures.PartReport;
+import org.geraniumproxy.measure.limit.LimitsReport;
+import org.geraniumproxy.measure.reads.ReadsReport;
 
 /** A part of the measurement. */
 sealed interface MeasurePart {
     /** Gaps of failovers of real processes. */
     record Failover() implements MeasurePart {}
 
+    /** Requests refused within the rate, on simulated time. */
+    record Limits() implements MeasurePart {}
+
+    /** The worst-served customer, on simulated time. */
+    record Fairness() implements MeasurePart {}
+
+    /** Reads served by replicas, on simulated time. */
+    record Reads() implements MeasurePart {}
+
+    /** Returns every part, the ones on simulated time first. */
+    static List<MeasurePart> all() {
+        return List.of(new Limits(), new Fairness(), new Reads(), new Failover());
+    }
+
     /** Returns the part with a name. */
     static Optional<MeasurePart> of(String name) {
         return switch (name) {
             case "failover" -> Optional.of(new Failover());
+            case "limits" -> Optional.of(new Limits());
+            case "fairness" -> Optional.of(new Fairness());
+            case "reads" -> Optional.of(new Reads());
             default -> Optional.empty();
         };
     }
 
     /** Runs the part. */
     default PartReport run(Deployment deployment, long seed) throws InterruptedException {
+        var simulated = org.geraniumproxy.measure.simulation.Deployment.named(deployment.name());
         return switch (this) {
             case Failover _ -> FailoverMeasurement.of(deployment, seed).run();
+            case Limits _ -> LimitsReport.run(simulated, seed);
+            case Fairness _ -> FairnessReport.run(simulated, seed);
+            case Reads _ -> ReadsReport.run(simulated, seed);
         };
     }
 }
--- a/measure/src/main/java/org/geraniumproxy/measure/simulation/Deployment.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/simulation/Deployment.java
@@ -11,9 +11,9 @@
 /** Sizes and latencies of the two users' deployments today. */
 public enum Deployment {
     /** The festival house. */
-    FESTIVAL(Duration.ofMillis(1), Duration.ofMillis(12), 2, 16),
+    FESTIVAL(Duration.ofMillis(1), Duration.ofMillis(12), 2, 16, Duration.ofMillis(12)),
     /** The weed unit. */
-    WEED(Duration.ofNanos(1_500_000), Duration.ofMillis(8), 5, 60);
+    WEED(Duration.ofNanos(1_500_000), Duration.ofMillis(8), 5, 60, Duration.ofMillis(30));
 
     /** Entry VMs of a deployment. */
     public static final int VMS = 5;
@@ -22,12 +22,19 @@
     private final Duration latencyBetweenRegions;
     private final int slots;
     private final int connections;
+    private final Duration connectionCost;
 
-    Deployment(Duration latencyInRegion, Duration latencyBetweenRegions, int slots, int connections) {
+    Deployment(
+            Duration latencyInRegion,
+            Duration latencyBetweenRegions,
+            int slots,
+            int connections,
+            Duration connectionCost) {
         this.latencyInRegion = latencyInRegion;
         this.latencyBetweenRegions = latencyBetweenRegions;
         this.slots = slots;
         this.connections = connections;
+        this.connectionCost = connectionCost;
     }
 
     /**
@@ -89,6 +96,33 @@
         return connections;
     }
 
+    /**
+     * Returns the one-way latency between failure domains of one region.
+     *
+     * @return the latency
+     */
+    public Duration latencyInRegion() {
+        return latencyInRegion;
+    }
+
+    /**
+     * Returns the one-way latency between regions.
+     *
+     * @return the latency
+     */
+    public Duration latencyBetweenRegions() {
+        return latencyBetweenRegions;
+    }
+
+    /**
+     * Returns the time that it takes to open a connection.
+     *
+     * @return the time
+     */
+    public Duration connectionCost() {
+        return connectionCost;
+    }
+
     private List<String> regions() {
         return switch (this) {
             case FESTIVAL -> List.of("lima", "cusco", "arequipa");
--- /dev/null
+++ b/measure/src/test/java/org/geraniumproxy/measure/fairness/FairnessRun_run_Test.java
@@ -0,0 +1,38 @@
+package org.geraniumproxy.measure.fairness;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThan;
+
+import org.geraniumproxy.core.pool.QueuePolicy;
+import org.geraniumproxy.measure.simulation.Deployment;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against a customer that takes the slots of the others by sending more. */
+class FairnessRun_run_Test {
+    /** The stated target. */
+    private static final double TARGET_SHARE = 0.95;
+
+    @ParameterizedTest
+    @EnumSource(Deployment.class)
+    void should_serve_every_other_customer_its_entitlement(Deployment deployment) {
+        for (long seed = 1; seed <= 2; seed++) {
+            // when
+            FairnessResult result = FairnessRun.run(deployment, seed, new QueuePolicy.WeightedFair());
+
+            // then: the slots also stay busy with the neighbour's requests
+            assertThat(result.worstServedShare(), greaterThanOrEqualTo(TARGET_SHARE));
+            assertThat(result.usedCapacity(), greaterThan(0.95));
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Deployment.class)
+    void should_miss_the_entitlement_first_come_first_served(Deployment deployment) {
+        // when / then: the check finds the unfair order
+        FairnessResult result = FairnessRun.run(deployment, 1, new QueuePolicy.FirstComeFirstServed());
+        assertThat(result.worstServedShare(), lessThan(TARGET_SHARE));
+    }
+}
