Never place a write at a replica whose age is measured as zero

With a clock that had not moved since the newest sample of the primary, the proven age of a replica is zero and within an accepted age of zero, so that writes and reads of the newest data went to the replica. The stand-in refused the write; a read could have missed a write within the clock's resolution. The new test fails without the change.

--- a/core/src/test/java/org/geraniumproxy/core/routing/ReadPlacementDecision_decide_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/routing/ReadPlacementDecision_decide_Test.java
@@ -42,6 +42,18 @@
                 is(new ReadPlacement.AtPrimary(PRIMARY)));
     }
 
+    @Test
+    void should_use_the_primary_when_no_age_is_accepted_and_the_age_of_a_replica_is_measured_as_zero() {
+        // given: a clock that has not moved since the newest sample; a write would go to the replica otherwise
+        Instant sampledAt = NOW.minusMillis(10);
+
+        // when
+        ReadPlacement placement = decide(view(100, Optional.of(PRIMARY)), read(90, Duration.ZERO), sampledAt);
+
+        // then
+        assertThat(placement, is(new ReadPlacement.AtPrimary(PRIMARY)));
+    }
+
     @Test
     void should_refuse_old_data_when_there_is_no_primary() {
         // given: the newest sample that covers the replica is 100 ms old at NOW, so 2.5 s later it is too old
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/BackendCall.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/BackendCall.java
@@ -70,6 +70,8 @@
 
     /** Waits for a slot and checks that the request still belongs on its connection. */
     Slot acquire(GroupRequest request, Placed.At placed) {
+        InvariantViolation.check(
+                !placed.replica() || request.access() == Access.READ, "a write was placed at a replica");
         Instant queuedAt = context.now();
         SlotGrant grant = context.tracing()
                 .inSpan(
