--- a/core/src/main/java/org/geraniumproxy/core/routing/ReadPlacementDecision.java
+++ b/core/src/main/java/org/geraniumproxy/core/routing/ReadPlacementDecision.java
@@ -100,7 +100,8 @@
 
     private static ReadPlacement place(
             GroupView view, Read read, long position, Map<BackendServerName, Duration> expectedWaits, Instant now) {
-        // A replica whose age is measured as zero may still lack a write that was committed within the clock's resolution.
+        // A replica whose age is measured as zero may still lack a write that was committed within the clock's
+        // resolution.
         List<BackendStatus> replicas = read.acceptedAge().isZero() ? List.of() : replicas(view, now);
         Optional<BackendStatus> ready = replicas.stream()
                 .filter(replica -> replica.position() >= position)
