Carry out the supervision of groups over databases and store

The decision needs an adapter that sends its effects, confines its state to the control thread, and tells traffic when a write is on a majority.

A VM supervises a group for 30 s after its rank has passed on, as a standby, because requests in flight still need the view and the confirmation of their writes. Ranks come from a comparison with the VM's own score instead of a sort of all VMs for each group.

--- a/core/src/main/java/org/geraniumproxy/core/failover/GroupState.java
+++ b/core/src/main/java/org/geraniumproxy/core/failover/GroupState.java
@@ -73,7 +73,7 @@
                 new Promotion.Idle(),
                 Optional.empty(),
                 Optional.empty(),
-                Instant.EPOCH,
+                Instant.MIN,
                 Set.of());
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/routing/CoordinatorSelection.java
+++ b/core/src/main/java/org/geraniumproxy/core/routing/CoordinatorSelection.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.geraniumproxy.core.configuration.DatabaseGroup;
@@ -37,8 +38,7 @@
                 .orElse(group.backendServers().getFirst())
                 .region();
         List<Vm> available = roster.vms().stream()
-                .filter(vm -> !vm.leaving())
-                .filter(vm -> !unavailableVms.contains(vm.name()))
+                .filter(vm -> isAvailable(vm, unavailableVms))
                 .toList();
         List<Vm> ranked = RendezvousHash.rank(
                 group.name().value(), available, vm -> vm.name().value());
@@ -46,4 +46,50 @@
         Stream<Vm> far = ranked.stream().filter(vm -> !vm.region().equals(preferredRegion));
         return Stream.concat(near, far).map(Vm::name).toList();
     }
+
+    /**
+     * Tells whether a VM is the coordinator or the standby of a group without ranking all VMs: a VM that ranks low
+     * finds two better ones after a few comparisons.
+     *
+     * @param group the group
+     * @param roster the roster
+     * @param unavailableVms VMs that are down or leaving
+     * @param self name of the VM
+     * @return {@link #COORDINATOR}, {@link #STANDBY}, or empty if it ranks lower or is not available
+     */
+    public static OptionalInt rankOf(DatabaseGroup group, Roster roster, Set<VmName> unavailableVms, VmName self) {
+        Optional<Vm> own = roster.find(self).filter(vm -> isAvailable(vm, unavailableVms));
+        if (own.isEmpty()) {
+            return OptionalInt.empty();
+        }
+        RegionName preferredRegion = group.backendServers().getFirst().region();
+        Candidate candidate = Candidate.of(group, own.get(), preferredRegion);
+        int better = (int) roster.vms().stream()
+                .filter(vm -> isAvailable(vm, unavailableVms))
+                .filter(vm -> Candidate.of(group, vm, preferredRegion).compareTo(candidate) < 0)
+                .limit(STANDBY + 1L)
+                .count();
+        return better <= STANDBY ? OptionalInt.of(better) : OptionalInt.empty();
+    }
+
+    private static boolean isAvailable(Vm vm, Set<VmName> unavailableVms) {
+        return !vm.leaving() && !unavailableVms.contains(vm.name());
+    }
+
+    /** Place of a VM in the order of a group, the best first. */
+    private record Candidate(boolean near, long score, VmName name) implements Comparable<Candidate> {
+        static Candidate of(DatabaseGroup group, Vm vm, RegionName preferredRegion) {
+            long score = RendezvousHash.score(group.name().value(), vm.name().value());
+            return new Candidate(vm.region().equals(preferredRegion), score, vm.name());
+        }
+
+        @Override
+        public int compareTo(Candidate other) {
+            if (near != other.near) {
+                return near ? -1 : 1;
+            }
+            int byScore = Long.compareUnsigned(other.score, score);
+            return byScore != 0 ? byScore : name.compareTo(other.name);
+        }
+    }
 }
--- a/core/src/test/java/org/geraniumproxy/core/routing/CoordinatorSelection_rank_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/routing/CoordinatorSelection_rank_Test.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.geraniumproxy.core.configuration.BackendServer;
@@ -59,6 +60,20 @@
         assertThat(after, is(before.subList(1, before.size())));
     }
 
+    @Test
+    void should_find_the_first_two_ranks_as_in_the_full_order() {
+        // given
+        List<VmName> ranked = rank(Optional.empty(), Set.of());
+
+        for (int index = 0; index < ranked.size(); index++) {
+            // when
+            OptionalInt rank = CoordinatorSelection.rankOf(GROUP, ROSTER, Set.of(), ranked.get(index));
+
+            // then
+            assertThat(rank, is(index < 2 ? OptionalInt.of(index) : OptionalInt.empty()));
+        }
+    }
+
     @Test
     void should_give_the_same_score_in_every_release() {
         // A changed hash would make VMs of two releases elect different coordinators.
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/failover/GroupSupervisors.java
@@ -0,0 +1,198 @@
+package org.geraniumproxy.proxy.failover;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.geraniumproxy.core.configuration.Configuration;
+import org.geraniumproxy.core.configuration.DatabaseGroup;
+import org.geraniumproxy.core.failover.FailoverEvent;
+import org.geraniumproxy.core.failover.GroupState;
+import org.geraniumproxy.core.failover.GroupView;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.membership.Roster;
+import org.geraniumproxy.core.membership.Vm;
+import org.geraniumproxy.core.routing.CoordinatorSelection;
+
+/**
+ * Supervises the groups that this VM coordinates or stands by for.
+ *
+ * <p>The methods may be called from any thread. State is confined to the control executor, on which the callbacks and
+ * futures complete too.
+ */
+public final class GroupSupervisors implements Durability, AutoCloseable {
+    /**
+     * Time for which a group is still supervised after its rank has passed to other VMs: the longest time that
+     * statements and transactions in flight have to end.
+     */
+    static final Duration LINGER = Duration.ofSeconds(30);
+
+    private final VmName self;
+    private final SupervisionResources resources;
+    private final Consumer<GroupView> onView;
+    private final Consumer<GroupName> onWithdrawn;
+    private final Map<GroupName, GroupSupervision> supervisions = new HashMap<>();
+    private final Map<GroupName, Instant> lingering = new HashMap<>();
+    private Set<BackendServerName> listedLeaving = Set.of();
+    private boolean closed;
+
+    /**
+     * Creates supervisors without groups.
+     *
+     * @param self name of this VM
+     * @param resources what they work with
+     * @param onView receives each changed view
+     * @param onWithdrawn receives the name of each group whose view is no longer kept up to date
+     */
+    public GroupSupervisors(
+            VmName self, SupervisionResources resources, Consumer<GroupView> onView, Consumer<GroupName> onWithdrawn) {
+        this.self = self;
+        this.resources = resources;
+        this.onView = onView;
+        this.onWithdrawn = onWithdrawn;
+    }
+
+    /**
+     * Starts and stops the supervision of groups.
+     *
+     * @param configuration the newest configuration
+     * @param roster the newest roster
+     * @param unavailableVms VMs of the roster that are down or leaving
+     */
+    public void update(Configuration configuration, Roster roster, Set<VmName> unavailableVms) {
+        resources.control().execute(() -> apply(configuration, roster, unavailableVms));
+    }
+
+    /**
+     * Takes over which backend servers the platform's list marks as leaving.
+     *
+     * @param backendServers all that are marked
+     */
+    public void updateLeaving(Set<BackendServerName> backendServers) {
+        resources.control().execute(() -> {
+            listedLeaving = Set.copyOf(backendServers);
+            supervisions
+                    .values()
+                    .forEach(supervision -> supervision.onEvent(new FailoverEvent.LeavingListed(listedLeaving)));
+        });
+    }
+
+    @Override
+    public CompletableFuture<Boolean> awaitDurable(GroupName group, LogPosition write, Instant deadline) {
+        CompletableFuture<Boolean> result = new CompletableFuture<>();
+        resources.control().execute(() -> {
+            GroupSupervision supervision = supervisions.get(group);
+            if (supervision == null) {
+                result.complete(false);
+            } else {
+                supervision.waiters().awaitDurable(write, deadline, result);
+            }
+        });
+        return result;
+    }
+
+    @Override
+    public CompletableFuture<Void> awaitChange(GroupName group, Instant deadline) {
+        CompletableFuture<Void> result = new CompletableFuture<>();
+        resources.control().execute(() -> {
+            GroupSupervision supervision = supervisions.get(group);
+            if (supervision == null) {
+                result.complete(null);
+            } else {
+                supervision.waiters().awaitChange(deadline, result);
+            }
+        });
+        return result;
+    }
+
+    /** Stops the supervision of all groups. */
+    @Override
+    public void close() {
+        resources.control().execute(() -> {
+            closed = true;
+            Set.copyOf(supervisions.keySet()).forEach(this::stop);
+        });
+    }
+
+    private void apply(Configuration configuration, Roster roster, Set<VmName> unavailableVms) {
+        if (closed) {
+            return;
+        }
+        Set<GroupName> ranked = new HashSet<>();
+        for (DatabaseGroup group : configuration.groups().values()) {
+            OptionalInt rank = CoordinatorSelection.rankOf(group, roster, unavailableVms, self);
+            if (rank.isPresent()) {
+                ranked.add(group.name());
+                supervise(group, roster.find(self).orElseThrow(), rank.getAsInt());
+            }
+        }
+        for (GroupName name : Set.copyOf(supervisions.keySet())) {
+            if (!configuration.groups().containsKey(name)) {
+                stop(name);
+            } else if (!ranked.contains(name)) {
+                linger(name);
+            }
+        }
+    }
+
+    private void supervise(DatabaseGroup group, Vm vm, int rank) {
+        lingering.remove(group.name());
+        GroupSupervision known = supervisions.get(group.name());
+        if (known != null && known.state().self().index() != vm.index()) {
+            // Terms are unique by the index of the VM, so that an index that was given back must not be used on.
+            stop(group.name());
+            known = null;
+        }
+        if (known == null) {
+            start(group, vm, rank);
+            return;
+        }
+        if (!known.state().group().equals(group)) {
+            known.onEvent(new FailoverEvent.GroupChanged(group));
+        }
+        if (known.state().rank() != rank) {
+            known.onEvent(new FailoverEvent.RankChanged(rank));
+        }
+    }
+
+    private void start(DatabaseGroup group, Vm vm, int rank) {
+        GroupState initial = GroupState.initial(group, vm, rank, resources.policy());
+        GroupSupervision supervision = new GroupSupervision(resources, initial, onView);
+        supervisions.put(group.name(), supervision);
+        supervision.start();
+        supervision.onEvent(new FailoverEvent.LeavingListed(listedLeaving));
+    }
+
+    /** Requests in flight still need the view of the group and the confirmation of their writes. */
+    private void linger(GroupName name) {
+        Instant end = resources.clock().instant().plus(LINGER);
+        if (lingering.putIfAbsent(name, end) == null) {
+            supervisions.get(name).onEvent(new FailoverEvent.RankChanged(CoordinatorSelection.STANDBY));
+            var unused = resources.after(LINGER, () -> stopIfLingering(name));
+        }
+    }
+
+    private void stopIfLingering(GroupName name) {
+        Instant end = lingering.get(name);
+        if (end != null && !resources.clock().instant().isBefore(end)) {
+            stop(name);
+        }
+    }
+
+    private void stop(GroupName name) {
+        lingering.remove(name);
+        GroupSupervision supervision = supervisions.remove(name);
+        if (supervision != null) {
+            supervision.close();
+            onWithdrawn.accept(name);
+        }
+    }
+}
