Use the shared authentication, and expect waits from the last ones

Admission calls Authentication in place of its own lookup. Placement of reads compares a replica's delay with the queue of the primary as the last waits for a slot showed it; the pool publishes no expectation of its own.

A granted connection that is no longer clean is given back and counts as not sent. It was an invariant violation before, but the stream may fail between the pool's look and the use, and the lease was lost with the error. A lone statement that ends with an open transaction is now the violation.

A wait for a change of the group is decided again after at most 200 ms, so that a change that came just before the wait is not missed until the deadline.

--- a/control/src/main/java/org/geraniumproxy/control/ApplyRunner.java
+++ b/control/src/main/java/org/geraniumproxy/control/ApplyRunner.java
@@ -77,7 +77,7 @@
             case ApplyEffect.WriteContent(String digest) -> await(store.writeContent(digest, toml));
             case ApplyEffect.SwapManifest swap -> {
                 swapsSent++;
-                InvariantViolation.require(swapsSent == 1, "an apply sends its compare-and-swap once");
+                InvariantViolation.check(swapsSent == 1, "an apply sends its compare-and-swap once");
                 await(store.swapManifest(swap.expectedStoreRevision(), swap.manifest()));
             }
         }
--- a/core/src/main/java/org/geraniumproxy/core/admission/AdmissionDecision.java
+++ b/core/src/main/java/org/geraniumproxy/core/admission/AdmissionDecision.java
@@ -3,11 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Optional;
-import org.geraniumproxy.core.configuration.Configuration;
-import org.geraniumproxy.core.configuration.Customer;
 import org.geraniumproxy.core.configuration.Route;
 import org.geraniumproxy.core.control.ControlSnapshot;
+import org.geraniumproxy.core.customer.Authentication;
 import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.Names;
@@ -46,11 +44,14 @@
             return Admission.refused(
                     NotRunReason.MALFORMED_REQUEST, "access must be given and the accepted age not be negative");
         }
-        Optional<Route> route = findRoute(snapshot.currentConfiguration(), request.route());
-        if (route.isEmpty()) {
-            return Admission.refused(NotRunReason.UNKNOWN_ROUTE, "no route of that name is configured");
+        if (!Names.isValid(request.route())) {
+            return Admission.refused(NotRunReason.UNKNOWN_ROUTE, "no route has this name");
         }
-        return identify(snapshot, route.get(), request, now);
+        return switch (Authentication.of(snapshot, RouteName.of(request.route()), request.key(), now)) {
+            case Authentication.Refused refused -> Admission.refused(refused.reason(), refused.detail());
+            case Authentication.Authenticated authenticated ->
+                permit(authenticated.route(), authenticated.customer().name(), request, now);
+        };
     }
 
     /**
@@ -64,34 +65,7 @@
                 || statement.getBytes(StandardCharsets.UTF_8).length > GroupRequest.MAXIMUM_STATEMENT_BYTES;
     }
 
-    private static Optional<Route> findRoute(Configuration configuration, String name) {
-        return Names.isValid(name)
-                ? Optional.ofNullable(configuration.routes().get(RouteName.of(name)))
-                : Optional.empty();
-    }
-
-    private static Admission identify(ControlSnapshot snapshot, Route route, CallerRequest request, Instant now) {
-        if (request.key().isEmpty() && route.openCustomer().isPresent()) {
-            CustomerName open = route.openCustomer().get();
-            return snapshot.currentConfiguration().customers().containsKey(open)
-                    ? permit(route, open, request, now)
-                    : Admission.refused(
-                            NotRunReason.UNKNOWN_CUSTOMER, "the customer of the open route is not configured");
-        }
-        if (!snapshot.isViewCurrent(now)) {
-            return Admission.refused(
-                    NotRunReason.VIEW_TOO_OLD, "the proxy can't prove that its view of the keys is current");
-        }
-        Optional<Customer> customer = request.key().flatMap(snapshot.currentConfiguration()::customerOf);
-        return customer.map(found -> permit(route, found.name(), request, now))
-                .orElseGet(() -> Admission.refused(
-                        NotRunReason.UNKNOWN_KEY, "the route needs the key of a configured customer"));
-    }
-
     private static Admission permit(Route route, CustomerName customer, CallerRequest request, Instant now) {
-        if (!route.customers().isEmpty() && !route.customers().contains(customer)) {
-            return Admission.refused(NotRunReason.ROUTE_NOT_ALLOWED, "the customer may not use the route");
-        }
         Access access = request.access().orElseThrow();
         if (access == Access.WRITE && route.access() == Access.READ) {
             return Admission.refused(NotRunReason.ROUTE_NOT_ALLOWED, "the route allows reads only");
--- a/core/src/main/java/org/geraniumproxy/core/configuration/ApplyDecision.java
+++ b/core/src/main/java/org/geraniumproxy/core/configuration/ApplyDecision.java
@@ -133,7 +133,7 @@
     private static void requireThatSwapWasSent(ApplyState state, ApplyEvent event) {
         boolean isBeforeSwap = state instanceof ApplyState.ReadingBase || state instanceof ApplyState.WritingContent;
         boolean answersSwap = event instanceof ApplyEvent.Swapped || event instanceof ApplyEvent.SwapConflicted;
-        InvariantViolation.require(
+        InvariantViolation.check(
                 !(isBeforeSwap && answersSwap), "the store answers only a compare-and-swap that was sent");
     }
 }
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/BackendCall.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/BackendCall.java
@@ -21,10 +21,12 @@
 final class BackendCall {
     private final TrafficContext context;
     private final SlotPool pool;
+    private final ObservedWaits observedWaits;
 
-    BackendCall(TrafficContext context, SlotPool pool) {
+    BackendCall(TrafficContext context, SlotPool pool, ObservedWaits observedWaits) {
         this.context = context;
         this.pool = pool;
+        this.observedWaits = observedWaits;
     }
 
     /** How a call ended. */
@@ -60,6 +62,9 @@
                     if (reply instanceof BackendReply.NotSent) {
                         guard.notSent();
                     }
+                    InvariantViolation.check(
+                            !(reply instanceof BackendReply.Completed completed && completed.transactionOpen()),
+                            "a lone statement ran inside a transaction");
                     yield new CallEnd.Replied(reply);
                 } finally {
                     held.lease().release();
@@ -78,7 +83,9 @@
                         Hop.QUEUE,
                         () -> pool.acquire(request.group(), placed.server(), request.customer(), request.deadline())
                                 .join());
-        context.metrics().queued(Duration.between(queuedAt, context.now()));
+        Duration queued = Duration.between(queuedAt, context.now());
+        context.metrics().queued(queued);
+        observedWaits.note(placed.server(), queued, context.now());
         return switch (grant) {
             case SlotGrant.Refused refused ->
                 new Slot.None(new CallEnd.NotGranted(Outcome.notRun(refused.reason(), refused.detail())));
@@ -87,8 +94,11 @@
                     granted.lease().release();
                     yield new Slot.None(new CallEnd.PlacementChanged());
                 }
-                InvariantViolation.check(
-                        granted.lease().connection().isClean(), "a connection that is not clean was granted");
+                if (!granted.lease().connection().isClean()) {
+                    // The stream may have failed since the pool looked at it.
+                    granted.lease().release();
+                    yield new Slot.None(new CallEnd.Replied(new BackendReply.NotSent("the connection has failed")));
+                }
                 yield new Slot.Held(granted.lease());
             }
         };
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorHandler.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorHandler.java
@@ -41,15 +41,17 @@
      * @param context what every part of the traffic needs
      * @param pool grants slots and connections
      * @param durability tells when a write may be acknowledged
-     * @param expectedWaits tells how long a request would wait for a slot
+     * @param expectedWaits expected waits that are known better than from the last waits; may be empty
      */
     public CoordinatorHandler(
             TrafficContext context, SlotPool pool, Durability durability, ExpectedWaits expectedWaits) {
         this.context = context;
         this.durability = durability;
         this.seen = new SeenPositions();
-        this.placement = new GroupPlacement(context, durability, expectedWaits, seen);
-        this.backendCall = new BackendCall(context, pool);
+        ObservedWaits observedWaits = new ObservedWaits();
+        this.placement = new GroupPlacement(
+                context, durability, group -> observedWaits.with(expectedWaits.of(group), context.now()), seen);
+        this.backendCall = new BackendCall(context, pool, observedWaits);
     }
 
     /**
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/GroupPlacement.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/GroupPlacement.java
@@ -20,6 +20,9 @@
 
 /** Finds the database for a request and waits for a replica or a primary within the deadline. */
 final class GroupPlacement {
+    /** Longest wait before the placement is decided again; two rounds of the databases' status reports. */
+    private static final Duration LONGEST_WAIT = Duration.ofMillis(200);
+
     private final TrafficContext context;
     private final Durability durability;
     private final ExpectedWaits expectedWaits;
@@ -124,7 +127,9 @@
     }
 
     private void awaitChange(GroupName group, Instant until) {
-        durability.awaitChange(group, until).join();
+        durability
+                .awaitChange(group, earlier(until, context.now().plus(LONGEST_WAIT)))
+                .join();
     }
 
     /** A promotion ends these states, so that waiting for it is better than refusing. */
