--- a/control/src/main/java/org/geraniumproxy/control/ApplyCommand.java
+++ b/control/src/main/java/org/geraniumproxy/control/ApplyCommand.java
@@ -9,6 +9,7 @@
 import org.geraniumproxy.core.configuration.KeyDigest;
 import org.geraniumproxy.core.configuration.Manifest;
 import org.geraniumproxy.core.configuration.RolloutStatus;
+import org.geraniumproxy.core.membership.Roster;
 
 /** Shows what a file changes, applies it and waits until it is in force. */
 final class ApplyCommand {
@@ -111,8 +112,7 @@
         }
         return session.store()
                 .readRoster()
-                .thenCompose(roster ->
-                        RolloutWait.await(session.nodes(), session.eventLoop(), revision, roster, longestWait))
+                .thenCompose(roster -> awaitRollout(revision, roster))
                 .handle((status, failure) -> {
                     if (failure != null) {
                         output.show(new Report.Failed("revision " + revision + " is accepted, but the roster could not"
@@ -123,4 +123,11 @@
                     return status instanceof RolloutStatus.InForce ? ExitCode.SUCCESS : ExitCode.UNREACHABLE;
                 });
     }
+
+    private CompletableFuture<RolloutStatus> awaitRollout(long revision, Roster roster) {
+        if (roster.vms().isEmpty()) {
+            output.show(new Report.Warning("no VM has joined the roster yet"));
+        }
+        return RolloutWait.await(session.nodes(), session.eventLoop(), revision, roster, longestWait);
+    }
 }
