Start the node: wiring, main class and figures by refusal reason

The launcher named org.geraniumproxy.proxy.node.ProxyMain, which did not exist, because the wiring of the node had been left uncommitted. It is committed as it was found. The uncommitted scenario reader had no caller and is left out.

Before: bin/demo could not start a node.

--- a/measure/src/main/java/org/geraniumproxy/measure/demo/DemoResult.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/demo/DemoResult.java
@@ -55,6 +55,7 @@
                 Optional.ofNullable(figures.customers().get(excessiveCustomer))
                         .map(own -> own.answered() + " of " + own.requests() + " requests answered")
                         .orElse("no requests"));
+        line(text, "not run, by reason: %s", figures.notRunReasons());
         line(text, "unknown outcomes: %d", figures.unknown());
         broken.stream().limit(PRINTED_INVARIANTS).forEach(invariant -> line(text, "broken: %s", invariant));
         observations.forEach(observation -> line(text, "observed: %s", observation));
--- a/measure/src/main/java/org/geraniumproxy/measure/demo/DemoRun.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/demo/DemoRun.java
@@ -76,7 +76,8 @@
                 all.refused(),
                 all.replicaReads(),
                 all.reads(),
-                ofCustomers.customers());
+                ofCustomers.customers(),
+                ofCustomers.notRunReasons());
         return new DemoResult(
                 figures,
                 FailoverGaps.of(List.of(failover), probes.records()).percentile(100),
--- a/measure/src/main/java/org/geraniumproxy/measure/load/LoadFigures.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/load/LoadFigures.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.HdrHistogram.Histogram;
+import org.geraniumproxy.protocol.NotRunReason;
 
 /**
  * Figures of a run.
@@ -16,6 +17,7 @@
  * @param refused requests that were not run
  * @param replicaReads answered reads that replicas served
  * @param reads answered reads that replicas may serve
+ * @param notRunReasons requests that were not run, by reason
  * @param customers figures of each customer
  */
 public record LoadFigures(
@@ -25,7 +27,8 @@
         long refused,
         long replicaReads,
         long reads,
-        Map<String, CustomerFigures> customers) {
+        Map<String, CustomerFigures> customers,
+        Map<NotRunReason, Long> notRunReasons) {
     private static final int SIGNIFICANT_DIGITS = 3;
     private static final double PERCENTILE = 99;
 
@@ -72,7 +75,8 @@
                 count(records, CallResult.NotRun.class),
                 reads.stream().filter(CallResult.Answered::byReplica).count(),
                 reads.size(),
-                customers);
+                customers,
+                notRunReasons(records));
     }
 
     /**
@@ -92,10 +96,22 @@
         return new CustomerFigures(
                 records.size(),
                 latencies.getTotalCount(),
-                count(records, CallResult.NotRun.class),
+                rateRefusals(records),
                 Duration.ofNanos(latencies.getValueAtPercentile(PERCENTILE) * 1000));
     }
 
+    private static long rateRefusals(List<RequestRecord> records) {
+        return notRunReasons(records).getOrDefault(NotRunReason.RATE_EXCEEDED, 0L);
+    }
+
+    private static Map<NotRunReason, Long> notRunReasons(List<RequestRecord> records) {
+        return records.stream()
+                .map(RequestRecord::result)
+                .filter(CallResult.NotRun.class::isInstance)
+                .map(CallResult.NotRun.class::cast)
+                .collect(Collectors.groupingBy(CallResult.NotRun::reason, TreeMap::new, Collectors.counting()));
+    }
+
     private static long count(List<RequestRecord> records, Class<? extends CallResult> kind) {
         return records.stream()
                 .filter(request -> kind.isInstance(request.result()))
--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/node/ControlExecutor.java
@@ -0,0 +1,10 @@
+package org.geraniumproxy.proxy.node;
+
+import java.lang.annotation.Retention;
+import java.lang.annotation.RetentionPolicy;
+import javax.inject.Qualifier;
+
+/** The single-threaded executor that owns the control state. */
+@Qualifier
+@Retention(RetentionPolicy.RUNTIME)
+@interface ControlExecutor {}
