--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/caller/DatabaseLoad.java
@@ -0,0 +1,16 @@
+package org.geraniumproxy.core.caller;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * How busy a database is as seen from this VM.
+ *
+ * @param outstanding statements that wait for it or run there, of this VM
+ * @param latency usual time of a statement there, network included
+ * @param avoidUntil moment until which reads go elsewhere because it lags or does not answer
+ */
+public record DatabaseLoad(int outstanding, Duration latency, Instant avoidUntil) {
+    /** Assumed for a database that this VM has not used. */
+    public static final DatabaseLoad UNKNOWN = new DatabaseLoad(0, Duration.ofMillis(20), Instant.MIN);
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/caller/Placement.java
@@ -0,0 +1,86 @@
+package org.geraniumproxy.core.caller;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.service.Consistency;
+import org.geraniumproxy.core.service.ServiceRoute;
+
+/**
+ * Where a statement or transaction runs.
+ *
+ * @param database the database
+ * @param leader whether it is chosen as the primary; the answer must then prove that it still leads
+ * @param atLeast position that a replica's log must have reached; empty at the primary
+ */
+public record Placement(BackendServerName database, boolean leader, Optional<LogPosition> atLeast) {
+    /** Reads prefer a replica until it is expected to take this many times as long as the primary. */
+    private static final double PRIMARY_PENALTY = 2.0;
+
+    /**
+     * Chooses a database.
+     *
+     * @param route the route
+     * @param mayUseReplica whether the statement or transaction only reads
+     * @param ownCommit position of the session's last commit
+     * @param excluded databases that have refused the statement already
+     * @param arrivedAt moment at which the statement was read from the caller
+     * @param context what may be looked at
+     * @return the placement, or empty if no database can be used now
+     */
+    static Optional<Placement> choose(
+            ServiceRoute route,
+            boolean mayUseReplica,
+            Optional<LogPosition> ownCommit,
+            Set<BackendServerName> excluded,
+            Instant arrivedAt,
+            SessionContext context) {
+        GroupDirectory group = context.view().group(route.group());
+        Optional<DatabaseEntry> primary = group.primary().filter(entry -> !excluded.contains(entry.name()));
+        Optional<Placement> atPrimary = primary.map(entry -> new Placement(entry.name(), true, Optional.empty()));
+        if (!mayUseReplica || route.consistency() == Consistency.PRIMARY) {
+            return atPrimary;
+        }
+        Optional<LogPosition> required = requiredPosition(route, ownCommit, arrivedAt, context);
+        if (required.isEmpty()) {
+            return atPrimary;
+        }
+        Placement best = atPrimary.orElse(null);
+        double bestCost =
+                primary.map(entry -> cost(entry, context) * PRIMARY_PENALTY).orElse(Double.MAX_VALUE);
+        for (DatabaseEntry entry : group.readableReplicas()) {
+            double cost = cost(entry, context);
+            if (!excluded.contains(entry.name()) && cost < bestCost) {
+                best = new Placement(entry.name(), false, required);
+                bestCost = cost;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static Optional<LogPosition> requiredPosition(
+            ServiceRoute route, Optional<LogPosition> ownCommit, Instant arrivedAt, SessionContext context) {
+        Instant covered = arrivedAt.minus(route.acceptedAge());
+        Optional<LogPosition> proven = context.positions()
+                .getOrDefault(route.group(), ProvenPositions.NONE)
+                .covering(covered);
+        if (route.consistency() == Consistency.BOUNDED_STALENESS) {
+            return proven;
+        }
+        return proven.map(
+                position -> ownCommit.filter(own -> own.compareTo(position) > 0).orElse(position));
+    }
+
+    private static double cost(DatabaseEntry entry, SessionContext context) {
+        DatabaseLoad load = context.loads().getOrDefault(entry.name(), DatabaseLoad.UNKNOWN);
+        if (context.now().isBefore(load.avoidUntil())) {
+            return Double.MAX_VALUE / 4;
+        }
+        double queue = 1 + (double) load.outstanding() / Math.max(1, entry.slots());
+        return load.latency().toNanos() * queue;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
@@ -0,0 +1,148 @@
+package org.geraniumproxy.core.caller;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.LogPosition;
+
+/** What an adapter carries out for a session. */
+public sealed interface SessionEffect {
+    /** Accept the caller's connection. */
+    record Accept() implements SessionEffect {}
+
+    /**
+     * Refuse the caller's connection and close it.
+     *
+     * @param failure why
+     */
+    record Reject(StatementResult.Failed failure) implements SessionEffect {}
+
+    /**
+     * Answer the outstanding statement.
+     *
+     * @param rows the rows
+     * @param result how it ended
+     * @param state state of the session
+     * @param position position to name, if one is known
+     */
+    record Reply(List<String> rows, StatementResult result, TransactionState state, Optional<LogPosition> position)
+            implements SessionEffect {
+        /** Copies the rows. */
+        public Reply {
+            rows = List.copyOf(rows);
+        }
+    }
+
+    /** Close the caller's connection; nothing is outstanding. */
+    record CloseCaller() implements SessionEffect {}
+
+    /**
+     * Ask for a token of the customer.
+     *
+     * @param customer the customer
+     */
+    record TakeToken(CustomerName customer) implements SessionEffect {}
+
+    /**
+     * Ask for a slot of a database.
+     *
+     * @param database the database
+     * @param number number of the request for the slot
+     * @param customer the customer, for the fair order
+     * @param priority 0 for the most important customers
+     * @param deadline moment at which the slot is no longer wanted
+     * @param holdsConnection whether the session holds a connection of the database already
+     */
+    record RequestSlot(
+            BackendServerName database,
+            long number,
+            CustomerName customer,
+            int priority,
+            Instant deadline,
+            boolean holdsConnection)
+            implements SessionEffect {}
+
+    /**
+     * Withdraw a request for a slot.
+     *
+     * @param database the database
+     * @param number number of the request
+     */
+    record CancelSlot(BackendServerName database, long number) implements SessionEffect {}
+
+    /**
+     * Give a slot back; the connection stays with the session.
+     *
+     * @param database the database
+     * @param number number of the request for the slot
+     */
+    record ReleaseSlot(BackendServerName database, long number) implements SessionEffect {}
+
+    /**
+     * Send commands to a database; the answers come as one event.
+     *
+     * @param database the database
+     * @param connection the connection
+     * @param commands the commands
+     */
+    record Send(BackendServerName database, long connection, List<BackendCommand> commands) implements SessionEffect {
+        /** Copies the commands. */
+        public Send {
+            commands = List.copyOf(commands);
+        }
+    }
+
+    /**
+     * Give a connection back for other sessions.
+     *
+     * @param database the database
+     * @param connection the connection
+     * @param memory what it knows
+     * @param rollback whether a transaction is open on it that is rolled back first
+     */
+    record ReturnConnection(BackendServerName database, long connection, ConnectionMemory memory, boolean rollback)
+            implements SessionEffect {}
+
+    /**
+     * Close a connection whose state is unknown.
+     *
+     * @param database the database
+     * @param connection the connection
+     */
+    record CloseConnection(BackendServerName database, long connection) implements SessionEffect {}
+
+    /**
+     * Remember a position that the primary proved.
+     *
+     * @param group the group
+     * @param sample the sample
+     */
+    record RecordPosition(GroupName group, ProvenPositions.Sample sample) implements SessionEffect {}
+
+    /**
+     * Tell the control state and the load estimate how a database behaved.
+     *
+     * @param group the group
+     * @param observation what was seen
+     */
+    record Observe(GroupName group, DatabaseObservation observation) implements SessionEffect {}
+
+    /**
+     * Wake the session at a moment if nothing else happens.
+     *
+     * @param at the moment
+     */
+    record WakeAt(Instant at) implements SessionEffect {}
+
+    /**
+     * Write a decision to the log.
+     *
+     * @param request the caller's identifier of the request
+     * @param decision what was decided
+     * @param detail its inputs
+     */
+    record Log(String request, String decision, String detail) implements SessionEffect {}
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementStart.java
@@ -0,0 +1,255 @@
+package org.geraniumproxy.core.caller;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.service.ServiceConfiguration;
+import org.geraniumproxy.core.service.ServiceRoute;
+import org.geraniumproxy.core.statement.PreparedShape;
+import org.geraniumproxy.core.statement.Statement;
+
+/** Admits connections and statements, and answers the statements that concern the session alone. */
+final class StatementStart {
+    private static final StatementResult.Completed UNSIGNED = new StatementResult.Completed(StatementResult.UNSIGNED);
+
+    private StatementStart() {}
+
+    static CallerSession connect(
+            CallerSession session,
+            SessionEvent.ConnectArrived connect,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        ServiceConfiguration configuration = context.view().configuration();
+        CallerSession connected = session.connected(connect.database(), connect.key());
+        Optional<StatementResult.Failed> refusal = configuration.isKnown()
+                ? refusal(connected, configuration)
+                : Optional.of(new StatementResult.Failed(ErrorCode.BUSY, "no configuration is known yet"));
+        if (refusal.isEmpty()) {
+            effects.add(new SessionEffect.Accept());
+            return connected;
+        }
+        effects.add(new SessionEffect.Log(
+                "-", "connection refused", describe(refusal.get()) + " version=" + configuration.version()));
+        effects.add(new SessionEffect.Reject(refusal.get()));
+        return session;
+    }
+
+    static CallerSession arrive(
+            CallerSession session,
+            SessionEvent.StatementArrived arrived,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        Optional<OpenTransaction> open = session.transaction();
+        return open.isPresent()
+                ? inTransaction(session, open.get(), arrived, context, effects)
+                : outsideTransaction(session, arrived, context, effects);
+    }
+
+    static CallerSession tokenGranted(CallerSession session, SessionContext context, List<SessionEffect> effects) {
+        CurrentStatement current = session.current().orElseThrow();
+        if (current.statement() instanceof Statement.Begin begin) {
+            OpenTransaction open = OpenTransaction.begin(current.route(), begin.readOnly(), context.now());
+            return StatementEnd.finish(session.with(open), List.of(), UNSIGNED, Optional.empty(), effects);
+        }
+        return StatementRun.place(session, context, effects);
+    }
+
+    static CallerSession tokenRefused(
+            CallerSession session, SessionEvent.TokenRefused refused, List<SessionEffect> effects) {
+        return StatementEnd.fail(
+                session,
+                ErrorCode.BUSY,
+                "over the rate; retry after " + refused.retryAfter().toMillis() + " ms",
+                effects);
+    }
+
+    private static CallerSession outsideTransaction(
+            CallerSession session,
+            SessionEvent.StatementArrived arrived,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        return switch (arrived.statement()) {
+            case Statement.Begin _, Statement.Read _, Statement.Write _, Statement.Execute _ ->
+                admit(session, arrived, context, effects);
+            case Statement.Commit _, Statement.Rollback _ ->
+                answer(session, failed(ErrorCode.MALFORMED, "no transaction is open"), effects);
+            case Statement.SetValue _, Statement.Prepare _, Statement.Deallocate _, Statement.Malformed _ ->
+                changeMemory(session, arrived.statement(), effects);
+        };
+    }
+
+    private static CallerSession inTransaction(
+            CallerSession session,
+            OpenTransaction open,
+            SessionEvent.StatementArrived arrived,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        return switch (open.condition()) {
+            case FAILED_UNREPORTED -> reportFailure(session, open, arrived.statement(), effects);
+            case FAILED -> endFailed(session, arrived.statement(), effects);
+            case RUNNING -> continueTransaction(session, open, arrived, context, effects);
+        };
+    }
+
+    private static CallerSession reportFailure(
+            CallerSession session, OpenTransaction open, Statement statement, List<SessionEffect> effects) {
+        StatementResult.Failed rolledBack = failed(ErrorCode.ROLLED_BACK, "the transaction was rolled back");
+        return switch (statement) {
+            case Statement.Rollback _ -> answer(session.withoutTransaction(), UNSIGNED, effects);
+            case Statement.Commit _ -> answer(session.withoutTransaction(), rolledBack, effects);
+            default -> answer(session.with(open.failed(OpenTransaction.Condition.FAILED)), rolledBack, effects);
+        };
+    }
+
+    private static CallerSession endFailed(CallerSession session, Statement statement, List<SessionEffect> effects) {
+        return switch (statement) {
+            case Statement.Rollback _ -> answer(session.withoutTransaction(), UNSIGNED, effects);
+            case Statement.Commit _ ->
+                answer(
+                        session.withoutTransaction(),
+                        failed(ErrorCode.ROLLED_BACK, "the transaction had failed"),
+                        effects);
+            default -> answer(session, failed(ErrorCode.MALFORMED, "the transaction has failed"), effects);
+        };
+    }
+
+    private static CallerSession continueTransaction(
+            CallerSession session,
+            OpenTransaction open,
+            SessionEvent.StatementArrived arrived,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        return switch (arrived.statement()) {
+            case Statement.Begin _ -> {
+                CallerSession rolledBack = StatementEnd.rollBack(session, OpenTransaction.Condition.FAILED, effects);
+                yield answer(rolledBack, failed(ErrorCode.MALFORMED, "a transaction is open already"), effects);
+            }
+            case Statement.Rollback _ -> {
+                CallerSession rolledBack = StatementEnd.rollBack(session, OpenTransaction.Condition.FAILED, effects);
+                yield answer(rolledBack.withoutTransaction(), UNSIGNED, effects);
+            }
+            case Statement.SetValue _, Statement.Prepare _, Statement.Deallocate _, Statement.Malformed _ ->
+                changeMemory(session.with(open.idleFrom(context.now())), arrived.statement(), effects);
+            case Statement.Commit _, Statement.Read _, Statement.Write _, Statement.Execute _ ->
+                runInTransaction(session, open, arrived, context, effects);
+        };
+    }
+
+    private static CallerSession runInTransaction(
+            CallerSession session,
+            OpenTransaction open,
+            SessionEvent.StatementArrived arrived,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        if (session.customer(open.route(), context.view().configuration()).isEmpty()) {
+            CallerSession rolledBack = StatementEnd.rollBack(session, OpenTransaction.Condition.FAILED, effects);
+            return answer(rolledBack, failed(ErrorCode.UNKNOWN_KEY, "the key is not known any more"), effects);
+        }
+        Optional<PreparedShape> shape = shapeOf(session, arrived.statement());
+        if (arrived.statement() instanceof Statement.Execute execute && shape.isEmpty()) {
+            CallerSession rolledBack = StatementEnd.rollBack(session, OpenTransaction.Condition.FAILED, effects);
+            return answer(rolledBack, unknownStatement(execute.name()), effects);
+        }
+        CallerSession started = start(session, arrived, shape, open.route(), context.now(), effects);
+        return StatementRun.place(started, context, effects);
+    }
+
+    private static CallerSession admit(
+            CallerSession session,
+            SessionEvent.StatementArrived arrived,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        ServiceConfiguration configuration = context.view().configuration();
+        Optional<StatementResult.Failed> refusal = refusal(session, configuration);
+        if (refusal.isPresent()) {
+            effects.add(new SessionEffect.Log(
+                    arrived.request(), "refused", describe(refusal.get()) + " version=" + configuration.version()));
+            return answer(session, refusal.get(), effects);
+        }
+        Optional<PreparedShape> shape = shapeOf(session, arrived.statement());
+        if (arrived.statement() instanceof Statement.Execute execute && shape.isEmpty()) {
+            return answer(session, unknownStatement(execute.name()), effects);
+        }
+        ServiceRoute route =
+                configuration.route(session.database().orElseThrow()).orElseThrow();
+        CallerSession started = start(session, arrived, shape, route, context.now(), effects);
+        CustomerName customer = session.customer(route, configuration).orElseThrow();
+        effects.add(new SessionEffect.TakeToken(customer));
+        return started.with(new SessionProgress.AwaitingToken());
+    }
+
+    private static CallerSession start(
+            CallerSession session,
+            SessionEvent.StatementArrived arrived,
+            Optional<PreparedShape> shape,
+            ServiceRoute route,
+            Instant now,
+            List<SessionEffect> effects) {
+        Instant deadline = now.plus(route.statementTimeout());
+        effects.add(new SessionEffect.WakeAt(deadline));
+        return session.with(
+                new CurrentStatement(arrived.request(), arrived.statement(), shape, route, now, deadline, 0, Set.of()));
+    }
+
+    private static Optional<StatementResult.Failed> refusal(CallerSession session, ServiceConfiguration configuration) {
+        Optional<ServiceRoute> route = session.database().flatMap(configuration::route);
+        if (route.isEmpty()) {
+            return Optional.of(failed(ErrorCode.UNKNOWN_DATABASE, "no route has this database name"));
+        }
+        return session.customer(route.get(), configuration).isPresent()
+                ? Optional.empty()
+                : Optional.of(failed(ErrorCode.UNKNOWN_KEY, "no customer holds this key"));
+    }
+
+    private static CallerSession changeMemory(CallerSession session, Statement statement, List<SessionEffect> effects) {
+        SessionMemory memory = session.memory();
+        return switch (statement) {
+            case Statement.SetValue value ->
+                answer(session.with(memory.withValue(value.name(), value.value())), UNSIGNED, effects);
+            case Statement.Prepare prepare
+            when memory.prepared().containsKey(prepare.name()) ->
+                answer(
+                        session,
+                        failed(ErrorCode.MALFORMED, "the name " + prepare.name() + " is prepared already"),
+                        effects);
+            case Statement.Prepare prepare ->
+                answer(session.with(memory.withPrepared(prepare.name(), prepare.shape())), UNSIGNED, effects);
+            case Statement.Deallocate deallocate
+            when memory.prepared().containsKey(deallocate.name()) ->
+                answer(session.with(memory.withoutPrepared(deallocate.name())), UNSIGNED, effects);
+            case Statement.Deallocate deallocate -> answer(session, unknownStatement(deallocate.name()), effects);
+            case Statement.Malformed malformed ->
+                answer(session, failed(ErrorCode.MALFORMED, malformed.reason()), effects);
+            case Statement.Begin _,
+                    Statement.Commit _,
+                    Statement.Rollback _,
+                    Statement.Read _,
+                    Statement.Write _,
+                    Statement.Execute _ -> throw new IllegalArgumentException("not a statement of the session alone");
+        };
+    }
+
+    private static Optional<PreparedShape> shapeOf(CallerSession session, Statement statement) {
+        return statement instanceof Statement.Execute execute
+                ? Optional.ofNullable(session.memory().prepared().get(execute.name()))
+                : Optional.empty();
+    }
+
+    private static StatementResult.Failed unknownStatement(String name) {
+        return failed(ErrorCode.UNKNOWN_STATEMENT, "no statement is prepared as " + name);
+    }
+
+    private static CallerSession answer(CallerSession session, StatementResult result, List<SessionEffect> effects) {
+        return StatementEnd.finish(session, List.of(), result, Optional.empty(), effects);
+    }
+
+    private static StatementResult.Failed failed(ErrorCode code, String text) {
+        return new StatementResult.Failed(code, text);
+    }
+
+    private static String describe(StatementResult.Failed failure) {
+        return "code=" + failure.code() + " reason=\"" + failure.text() + "\"";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/directory/GroupDirectory.java
@@ -0,0 +1,114 @@
+package org.geraniumproxy.core.directory;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.geraniumproxy.core.identity.BackendServerName;
+
+/**
+ * The databases of a group and the one that leads it.
+ *
+ * @param databases the databases by name
+ * @param claim the newest claim that this VM learned outside the entries
+ * @param deposed databases that refused as replicas although their entry says primary, by revision of that entry
+ */
+public record GroupDirectory(
+        Map<BackendServerName, DatabaseEntry> databases,
+        Optional<PrimaryClaim> claim,
+        Map<BackendServerName, Long> deposed) {
+    /** A group without databases. */
+    public static final GroupDirectory EMPTY = new GroupDirectory(Map.of(), Optional.empty(), Map.of());
+
+    /** Copies the maps. */
+    public GroupDirectory {
+        databases = Map.copyOf(databases);
+        deposed = Map.copyOf(deposed);
+    }
+
+    /**
+     * Returns the database to send writes to: the claimed primary while its entry does not contradict the claim, else
+     * the youngest entry that says primary and has not refused as a replica since.
+     *
+     * @return the primary, or empty if none is known
+     */
+    public Optional<DatabaseEntry> primary() {
+        Optional<DatabaseEntry> claimed = claim.map(known -> databases.get(known.database()));
+        if (claimed.isPresent() && !isDeposed(claimed.get())) {
+            return claimed;
+        }
+        return databases.values().stream()
+                .filter(DatabaseEntry::primary)
+                .filter(entry -> !isDeposed(entry))
+                .max(Comparator.comparingLong(DatabaseEntry::revision));
+    }
+
+    /**
+     * Returns the databases that do not lead and do not leave.
+     *
+     * @return the replicas in the order of their names
+     */
+    public List<DatabaseEntry> readableReplicas() {
+        Optional<BackendServerName> leader = primary().map(DatabaseEntry::name);
+        return databases.values().stream()
+                .filter(entry -> !entry.draining())
+                .filter(entry -> !leader.equals(Optional.of(entry.name())))
+                .sorted(Comparator.comparing(entry -> entry.name().value()))
+                .toList();
+    }
+
+    /**
+     * Replaces the entries.
+     *
+     * @param newest the entries in force
+     * @return the directory; what is no longer named is forgotten
+     */
+    public GroupDirectory withDatabases(Map<BackendServerName, DatabaseEntry> newest) {
+        Set<BackendServerName> names = newest.keySet();
+        Map<BackendServerName, Long> remaining = deposed.entrySet().stream()
+                .filter(entry -> names.contains(entry.getKey()))
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        return new GroupDirectory(newest, claim, remaining);
+    }
+
+    /**
+     * Takes a claim into account.
+     *
+     * @param newer the claim
+     * @return the directory; a claim of a term that is not greater changes nothing
+     */
+    public GroupDirectory withClaim(PrimaryClaim newer) {
+        boolean known = claim.map(present -> present.term() >= newer.term()).orElse(false);
+        return known ? this : new GroupDirectory(databases, Optional.of(newer), without(newer.database()));
+    }
+
+    /**
+     * Records that a database refused as a replica.
+     *
+     * @param database the database
+     * @return the directory; the database is not the primary until its entry changes
+     */
+    public GroupDirectory withDeposed(BackendServerName database) {
+        DatabaseEntry entry = databases.get(database);
+        if (entry == null) {
+            return this;
+        }
+        Map<BackendServerName, Long> extended = new HashMap<>(deposed);
+        extended.put(database, entry.revision());
+        return new GroupDirectory(databases, claim, extended);
+    }
+
+    private Map<BackendServerName, Long> without(BackendServerName database) {
+        Map<BackendServerName, Long> remaining = new HashMap<>(deposed);
+        remaining.remove(database);
+        return remaining;
+    }
+
+    private boolean isDeposed(DatabaseEntry entry) {
+        Long revision = deposed.get(entry.name());
+        return revision != null && entry.revision() <= revision;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEffect.java
@@ -0,0 +1,53 @@
+package org.geraniumproxy.core.fleet;
+
+import java.util.Map;
+import org.geraniumproxy.core.caller.TrafficView;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.limit.RateShare;
+
+/** What an adapter carries out for the control thread. */
+public sealed interface FleetEffect {
+    /**
+     * Publish a view to the traffic thread.
+     *
+     * @param view the view
+     * @param shares this VM's shares of the customers' rates
+     */
+    record Publish(TrafficView view, Map<CustomerName, RateShare> shares) implements FleetEffect {
+        /** Copies the map. */
+        public Publish {
+            shares = Map.copyOf(shares);
+        }
+    }
+
+    /**
+     * Send a message to the other VMs.
+     *
+     * @param message the message
+     * @param addresses their addresses
+     */
+    record Tell(PeerMessage message, Map<VmName, String> addresses) implements FleetEffect {
+        /** Copies the map. */
+        public Tell {
+            addresses = Map.copyOf(addresses);
+        }
+    }
+
+    /**
+     * Ask another VM for its newer configuration.
+     *
+     * @param vm the VM
+     * @param address its address
+     * @param version the version that it has
+     */
+    record FetchConfiguration(VmName vm, String address, long version) implements FleetEffect {}
+
+    /**
+     * Write a change of belief to the log.
+     *
+     * @param belief what changed
+     * @param detail its inputs
+     */
+    record Log(String belief, String detail) implements FleetEffect {}
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -0,0 +1,103 @@
+package org.geraniumproxy.core.fleet;
+
+import java.util.Map;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.DatabaseHealth;
+import org.geraniumproxy.core.directory.PrimaryClaim;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.service.ServiceConfiguration;
+
+/** What the control thread learns. */
+public sealed interface FleetEvent {
+    /**
+     * A version of the configuration.
+     *
+     * @param configuration the configuration
+     */
+    record ConfigurationLearned(ServiceConfiguration configuration) implements FleetEvent {}
+
+    /**
+     * All entries of databases.
+     *
+     * @param entries the entries by name
+     */
+    record DatabasesLearned(Map<BackendServerName, DatabaseEntry> entries) implements FleetEvent {
+        /** Copies the map. */
+        public DatabasesLearned {
+            entries = Map.copyOf(entries);
+        }
+    }
+
+    /**
+     * The entry of one database changed.
+     *
+     * @param entry the entry
+     */
+    record DatabaseChanged(DatabaseEntry entry) implements FleetEvent {}
+
+    /**
+     * The entry of a database is missing.
+     *
+     * @param database the database
+     */
+    record DatabaseMissing(BackendServerName database) implements FleetEvent {}
+
+    /**
+     * All VMs that have joined.
+     *
+     * @param addresses their addresses for messages
+     */
+    record VmsLearned(Map<VmName, String> addresses) implements FleetEvent {
+        /** Copies the map. */
+        public VmsLearned {
+            addresses = Map.copyOf(addresses);
+        }
+    }
+
+    /**
+     * Another VM sent a message.
+     *
+     * @param message the message
+     */
+    record PeerHeard(PeerMessage message) implements FleetEvent {}
+
+    /**
+     * The traffic thread reports.
+     *
+     * @param demand operations per second that each customer asks for here
+     * @param health how each database answers
+     */
+    record TrafficReported(Map<CustomerName, Double> demand, Map<BackendServerName, DatabaseHealth> health)
+            implements FleetEvent {
+        /** Copies the maps. */
+        public TrafficReported {
+            demand = Map.copyOf(demand);
+            health = Map.copyOf(health);
+        }
+    }
+
+    /**
+     * A database that was believed to be the primary refused as a replica.
+     *
+     * @param group its group
+     * @param database the database
+     */
+    record RefusedAsReplica(GroupName group, BackendServerName database) implements FleetEvent {}
+
+    /**
+     * This VM learned the primary of a group from its own order or from a database.
+     *
+     * @param group the group
+     * @param claim the primary and its term
+     */
+    record PrimaryClaimed(GroupName group, PrimaryClaim claim) implements FleetEvent {}
+
+    /** This process is asked to stop. */
+    record DrainBegan() implements FleetEvent {}
+
+    /** Callers are asked to leave, because the balancer knows by now. */
+    record CallersAskedToLeave() implements FleetEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -0,0 +1,368 @@
+package org.geraniumproxy.core.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumproxy.core.caller.TrafficView;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.DatabaseHealth;
+import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.directory.PrimaryClaim;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.limit.FleetShare;
+import org.geraniumproxy.core.limit.RateShare;
+import org.geraniumproxy.core.service.ServiceConfiguration;
+import org.geraniumproxy.core.service.ServiceCustomer;
+
+/**
+ * What this VM believes about the configuration, the databases and the other VMs. Versions of the configuration never
+ * go back within one life of a process.
+ *
+ * @param self this VM
+ * @param configuration the newest configuration
+ * @param databases databases by name
+ * @param claims primaries learned outside the entries, by group
+ * @param deposed revision of the entry of each database that refused as a replica
+ * @param vms addresses of the other VMs
+ * @param peers last message of each other VM
+ * @param demand operations per second that each customer asks for here
+ * @param health how each database answers here
+ * @param draining whether this process stops
+ * @param callersLeave whether callers are asked to leave
+ */
+public record FleetState(
+        VmName self,
+        ServiceConfiguration configuration,
+        Map<BackendServerName, TrackedDatabase> databases,
+        Map<GroupName, PrimaryClaim> claims,
+        Map<BackendServerName, Long> deposed,
+        Map<VmName, String> vms,
+        Map<VmName, HeardPeer> peers,
+        Map<CustomerName, Double> demand,
+        Map<BackendServerName, DatabaseHealth> health,
+        boolean draining,
+        boolean callersLeave) {
+    /** Silence after which another VM counts as not heard: several lost messages in a row. */
+    static final Duration PEER_SILENCE = Duration.ofMillis(1500);
+
+    /** Copies the maps. */
+    public FleetState {
+        databases = Map.copyOf(databases);
+        claims = Map.copyOf(claims);
+        deposed = Map.copyOf(deposed);
+        vms = Map.copyOf(vms);
+        peers = Map.copyOf(peers);
+        demand = Map.copyOf(demand);
+        health = Map.copyOf(health);
+    }
+
+    /**
+     * Returns the state of a process that has learned nothing.
+     *
+     * @param self this VM
+     * @return the state
+     */
+    public static FleetState initial(VmName self) {
+        return new FleetState(
+                self,
+                ServiceConfiguration.NONE,
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                false,
+                false);
+    }
+
+    /**
+     * Applies an event.
+     *
+     * @param event the event
+     * @param now the present moment
+     * @return the next state and its effects
+     */
+    public Transition<FleetState, FleetEffect> on(FleetEvent event, Instant now) {
+        List<FleetEffect> effects = new ArrayList<>();
+        FleetState next = apply(event, now, effects).withoutGoneDatabases(now, effects);
+        effects.add(new FleetEffect.Publish(next.view(), next.shares(now)));
+        if (event instanceof FleetEvent.TrafficReported) {
+            effects.add(new FleetEffect.Tell(next.message(now), next.vms));
+        }
+        return Transition.to(next, effects);
+    }
+
+    /**
+     * Returns the databases of each group as this VM believes them.
+     *
+     * @return directories by group
+     */
+    public Map<GroupName, GroupDirectory> groups() {
+        Map<GroupName, Map<BackendServerName, DatabaseEntry>> entries = new HashMap<>();
+        databases
+                .values()
+                .forEach(tracked -> entries.computeIfAbsent(tracked.entry().group(), _ -> new HashMap<>())
+                        .put(tracked.entry().name(), tracked.entry()));
+        Map<GroupName, GroupDirectory> directories = new HashMap<>();
+        entries.forEach((group, members) -> {
+            Map<BackendServerName, Long> refused = new HashMap<>(deposed);
+            refused.keySet().retainAll(members.keySet());
+            directories.put(group, new GroupDirectory(members, Optional.ofNullable(claims.get(group)), refused));
+        });
+        return directories;
+    }
+
+    /**
+     * Tells how many other VMs see a database fail for at least some time, among those heard lately.
+     *
+     * @param database the database
+     * @param atLeast shortest time
+     * @param now the present moment
+     * @return number of the VMs
+     */
+    public int peersThatSeeFailing(BackendServerName database, Duration atLeast, Instant now) {
+        return (int) heardPeers(now).stream()
+                .filter(peer -> isAtLeast(peer.message().failingFor().get(database), atLeast)
+                        || isAtLeast(peer.message().commitsFailingFor().get(database), atLeast))
+                .count();
+    }
+
+    /**
+     * Returns the number of other VMs that were heard lately.
+     *
+     * @param now the present moment
+     * @return their number
+     */
+    public int heardVms(Instant now) {
+        return heardPeers(now).size();
+    }
+
+    /**
+     * Tells whether the entry of a database is missing in the store.
+     *
+     * @param database the database
+     * @return true if it is missing or was never seen
+     */
+    public boolean isMissing(BackendServerName database) {
+        TrackedDatabase tracked = databases.get(database);
+        return tracked == null || tracked.missingSince().isPresent();
+    }
+
+    private FleetState apply(FleetEvent event, Instant now, List<FleetEffect> effects) {
+        return switch (event) {
+            case FleetEvent.ConfigurationLearned learned -> learn(learned.configuration(), effects);
+            case FleetEvent.DatabasesLearned learned -> learnAll(learned.entries(), now);
+            case FleetEvent.DatabaseChanged changed -> learn(changed.entry(), now, effects);
+            case FleetEvent.DatabaseMissing missing -> miss(missing.database(), now, effects);
+            case FleetEvent.VmsLearned learned -> learnVms(learned.addresses());
+            case FleetEvent.PeerHeard heard -> hear(heard.message(), now, effects);
+            case FleetEvent.TrafficReported reported -> withReport(reported);
+            case FleetEvent.RefusedAsReplica refused -> depose(refused, effects);
+            case FleetEvent.PrimaryClaimed claimed -> claim(claimed.group(), claimed.claim(), effects);
+            case FleetEvent.DrainBegan _ -> withDraining(true, callersLeave);
+            case FleetEvent.CallersAskedToLeave _ -> withDraining(true, true);
+        };
+    }
+
+    private FleetState learn(ServiceConfiguration newest, List<FleetEffect> effects) {
+        if (newest.version() <= configuration.version()) {
+            return this;
+        }
+        effects.add(new FleetEffect.Log(
+                "configuration in force", "version=" + newest.version() + " previous=" + configuration.version()));
+        return new FleetState(
+                self, newest, databases, claims, deposed, vms, peers, demand, health, draining, callersLeave);
+    }
+
+    private FleetState learnAll(Map<BackendServerName, DatabaseEntry> entries, Instant now) {
+        Map<BackendServerName, TrackedDatabase> next = new HashMap<>();
+        databases.forEach((name, tracked) -> next.put(name, tracked.missing(now)));
+        entries.forEach((name, entry) -> next.compute(
+                name, (_, known) -> known == null ? TrackedDatabase.of(entry, now) : known.updated(entry, now)));
+        return with(next);
+    }
+
+    private FleetState learn(DatabaseEntry entry, Instant now, List<FleetEffect> effects) {
+        TrackedDatabase known = databases.get(entry.name());
+        if (known != null && known.entry().revision() > entry.revision()) {
+            return this;
+        }
+        effects.add(new FleetEffect.Log(
+                "database entry",
+                "database=" + entry.name() + " group=" + entry.group() + " primary=" + entry.primary() + " draining="
+                        + entry.draining() + " revision=" + entry.revision()));
+        Map<BackendServerName, TrackedDatabase> next = new HashMap<>(databases);
+        next.put(entry.name(), known == null ? TrackedDatabase.of(entry, now) : known.updated(entry, now));
+        return with(next);
+    }
+
+    private FleetState miss(BackendServerName database, Instant now, List<FleetEffect> effects) {
+        TrackedDatabase known = databases.get(database);
+        if (known == null) {
+            return this;
+        }
+        effects.add(new FleetEffect.Log("database entry missing", "database=" + database));
+        Map<BackendServerName, TrackedDatabase> next = new HashMap<>(databases);
+        next.put(database, known.missing(now));
+        return with(next);
+    }
+
+    private FleetState learnVms(Map<VmName, String> addresses) {
+        Map<VmName, String> others = new HashMap<>(addresses);
+        others.remove(self);
+        Map<VmName, HeardPeer> remaining = new HashMap<>(peers);
+        remaining.keySet().retainAll(others.keySet());
+        return new FleetState(
+                self,
+                configuration,
+                databases,
+                claims,
+                deposed,
+                others,
+                remaining,
+                demand,
+                health,
+                draining,
+                callersLeave);
+    }
+
+    private FleetState hear(PeerMessage message, Instant now, List<FleetEffect> effects) {
+        Map<VmName, HeardPeer> heard = new HashMap<>(peers);
+        heard.put(message.sender(), new HeardPeer(message, now));
+        if (message.configurationVersion() > configuration.version() && vms.containsKey(message.sender())) {
+            effects.add(new FleetEffect.FetchConfiguration(
+                    message.sender(), vms.get(message.sender()), message.configurationVersion()));
+        }
+        FleetState next = new FleetState(
+                self, configuration, databases, claims, deposed, vms, heard, demand, health, draining, callersLeave);
+        for (Map.Entry<GroupName, PrimaryClaim> claimed : message.claims().entrySet()) {
+            next = next.claim(claimed.getKey(), claimed.getValue(), effects);
+        }
+        return next;
+    }
+
+    private FleetState claim(GroupName group, PrimaryClaim newer, List<FleetEffect> effects) {
+        PrimaryClaim known = claims.get(group);
+        if (known != null && known.term() >= newer.term()) {
+            return this;
+        }
+        effects.add(new FleetEffect.Log(
+                "primary learned", "group=" + group + " database=" + newer.database() + " term=" + newer.term()));
+        Map<GroupName, PrimaryClaim> next = new HashMap<>(claims);
+        next.put(group, newer);
+        Map<BackendServerName, Long> remaining = new HashMap<>(deposed);
+        remaining.remove(newer.database());
+        return new FleetState(
+                self, configuration, databases, next, remaining, vms, peers, demand, health, draining, callersLeave);
+    }
+
+    private FleetState depose(FleetEvent.RefusedAsReplica refused, List<FleetEffect> effects) {
+        TrackedDatabase tracked = databases.get(refused.database());
+        if (tracked == null) {
+            return this;
+        }
+        Map<BackendServerName, Long> next = new HashMap<>(deposed);
+        Long previous = next.put(refused.database(), tracked.entry().revision());
+        if (previous == null || previous != tracked.entry().revision()) {
+            effects.add(new FleetEffect.Log(
+                    "primary refused as replica",
+                    "group=" + refused.group() + " database=" + refused.database() + " revision="
+                            + tracked.entry().revision()));
+        }
+        return new FleetState(
+                self, configuration, databases, claims, next, vms, peers, demand, health, draining, callersLeave);
+    }
+
+    private FleetState withReport(FleetEvent.TrafficReported reported) {
+        return new FleetState(
+                self,
+                configuration,
+                databases,
+                claims,
+                deposed,
+                vms,
+                peers,
+                reported.demand(),
+                reported.health(),
+                draining,
+                callersLeave);
+    }
+
+    private FleetState withDraining(boolean stops, boolean leave) {
+        return new FleetState(
+                self, configuration, databases, claims, deposed, vms, peers, demand, health, stops, leave);
+    }
+
+    private FleetState with(Map<BackendServerName, TrackedDatabase> next) {
+        return new FleetState(
+                self, configuration, next, claims, deposed, vms, peers, demand, health, draining, callersLeave);
+    }
+
+    private FleetState withoutGoneDatabases(Instant now, List<FleetEffect> effects) {
+        if (databases.values().stream().noneMatch(tracked -> tracked.isGone(now))) {
+            return this;
+        }
+        Map<BackendServerName, TrackedDatabase> remaining = new HashMap<>();
+        databases.forEach((name, tracked) -> {
+            if (tracked.isGone(now)) {
+                effects.add(new FleetEffect.Log(
+                        "database gone",
+                        "database=" + name + " missing="
+                                + tracked.missingSince().isPresent()));
+            } else {
+                remaining.put(name, tracked);
+            }
+        });
+        return with(remaining);
+    }
+
+    private TrafficView view() {
+        return new TrafficView(configuration, groups(), callersLeave, vms.size() + 1);
+    }
+
+    private Map<CustomerName, RateShare> shares(Instant now) {
+        List<HeardPeer> heard = heardPeers(now);
+        int missing = Math.max(0, vms.size() - heard.size());
+        Map<CustomerName, RateShare> shares = new HashMap<>();
+        for (ServiceCustomer customer : configuration.customers().values()) {
+            List<Double> others = heard.stream()
+                    .map(peer -> peer.message().demand().getOrDefault(customer.name(), 0.0))
+                    .toList();
+            double own = demand.getOrDefault(customer.name(), 0.0);
+            shares.put(
+                    customer.name(),
+                    FleetShare.of(customer.operationsPerSecond(), customer.burst(), own, others, missing));
+        }
+        return shares;
+    }
+
+    private PeerMessage message(Instant now) {
+        Map<BackendServerName, Duration> failing = new HashMap<>();
+        Map<BackendServerName, Duration> commits = new HashMap<>();
+        health.forEach((database, seen) -> {
+            seen.failingSince().ifPresent(since -> failing.put(database, Duration.between(since, now)));
+            seen.commitsFailingSince().ifPresent(since -> commits.put(database, Duration.between(since, now)));
+        });
+        return new PeerMessage(self, configuration.version(), demand, failing, commits, claims);
+    }
+
+    private List<HeardPeer> heardPeers(Instant now) {
+        return peers.values().stream()
+                .filter(peer -> Duration.between(peer.heardAt(), now).compareTo(PEER_SILENCE) < 0)
+                .toList();
+    }
+
+    private static boolean isAtLeast(Duration seen, Duration bound) {
+        return seen != null && seen.compareTo(bound) >= 0;
+    }
+}
--- a/core/src/main/java/org/geraniumproxy/core/limit/DemandEstimate.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/DemandEstimate.java
@@ -9,7 +9,7 @@
  * @param perSecond the estimate at the moment of the last update
  * @param updatedAt that moment
  */
-record DemandEstimate(double perSecond, Instant updatedAt) {
+public record DemandEstimate(double perSecond, Instant updatedAt) {
     /** Time constant of the decay: long enough to smooth single requests, short against the rate of a customer. */
     private static final double TIME_CONSTANT_SECONDS = 1.0;
 
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/limit/FleetShare.java
@@ -0,0 +1,43 @@
+package org.geraniumproxy.core.limit;
+
+import java.util.List;
+
+/**
+ * Divides a customer's rate among the VMs by what their callers ask for. The balancer spreads callers unevenly, so
+ * equal shares would refuse operations within the rate. The shares of all VMs add up to the rate as long as they know
+ * each other's demand; VMs that are not heard keep an equal part for themselves, so that VMs on both sides of a cut
+ * together stay within the rate.
+ */
+public final class FleetShare {
+    /** Part of the rate that is divided equally, so that the first operations at an idle VM find tokens. */
+    private static final double EQUAL_PART = 0.1;
+
+    private static final double MILLI_TOKENS_PER_TOKEN = 1000;
+
+    private FleetShare() {}
+
+    /**
+     * Returns this VM's share.
+     *
+     * @param operationsPerSecond rate of the customer over all VMs
+     * @param burst burst of the customer over all VMs
+     * @param ownDemand operations per second asked for at this VM
+     * @param heardDemand operations per second asked for at each other VM that was heard lately
+     * @param missingVms VMs that exist but were not heard lately
+     * @return the share
+     */
+    public static RateShare of(
+            double operationsPerSecond, int burst, double ownDemand, List<Double> heardDemand, int missingVms) {
+        int heard = heardDemand.size() + 1;
+        double available = (double) heard / (heard + missingVms);
+        double demand = ownDemand;
+        for (double other : heardDemand) {
+            demand += other;
+        }
+        double byDemand = demand > 0 ? ownDemand / demand : 1.0 / heard;
+        double fraction = available * (EQUAL_PART / heard + (1 - EQUAL_PART) * byDemand);
+        long rate = (long) Math.floor(operationsPerSecond * fraction * MILLI_TOKENS_PER_TOKEN);
+        long tokens = Math.max(1, (long) Math.floor(burst * fraction));
+        return new RateShare(rate, burst == 0 ? 0 : tokens);
+    }
+}
--- a/core/src/main/java/org/geraniumproxy/core/limit/TokenBucket.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/TokenBucket.java
@@ -11,14 +11,15 @@
  * @param units level
  * @param refilledAt moment up to which the level includes what the rate added
  */
-record TokenBucket(long units, Instant refilledAt) {
+public record TokenBucket(long units, Instant refilledAt) {
     /** Units of one token. */
     static final long UNITS_PER_TOKEN = 1_000_000_000_000L;
 
     /** Largest burst of a share; more tokens do not fit the level. */
     static final long MAXIMUM_BURST = Long.MAX_VALUE / UNITS_PER_TOKEN / 2;
 
-    TokenBucket {
+    /** Checks the level. */
+    public TokenBucket {
         InvariantViolation.check(units >= 0, "a token bucket never holds less than nothing");
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/pool/FairQueue.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/FairQueue.java
@@ -127,6 +127,18 @@
         return new FairQueue(policy, remaining, lastFinish, virtualTime, nextSequence);
     }
 
+    /** Removes a request; one that does not wait changes nothing. */
+    FairQueue withoutRequest(long number) {
+        for (List<QueuedRequest> requests : waiting.values()) {
+            for (QueuedRequest queued : requests) {
+                if (queued.request().number() == number) {
+                    return remove(queued, virtualTime);
+                }
+            }
+        }
+        return this;
+    }
+
     private boolean hasExpired(Instant now) {
         for (List<QueuedRequest> requests : waiting.values()) {
             for (QueuedRequest queued : requests) {
@@ -139,6 +151,10 @@
     }
 
     private FairQueue without(QueuedRequest first) {
+        return remove(first, Math.max(virtualTime, first.virtualFinish()));
+    }
+
+    private FairQueue remove(QueuedRequest first, double now) {
         CustomerName customer = first.request().customer();
         Map<CustomerName, List<QueuedRequest>> remaining = new HashMap<>(waiting);
         List<QueuedRequest> others = waiting.get(customer).stream()
@@ -149,7 +165,6 @@
         } else {
             remaining.put(customer, others);
         }
-        double now = Math.max(virtualTime, first.virtualFinish());
         Map<CustomerName, Double> finishes = new HashMap<>(lastFinish);
         finishes.values().removeIf(finish -> finish <= now);
         return new FairQueue(policy, remaining, finishes, now, nextSequence);
--- /dev/null
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
@@ -0,0 +1,254 @@
+package org.geraniumproxy.engine.loop;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import org.geraniumproxy.engine.telemetry.DecisionLog;
+
+/** One thread that serves connections, timers and tasks. It waits in the selector and never spins. */
+public final class EventLoop implements Executor {
+    /** Bytes read at once; larger than nearly every message. */
+    private static final int READ_BUFFER_BYTES = 64 * 1024;
+
+    /** Connections that wait to be accepted; a restart brings all callers of a VM at once. */
+    private static final int ACCEPT_BACKLOG = 1024;
+
+    private final Selector selector;
+    private final Clock clock;
+    private final DecisionLog log;
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final Deque<StreamConnection> flushes = new ArrayDeque<>();
+    private final ByteBuffer buffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+    private long timerSequence;
+
+    private record Timer(Instant at, long sequence, Runnable task) implements Comparable<Timer> {
+        @Override
+        public int compareTo(Timer other) {
+            int byTime = at.compareTo(other.at);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+
+    private record Listener(ServerSocketChannel channel, Function<StreamConnection[], StreamHandler> handlers) {}
+
+    /**
+     * Creates a loop.
+     *
+     * @param clock a clock that never jumps
+     * @param log receives failures of tasks
+     * @throws IOException if the system offers no selector
+     */
+    public EventLoop(Clock clock, DecisionLog log) throws IOException {
+        this.selector = Selector.open();
+        this.clock = clock;
+        this.log = log;
+    }
+
+    /**
+     * Starts the thread.
+     *
+     * @param name name of the thread
+     */
+    public void start(String name) {
+        Thread.ofPlatform().name(name).start(this::run);
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        tasks.add(task);
+        selector.wakeup();
+    }
+
+    /**
+     * Runs a task at a moment; called on the loop's thread.
+     *
+     * @param at the moment
+     * @param task the task
+     */
+    public void schedule(Instant at, Runnable task) {
+        timers.add(new Timer(at, timerSequence++, task));
+    }
+
+    /**
+     * Accepts connections; called before the loop starts or on its thread.
+     *
+     * @param address where to listen
+     * @param handlers creates the handler of a connection; the array holds the connection after the call
+     * @return closes the listener when run on the loop's thread
+     * @throws IOException if the address cannot be used
+     */
+    public Runnable listen(InetSocketAddress address, Function<StreamConnection[], StreamHandler> handlers)
+            throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open();
+        server.configureBlocking(false);
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        server.bind(address, ACCEPT_BACKLOG);
+        server.register(selector, SelectionKey.OP_ACCEPT, new Listener(server, handlers));
+        return () -> closeListener(server);
+    }
+
+    /**
+     * Opens a connection; called on the loop's thread.
+     *
+     * @param address where to
+     * @param handler receives what happens to it
+     * @return the connection, not yet open
+     */
+    public StreamConnection connect(InetSocketAddress address, StreamHandler handler) {
+        try {
+            SocketChannel channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            StreamConnection connection = new StreamConnection(this, channel, handler);
+            boolean immediate = channel.connect(address);
+            SelectionKey key = channel.register(selector, SelectionKey.OP_CONNECT, connection);
+            connection.register(key);
+            if (immediate) {
+                execute(connection::connectable);
+            }
+            return connection;
+        } catch (IOException e) {
+            report("opening a connection failed", e);
+            StreamConnection failed = new StreamConnection(this, null, handler);
+            execute(() -> handler.closed("not opened: " + e.getMessage()));
+            return failed;
+        }
+    }
+
+    void flushLater(StreamConnection connection) {
+        flushes.add(connection);
+    }
+
+    void report(String what, Exception cause) {
+        log.write("loop", what, "error=\"" + cause + "\"");
+    }
+
+    private void run() {
+        while (selector.isOpen()) {
+            try {
+                runTimers();
+                runTasks();
+                flush();
+                select();
+            } catch (IOException e) {
+                report("the selector failed", e);
+            }
+        }
+    }
+
+    private void select() throws IOException {
+        Timer next = timers.peek();
+        long wait = 0;
+        if (next != null) {
+            Duration left = Duration.between(clock.instant(), next.at());
+            wait = Math.max(1, left.toMillis() + 1);
+        }
+        if (tasks.isEmpty()) {
+            selector.select(this::handle, wait);
+        } else {
+            selector.selectNow(this::handle);
+        }
+    }
+
+    private void handle(SelectionKey key) {
+        try {
+            if (!key.isValid()) {
+                return;
+            }
+            switch (key.attachment()) {
+                case Listener listener -> accept(listener);
+                case StreamConnection connection -> handle(key, connection);
+                default -> throw new IllegalStateException("unknown attachment of a key");
+            }
+        } catch (RuntimeException e) {
+            report("handling a connection failed", e);
+            if (key.attachment() instanceof StreamConnection connection) {
+                connection.close("internal error: " + e);
+            }
+        }
+    }
+
+    private void handle(SelectionKey key, StreamConnection connection) {
+        if (key.isConnectable()) {
+            connection.connectable();
+        } else {
+            if (key.isWritable()) {
+                connection.flush();
+            }
+            if (key.isValid() && key.isReadable()) {
+                connection.readable(buffer);
+            }
+        }
+    }
+
+    private void accept(Listener listener) {
+        try {
+            SocketChannel channel = listener.channel().accept();
+            while (channel != null) {
+                channel.configureBlocking(false);
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                channel.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
+                StreamConnection[] holder = new StreamConnection[1];
+                StreamHandler handler = listener.handlers().apply(holder);
+                holder[0] = new StreamConnection(this, channel, handler);
+                holder[0].register(channel.register(selector, SelectionKey.OP_READ, holder[0]));
+                handler.connected();
+                channel = listener.channel().accept();
+            }
+        } catch (IOException e) {
+            report("accepting a connection failed", e);
+        }
+    }
+
+    private void closeListener(ServerSocketChannel server) {
+        try {
+            server.close();
+        } catch (IOException e) {
+            report("closing a listener failed", e);
+        }
+    }
+
+    private void runTimers() {
+        Instant now = clock.instant();
+        while (!timers.isEmpty() && !timers.peek().at().isAfter(now)) {
+            runSafely(timers.remove().task());
+        }
+    }
+
+    private void runTasks() {
+        int count = tasks.size();
+        for (int index = 0; index < count; index++) {
+            runSafely(tasks.remove());
+        }
+    }
+
+    private void flush() {
+        while (!flushes.isEmpty()) {
+            flushes.remove().flush();
+        }
+    }
+
+    private void runSafely(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            report("a task failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/geraniumproxy/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Sockets, timers and threads round the core, for callers with sessions. */
+package org.geraniumproxy.engine;
--- /dev/null
+++ b/engine/src/main/java/org/geraniumproxy/engine/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between VMs. */
+package org.geraniumproxy.engine.peer;
--- /dev/null
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/DecisionLog.java
@@ -0,0 +1,99 @@
+package org.geraniumproxy.engine.telemetry;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes one line for each decision. The threads that decide never wait for the output: a line that finds the queue
+ * full is dropped and counted, and the count is written with the next line.
+ *
+ * <pre>{@code
+ * log.write("session", request, "refused", "code=BUSY age=12ms");
+ * }</pre>
+ */
+public final class DecisionLog {
+    /** Lines that may wait; at 200 bytes a line this is 0.8 MB. */
+    private static final int MOST_WAITING_LINES = 4096;
+
+    private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MOST_WAITING_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private final PrintStream output;
+
+    /**
+     * Creates a log.
+     *
+     * @param output where the lines go
+     */
+    public DecisionLog(PrintStream output) {
+        this.output = output;
+    }
+
+    /** Starts the thread that writes the lines. */
+    public void start() {
+        Thread.ofPlatform().daemon().name("decision-log").start(this::writeLines);
+    }
+
+    /**
+     * Writes a line about a request.
+     *
+     * @param part the part of the program that decided
+     * @param request identifier of the request, or "-"
+     * @param decision what was decided
+     * @param detail inputs of the decision, with their age or version
+     */
+    public void write(String part, String request, String decision, String detail) {
+        String line = part + ": request=" + request + " decision=\"" + decision + "\" " + detail;
+        if (!waiting.offer(line)) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    /**
+     * Writes a line that is about no request.
+     *
+     * @param part the part of the program that decided
+     * @param decision what was decided or learned
+     * @param detail inputs of the decision, with their age or version
+     */
+    public void write(String part, String decision, String detail) {
+        write(part, "-", decision, detail);
+    }
+
+    /** Writes the lines that wait; called when the process stops. */
+    public void flush() {
+        String line = waiting.poll();
+        while (line != null) {
+            output.println(line);
+            line = waiting.poll();
+        }
+        output.flush();
+    }
+
+    private void writeLines() {
+        try {
+            while (true) {
+                StringBuilder batch = new StringBuilder();
+                batch.append(waiting.take()).append('\n');
+                String next = waiting.poll();
+                while (next != null) {
+                    batch.append(next).append('\n');
+                    next = waiting.poll();
+                }
+                long lost = dropped.getAndSet(0);
+                if (lost > 0) {
+                    batch.append("log: request=- decision=\"lines dropped\" count=")
+                            .append(lost)
+                            .append('\n');
+                }
+                byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
+                output.write(bytes, 0, bytes.length);
+                output.flush();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseLink.java
@@ -0,0 +1,360 @@
+package org.geraniumproxy.engine.traffic;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumproxy.core.caller.BackendCommand;
+import org.geraniumproxy.core.caller.BackendReply;
+import org.geraniumproxy.core.caller.CallerSession;
+import org.geraniumproxy.core.caller.ConnectionMemory;
+import org.geraniumproxy.core.caller.DatabaseLoad;
+import org.geraniumproxy.core.caller.ErrorCode;
+import org.geraniumproxy.core.caller.SessionEvent;
+import org.geraniumproxy.core.caller.StatementResult;
+import org.geraniumproxy.core.caller.TransactionState;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.DatabaseHealth;
+import org.geraniumproxy.core.pool.ConnectionReport;
+import org.geraniumproxy.core.pool.PoolEffect;
+import org.geraniumproxy.core.pool.PoolEvent;
+import org.geraniumproxy.core.pool.PoolState;
+import org.geraniumproxy.core.pool.PoolView;
+import org.geraniumproxy.core.pool.QueuePolicy;
+import org.geraniumproxy.core.pool.SlotRequest;
+
+/** The connections of this VM to one database: carries out the pool's decisions. */
+final class DatabaseLink implements BackendConnection.Owner {
+    /** Longest time to open a connection: several round trips between regions and the slot that an opening takes. */
+    private static final Duration OPENING_TIMEOUT = Duration.ofMillis(1500);
+
+    /** Time for which reads avoid a database that lagged: several times the usual replication delay. */
+    private static final Duration LAG_AVOIDANCE = Duration.ofMillis(150);
+
+    /** Time for which reads avoid a database that does not answer. */
+    private static final Duration SILENCE_AVOIDANCE = Duration.ofSeconds(1);
+
+    /** Share of a new sample in the usual latency. */
+    private static final int LATENCY_SMOOTHING = 8;
+
+    private final TrafficEngine engine;
+    private final Map<Long, BackendConnection> connections = new HashMap<>();
+    private final Deque<BackendConnection> idle = new ArrayDeque<>();
+    private final Map<Long, Long> holders = new HashMap<>();
+    private final Set<Long> rollingBack = new LinkedHashSet<>();
+    private final Set<Long> waiting = new LinkedHashSet<>();
+    private DatabaseEntry entry;
+    private PoolState pool = PoolState.initial(QueuePolicy.standard());
+    private DatabaseHealth health = DatabaseHealth.UNUSED;
+    private Duration latency = DatabaseLoad.UNKNOWN.latency();
+    private Instant avoidUntil = Instant.MIN;
+    private boolean gone;
+
+    DatabaseLink(TrafficEngine engine, DatabaseEntry entry) {
+        this.engine = engine;
+        this.entry = entry;
+    }
+
+    DatabaseEntry entry() {
+        return entry;
+    }
+
+    DatabaseHealth health() {
+        return health;
+    }
+
+    DatabaseLoad load() {
+        return new DatabaseLoad(pool.waitingRequests() + pool.usedSlots(), latency, avoidUntil);
+    }
+
+    /** Takes a newer entry. A database that started again or moved knows none of the connections. */
+    void update(DatabaseEntry newest) {
+        boolean replaced = newest.startedAtMilliseconds() != entry.startedAtMilliseconds()
+                || !newest.address().equals(entry.address());
+        entry = newest;
+        gone = false;
+        if (replaced) {
+            closeIdle("the database started again");
+        }
+    }
+
+    /** The database left: idle connections are closed, and what waits goes elsewhere. */
+    void leave() {
+        gone = true;
+        closeIdle("the database left");
+        refuseWaiting("the database left");
+    }
+
+    boolean isUnused() {
+        return connections.isEmpty();
+    }
+
+    void request(SlotRequest request, long holder) {
+        if (gone) {
+            engine.deliver(holder, new SessionEvent.SlotRefused(request.number(), "the database left", true));
+            return;
+        }
+        waiting.add(request.number());
+        apply(new PoolEvent.SlotRequested(request));
+    }
+
+    void cancel(long number) {
+        if (waiting.remove(number)) {
+            apply(new PoolEvent.RequestWithdrawn(number));
+        }
+    }
+
+    void release(long number) {
+        apply(new PoolEvent.SlotReleased(number));
+    }
+
+    ConnectionMemory memory(long connection) {
+        return connections.get(connection).memory();
+    }
+
+    void send(long connection, List<BackendCommand> commands) {
+        connections.get(connection).send(commands);
+    }
+
+    void giveBack(long number, ConnectionMemory memory, boolean rollback) {
+        BackendConnection connection = connections.get(number);
+        holders.remove(number);
+        if (connection == null) {
+            return;
+        }
+        connection.remember(memory);
+        if (rollback) {
+            rollingBack.add(number);
+            connection.send(List.of(new BackendCommand.Rollback()));
+        } else {
+            becomeIdle(connection);
+        }
+    }
+
+    void close(long number) {
+        holders.remove(number);
+        BackendConnection connection = connections.remove(number);
+        if (connection != null) {
+            connection.discard("its state is unknown");
+            apply(new PoolEvent.ConnectionReturned(false));
+        }
+    }
+
+    void tick() {
+        apply(new PoolEvent.TimePassed());
+    }
+
+    void recordAnswer(Duration took, boolean acknowledgedCommit) {
+        health = health.answered(engine.now(), acknowledgedCommit);
+        latency = latency.plus(took.minus(latency).dividedBy(LATENCY_SMOOTHING));
+    }
+
+    void recordSilence(boolean commit) {
+        health = health.failed(engine.now(), commit);
+        avoidUntil = engine.now().plus(SILENCE_AVOIDANCE);
+        closeIdle("another connection to the database went silent");
+    }
+
+    void recordLag() {
+        avoidUntil = engine.now().plus(LAG_AVOIDANCE);
+    }
+
+    @Override
+    public void opened(BackendConnection connection) {
+        connection.heardAt(engine.now());
+        health = health.answered(engine.now(), false);
+        idle.push(connection);
+        apply(new PoolEvent.ConnectionOpened());
+        engine.drain();
+    }
+
+    @Override
+    public void openingRefused(BackendConnection connection, BackendReply reply) {
+        String text = reply.result() instanceof StatementResult.Failed failure
+                ? failure.code() + " " + failure.text()
+                : "not ready";
+        boolean full = reply.result() instanceof StatementResult.Failed failure
+                && (failure.code() == ErrorCode.CONNECTION_LIMIT || failure.code() == ErrorCode.BUSY);
+        if (full) {
+            health = health.answered(engine.now(), false);
+        }
+        openingFailed(connection, text, full);
+    }
+
+    @Override
+    public void replied(BackendConnection connection, List<BackendReply> replies) {
+        connection.heardAt(engine.now());
+        if (rollingBack.remove(connection.number())) {
+            BackendReply last = replies.getLast();
+            if (last.isCompleted() && last.state() == TransactionState.IDLE) {
+                becomeIdle(connection);
+            } else {
+                close(connection.number());
+            }
+        } else {
+            Long holder = holders.get(connection.number());
+            engine.deliver(holder, new SessionEvent.Replied(connection.number(), replies));
+        }
+        engine.drain();
+    }
+
+    @Override
+    public void lost(BackendConnection connection, String reason) {
+        if (!connection.isOpen() && pool.totalConnections() > 0 && isOpening(connection)) {
+            openingFailed(connection, reason, false);
+            engine.drain();
+            return;
+        }
+        engine.log("-", "connection lost", "database=" + entry.name() + " reason=\"" + reason + "\"");
+        Long holder = holders.get(connection.number());
+        if (holder != null) {
+            engine.deliver(holder, new SessionEvent.ConnectionLost(connection.number()));
+        } else if (rollingBack.remove(connection.number())) {
+            connections.remove(connection.number());
+            apply(new PoolEvent.ConnectionReturned(false));
+        } else if (idle.remove(connection)) {
+            connections.remove(connection.number());
+            apply(new PoolEvent.IdleConnectionsLost(1));
+        }
+        engine.drain();
+    }
+
+    private boolean isOpening(BackendConnection connection) {
+        return connections.containsKey(connection.number())
+                && !holders.containsKey(connection.number())
+                && !rollingBack.contains(connection.number())
+                && !idle.contains(connection);
+    }
+
+    private void becomeIdle(BackendConnection connection) {
+        if (gone) {
+            close(connection.number());
+            return;
+        }
+        idle.push(connection);
+        apply(new PoolEvent.ConnectionReturned(true));
+    }
+
+    private void openingFailed(BackendConnection connection, String reason, boolean full) {
+        engine.log("-", "connection not opened", "database=" + entry.name() + " reason=\"" + reason + "\"");
+        connections.remove(connection.number());
+        apply(new PoolEvent.OpeningFailed());
+        if (!full) {
+            health = health.failed(engine.now(), false);
+            avoidUntil = engine.now().plus(SILENCE_AVOIDANCE);
+            if (connections.values().stream().noneMatch(BackendConnection::isOpen)) {
+                refuseWaiting("no connection to the database");
+            }
+        }
+    }
+
+    private void refuseWaiting(String reason) {
+        for (long number : List.copyOf(waiting)) {
+            cancel(number);
+            engine.deliver(CallerSession.sessionOf(number), new SessionEvent.SlotRefused(number, reason, true));
+        }
+    }
+
+    private void closeIdle(String reason) {
+        int count = idle.size();
+        while (!idle.isEmpty()) {
+            BackendConnection connection = idle.pop();
+            connections.remove(connection.number());
+            connection.discard(reason);
+        }
+        if (count > 0) {
+            apply(new PoolEvent.IdleConnectionsLost(count));
+        }
+    }
+
+    private void apply(PoolEvent event) {
+        Transition<PoolState, PoolEffect> transition = pool.on(event, view(), engine.now());
+        pool = transition.state();
+        for (PoolEffect effect : transition.effects()) {
+            carryOut(effect);
+        }
+    }
+
+    private PoolView view() {
+        int slots = Math.max(1, entry.slots());
+        int limit = engine.connectionLimit(entry.group());
+        int others = Math.max(0, engine.vmCount() - 1) * slots;
+        int share = gone ? 0 : Math.max(slots, limit - others);
+        return new PoolView(slots, limit, share, Optional.of(new ConnectionReport(engine.now(), 0)));
+    }
+
+    private void carryOut(PoolEffect effect) {
+        switch (effect) {
+            case PoolEffect.Grant grant -> grant(grant.request());
+            case PoolEffect.Refuse refuse -> {
+                long number = refuse.request().number();
+                waiting.remove(number);
+                engine.deliver(
+                        CallerSession.sessionOf(number),
+                        new SessionEvent.SlotRefused(number, "slot " + refuse.reason(), false));
+            }
+            case PoolEffect.Open open -> {
+                for (int index = 0; index < open.count(); index++) {
+                    open();
+                }
+            }
+            case PoolEffect.CloseIdle close -> {
+                for (int index = 0; index < close.count(); index++) {
+                    BackendConnection connection = idle.removeLast();
+                    connections.remove(connection.number());
+                    connection.discard("not needed");
+                }
+            }
+        }
+    }
+
+    private void grant(SlotRequest request) {
+        long holder = CallerSession.sessionOf(request.number());
+        waiting.remove(request.number());
+        if (request.holdsConnection()) {
+            for (Map.Entry<Long, Long> held : holders.entrySet()) {
+                if (held.getValue() == holder) {
+                    grant(request, holder, connections.get(held.getKey()));
+                    return;
+                }
+            }
+            throw new IllegalStateException("a session without a connection says that it holds one");
+        }
+        BackendConnection connection = idle.pop();
+        holders.put(connection.number(), holder);
+        grant(request, holder, connection);
+    }
+
+    private void grant(SlotRequest request, long holder, BackendConnection connection) {
+        engine.deliver(
+                holder, new SessionEvent.SlotGranted(request.number(), connection.number(), connection.memory()));
+    }
+
+    private void open() {
+        byte[] opening = engine.backendProtocol().open(entry.group(), CallerSession.ANONYMOUS, entry.name());
+        BackendConnection connection =
+                new BackendConnection(engine.nextConnection(), this, engine.backendProtocol(), opening);
+        connections.put(connection.number(), connection);
+        connection.attach(engine.loop().connect(addressOf(entry.address()), connection));
+        engine.loop().schedule(engine.now().plus(OPENING_TIMEOUT), () -> {
+            if (isOpening(connection)) {
+                connection.discard("opening timed out");
+                openingFailed(connection, "opening timed out", false);
+                engine.drain();
+            }
+        });
+    }
+
+    private static InetSocketAddress addressOf(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -0,0 +1,349 @@
+package org.geraniumproxy.engine.traffic;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumproxy.core.caller.BackendCommand;
+import org.geraniumproxy.core.caller.BackendReply;
+import org.geraniumproxy.core.caller.CallerSession;
+import org.geraniumproxy.core.caller.DatabaseLoad;
+import org.geraniumproxy.core.caller.DatabaseObservation;
+import org.geraniumproxy.core.caller.ErrorCode;
+import org.geraniumproxy.core.caller.ProvenPositions;
+import org.geraniumproxy.core.caller.SessionContext;
+import org.geraniumproxy.core.caller.SessionEffect;
+import org.geraniumproxy.core.caller.SessionEvent;
+import org.geraniumproxy.core.caller.StatementResult;
+import org.geraniumproxy.core.caller.TrafficView;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.DatabaseHealth;
+import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.limit.LocalRate;
+import org.geraniumproxy.core.limit.RateShare;
+import org.geraniumproxy.core.pool.SlotRequest;
+import org.geraniumproxy.core.service.ServiceGroup;
+import org.geraniumproxy.core.statement.Statement;
+import org.geraniumproxy.engine.loop.EventLoop;
+import org.geraniumproxy.engine.loop.StreamConnection;
+import org.geraniumproxy.engine.loop.StreamHandler;
+import org.geraniumproxy.engine.loop.TimeJumpDetector;
+import org.geraniumproxy.engine.telemetry.DecisionLog;
+
+/**
+ * Serves the callers of this VM. All state belongs to the thread of one event loop; what the control thread decides
+ * arrives as an immutable view.
+ */
+public final class TrafficEngine {
+    /** Interval of reports and of looks at pools whose openings failed. */
+    private static final Duration TICK = Duration.ofMillis(100);
+
+    /** Weight of the least important customers in the order of waiting requests; each priority above doubles it. */
+    private static final int LOWEST_WEIGHT = 1;
+
+    private static final int PRIORITIES = 4;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final TimeJumpDetector timeJumps;
+    private final CallerProtocol callerProtocol;
+    private final BackendProtocol backendProtocol;
+    private final DecisionLog log;
+    private final TrafficObserver observer;
+    private final Map<Long, SessionCarrier> sessions = new HashMap<>();
+    private final Map<BackendServerName, DatabaseLink> links = new HashMap<>();
+    private final Map<GroupName, ProvenPositions> positions = new HashMap<>();
+    private final Deque<Runnable> work = new ArrayDeque<>();
+    private final RateGate rates = new RateGate();
+    private final AdministrativeCalls administration = new AdministrativeCalls(this);
+    private TrafficView view = TrafficView.NONE;
+    private long lastSession;
+    private long lastConnection;
+    private boolean draining;
+
+    /**
+     * Creates an engine.
+     *
+     * @param loop its event loop
+     * @param clock a clock that never jumps
+     * @param timeJumps notices when the VM was suspended
+     * @param callerProtocol the protocol of the callers
+     * @param backendProtocol the protocol of the databases
+     * @param log receives decisions
+     * @param observer receives what the traffic shows
+     */
+    public TrafficEngine(
+            EventLoop loop,
+            Clock clock,
+            TimeJumpDetector timeJumps,
+            CallerProtocol callerProtocol,
+            BackendProtocol backendProtocol,
+            DecisionLog log,
+            TrafficObserver observer) {
+        this.loop = loop;
+        this.clock = clock;
+        this.timeJumps = timeJumps;
+        this.callerProtocol = callerProtocol;
+        this.backendProtocol = backendProtocol;
+        this.log = log;
+        this.observer = observer;
+    }
+
+    /** Starts the regular reports; called on the loop's thread. */
+    public void start() {
+        tick();
+    }
+
+    /**
+     * Returns the handler of a new caller.
+     *
+     * @param stream holds the connection after the call
+     * @return the handler
+     */
+    public StreamHandler accept(StreamConnection[] stream) {
+        lastSession++;
+        SessionCarrier carrier = new SessionCarrier(this, lastSession, stream);
+        sessions.put(lastSession, carrier);
+        return carrier;
+    }
+
+    /**
+     * Puts a view and the shares of this VM in force; called on the loop's thread.
+     *
+     * @param next the view
+     * @param shares shares of the customers' rates
+     */
+    public void putInForce(TrafficView next, Map<CustomerName, RateShare> shares) {
+        view = next;
+        rates.putInForce(shares, now());
+        Map<BackendServerName, DatabaseEntry> entries = new HashMap<>();
+        for (GroupDirectory group : next.groups().values()) {
+            entries.putAll(group.databases());
+        }
+        entries.forEach((name, entry) ->
+                links.computeIfAbsent(name, _ -> new DatabaseLink(this, entry)).update(entry));
+        for (DatabaseLink link : links.values()) {
+            if (!entries.containsKey(link.entry().name())) {
+                link.leave();
+            }
+        }
+        links.values().removeIf(link -> !entries.containsKey(link.entry().name()) && link.isUnused());
+        if (next.draining() && !draining) {
+            draining = true;
+        }
+        drain();
+    }
+
+    /**
+     * Sends a command of this VM itself to a database; called on the loop's thread.
+     *
+     * @param database the database
+     * @param command the command
+     * @param timeout longest wait for the answer
+     * @return the answer; fails if none came in time
+     */
+    public CompletableFuture<BackendReply> administer(
+            BackendServerName database, BackendCommand command, Duration timeout) {
+        CompletableFuture<BackendReply> result = administration.call(database, command, timeout);
+        drain();
+        return result;
+    }
+
+    /**
+     * Returns the number of sessions; called on the loop's thread.
+     *
+     * @return sessions of callers
+     */
+    public int sessionCount() {
+        return sessions.size();
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    Instant now() {
+        return clock.instant();
+    }
+
+    CallerProtocol callerProtocol() {
+        return callerProtocol;
+    }
+
+    BackendProtocol backendProtocol() {
+        return backendProtocol;
+    }
+
+    long nextConnection() {
+        lastConnection++;
+        return lastConnection;
+    }
+
+    int vmCount() {
+        return view.vmCount();
+    }
+
+    int connectionLimit(GroupName group) {
+        ServiceGroup settings = view.configuration().groups().get(group);
+        return settings == null ? 1 : settings.connectionLimit();
+    }
+
+    DatabaseLink link(BackendServerName database) {
+        return links.get(database);
+    }
+
+    void log(String request, String decision, String detail) {
+        log.write("traffic", request, decision, detail);
+    }
+
+    SessionContext context() {
+        if (timeJumps.hasJumped()) {
+            positions.clear();
+            log("-", "clock jumped", "effect=\"positions of primaries are learned anew\"");
+        }
+        Map<BackendServerName, DatabaseLoad> loads = new HashMap<>();
+        links.forEach((name, link) -> loads.put(name, link.load()));
+        return new SessionContext(view, positions, loads, now());
+    }
+
+    /** Delivers an event to a session after the present step. */
+    void deliver(long session, SessionEvent event) {
+        work.add(() -> {
+            if (session == AdministrativeCalls.HOLDER) {
+                administration.apply(event);
+                return;
+            }
+            SessionCarrier carrier = sessions.get(session);
+            if (carrier != null) {
+                carrier.apply(event);
+            }
+        });
+    }
+
+    /** Carries out the steps that wait; called at the end of each callback. */
+    void drain() {
+        Runnable next = work.poll();
+        while (next != null) {
+            next.run();
+            next = work.poll();
+        }
+    }
+
+    void forget(long session) {
+        sessions.remove(session);
+    }
+
+    void answerInvalid(SessionCarrier carrier, String reason) {
+        log("-", "malformed message", "session=" + carrier.session().id() + " reason=\"" + reason + "\"");
+        SessionEvent.StatementArrived malformed =
+                new SessionEvent.StatementArrived("-", new Statement.Malformed(reason));
+        carrier.apply(malformed);
+    }
+
+    void rejectInvalid(SessionCarrier carrier, String reason) {
+        log("-", "connection refused", "session=" + carrier.session().id() + " reason=\"" + reason + "\"");
+        StatementResult.Failed failure = new StatementResult.Failed(ErrorCode.MALFORMED, "not a valid message here");
+        carrier.stream().send(callerProtocol.rejected(failure));
+        carrier.stream().closeAfterOutput();
+    }
+
+    void carryOut(SessionCarrier carrier, SessionEffect effect) {
+        switch (effect) {
+            case SessionEffect.Accept _ -> carrier.stream().send(callerProtocol.accepted());
+            case SessionEffect.Reject reject -> {
+                carrier.stream().send(callerProtocol.rejected(reject.failure()));
+                carrier.stream().closeAfterOutput();
+            }
+            case SessionEffect.Reply reply -> carrier.stream().send(callerProtocol.reply(reply));
+            case SessionEffect.CloseCaller _ -> carrier.stream().closeAfterOutput();
+            case SessionEffect.TakeToken take -> deliver(carrier.session().id(), admit(take.customer()));
+            case SessionEffect.RequestSlot request -> requestSlot(request);
+            case SessionEffect.CancelSlot cancel -> cancelSlot(cancel);
+            case SessionEffect.ReleaseSlot release -> link(release.database()).release(release.number());
+            case SessionEffect.Send send -> link(send.database()).send(send.connection(), send.commands());
+            case SessionEffect.ReturnConnection back ->
+                link(back.database()).giveBack(back.connection(), back.memory(), back.rollback());
+            case SessionEffect.CloseConnection close -> link(close.database()).close(close.connection());
+            case SessionEffect.RecordPosition record ->
+                positions.merge(
+                        record.group(),
+                        ProvenPositions.NONE.with(record.sample()),
+                        (known, _) -> known.with(record.sample()));
+            case SessionEffect.Observe observe -> observe(observe.group(), observe.observation());
+            case SessionEffect.WakeAt wake -> wakeAt(carrier, wake.at());
+            case SessionEffect.Log line -> log(line.request(), line.decision(), line.detail());
+        }
+    }
+
+    private SessionEvent admit(CustomerName customer) {
+        return switch (rates.admit(customer, now())) {
+            case LocalRate.Admission.Admitted _ -> new SessionEvent.TokenGranted();
+            case LocalRate.Admission.Refused refused -> new SessionEvent.TokenRefused(refused.retryAfter());
+        };
+    }
+
+    private void requestSlot(SessionEffect.RequestSlot request) {
+        int weight = LOWEST_WEIGHT << Math.max(0, PRIORITIES - request.priority());
+        SlotRequest slot = new SlotRequest(
+                request.number(), request.customer(), weight, 1, request.deadline(), request.holdsConnection());
+        long holder = CallerSession.sessionOf(request.number());
+        DatabaseLink link = links.get(request.database());
+        if (link == null) {
+            deliver(holder, new SessionEvent.SlotRefused(request.number(), "the database left", true));
+            return;
+        }
+        link.request(slot, holder);
+    }
+
+    private void cancelSlot(SessionEffect.CancelSlot cancel) {
+        DatabaseLink link = links.get(cancel.database());
+        if (link != null) {
+            link.cancel(cancel.number());
+        }
+    }
+
+    private void observe(GroupName group, DatabaseObservation observation) {
+        DatabaseLink link = links.get(observation.database());
+        if (link == null) {
+            return;
+        }
+        switch (observation) {
+            case DatabaseObservation.Answered answered ->
+                link.recordAnswer(answered.took(), answered.acknowledgedCommit());
+            case DatabaseObservation.Silent silent -> link.recordSilence(silent.commit());
+            case DatabaseObservation.NotLeading refused -> observer.refusedAsReplica(group, refused.database());
+            case DatabaseObservation.Lagging _ -> link.recordLag();
+        }
+    }
+
+    private void wakeAt(SessionCarrier carrier, Instant at) {
+        loop.schedule(at, () -> {
+            if (!carrier.hasLeft()) {
+                carrier.apply(new SessionEvent.TimePassed());
+                drain();
+            }
+        });
+    }
+
+    private void tick() {
+        links.values().forEach(DatabaseLink::tick);
+        if (draining) {
+            for (SessionCarrier carrier : List.copyOf(sessions.values())) {
+                carrier.apply(new SessionEvent.TimePassed());
+            }
+        }
+        drain();
+        Map<BackendServerName, DatabaseHealth> health = new HashMap<>();
+        links.forEach((name, link) -> health.put(name, link.health()));
+        observer.reported(new TrafficReport(rates.demand(now()), health, sessions.size()));
+        loop.schedule(now().plus(TICK), this::tick);
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficReport.java
@@ -0,0 +1,22 @@
+package org.geraniumproxy.engine.traffic;
+
+import java.util.Map;
+import org.geraniumproxy.core.directory.DatabaseHealth;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
+
+/**
+ * What the traffic thread tells the control thread at regular intervals.
+ *
+ * @param demand operations per second that each customer asks for
+ * @param health how each database answers
+ * @param sessions sessions of callers
+ */
+public record TrafficReport(
+        Map<CustomerName, Double> demand, Map<BackendServerName, DatabaseHealth> health, int sessions) {
+    /** Copies the maps. */
+    public TrafficReport {
+        demand = Map.copyOf(demand);
+        health = Map.copyOf(health);
+    }
+}
