Give each connection to a database to the customer it was opened for

Ruled out: naming no tenant at all, because a database compares the name with the holder of the key. Change: CustomerPool decides on slots and connections by customer; a customer without an idle connection takes the place of the one idle longest, and a VM keeps an equal share of the database's connections while they are idle.

--- a/core/src/main/java/org/geraniumproxy/core/pool/PoolEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/PoolEvent.java
@@ -9,13 +9,6 @@
      */
     record SlotRequested(SlotRequest request) implements PoolEvent {}
 
-    /**
-     * A request no longer wants a slot and has not got one.
-     *
-     * @param number number of the request
-     */
-    record RequestWithdrawn(long number) implements PoolEvent {}
-
     /**
      * A request gives its slot back.
      *
--- a/core/src/main/java/org/geraniumproxy/core/pool/PoolState.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/PoolState.java
@@ -88,7 +88,6 @@
     private PoolState apply(PoolEvent event, PoolView view, Instant now, List<PoolEffect> effects) {
         return switch (event) {
             case PoolEvent.SlotRequested requested -> enqueue(requested.request(), view, now, effects);
-            case PoolEvent.RequestWithdrawn withdrawn -> with(queue.withoutRequest(withdrawn.number()));
             case PoolEvent.SlotReleased released -> release(released.number(), now);
             case PoolEvent.ConnectionReturned returned -> with(connections.giveBack(returned.clean()));
             case PoolEvent.ConnectionOpened _ -> with(connections.opened(now, view));
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
@@ -7,6 +7,7 @@
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.ConnectionMemory;
+import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.engine.loop.StreamConnection;
 import org.geraniumproxy.engine.loop.StreamHandler;
 
@@ -24,6 +25,7 @@
     }
 
     private final long number;
+    private final CustomerName customer;
     private final Owner owner;
     private final BackendProtocol protocol;
     private final BackendProtocol.Decoder decoder;
@@ -36,8 +38,9 @@
     private boolean open;
     private boolean ended;
 
-    BackendConnection(long number, Owner owner, BackendProtocol protocol, byte[] opening) {
+    BackendConnection(long number, CustomerName customer, Owner owner, BackendProtocol protocol, byte[] opening) {
         this.number = number;
+        this.customer = customer;
         this.owner = owner;
         this.protocol = protocol;
         this.decoder = protocol.decoder();
@@ -48,6 +51,10 @@
         return number;
     }
 
+    CustomerName customer() {
+        return customer;
+    }
+
     boolean isOpen() {
         return open && !ended;
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseLink.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseLink.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
@@ -23,12 +22,11 @@
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.DatabaseHealth;
-import org.geraniumproxy.core.pool.ConnectionReport;
-import org.geraniumproxy.core.pool.PoolEffect;
-import org.geraniumproxy.core.pool.PoolEvent;
-import org.geraniumproxy.core.pool.PoolState;
-import org.geraniumproxy.core.pool.PoolView;
-import org.geraniumproxy.core.pool.QueuePolicy;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.pool.CustomerPool;
+import org.geraniumproxy.core.pool.CustomerPoolEffect;
+import org.geraniumproxy.core.pool.CustomerPoolEvent;
+import org.geraniumproxy.core.pool.CustomerPoolView;
 import org.geraniumproxy.core.pool.SlotRequest;
 
 /** The connections of this VM to one database: carries out the pool's decisions. */
@@ -42,6 +40,9 @@
     /** Time for which reads avoid a database that does not answer. */
     private static final Duration SILENCE_AVOIDANCE = Duration.ofSeconds(1);
 
+    /** Time after which an idle connection beyond this VM's share is closed: a few statements of a busy customer. */
+    private static final Duration SURPLUS_IDLE = Duration.ofMillis(400);
+
     /** Share of a new sample in the usual latency. */
     private static final int LATENCY_SMOOTHING = 8;
 
@@ -52,7 +53,7 @@
     private final Set<Long> rollingBack = new LinkedHashSet<>();
     private final Set<Long> waiting = new LinkedHashSet<>();
     private DatabaseEntry entry;
-    private PoolState pool = PoolState.initial(QueuePolicy.standard());
+    private CustomerPool pool = CustomerPool.initial();
     private DatabaseHealth health = DatabaseHealth.UNUSED;
     private Duration latency = DatabaseLoad.UNKNOWN.latency();
     private Instant avoidUntil = Instant.MIN;
@@ -72,7 +73,7 @@
     }
 
     DatabaseLoad load() {
-        return new DatabaseLoad(pool.waitingRequests() + pool.usedSlots(), latency, avoidUntil);
+        return new DatabaseLoad(pool.outstanding(), latency, avoidUntil);
     }
 
     /** Takes a newer entry. A database that started again or moved knows none of the connections. */
@@ -103,17 +104,17 @@
             return;
         }
         waiting.add(request.number());
-        apply(new PoolEvent.SlotRequested(request));
+        apply(new CustomerPoolEvent.SlotRequested(request));
     }
 
     void cancel(long number) {
         if (waiting.remove(number)) {
-            apply(new PoolEvent.RequestWithdrawn(number));
+            apply(new CustomerPoolEvent.RequestWithdrawn(number));
         }
     }
 
     void release(long number) {
-        apply(new PoolEvent.SlotReleased(number));
+        apply(new CustomerPoolEvent.SlotReleased(number));
     }
 
     ConnectionMemory memory(long connection) {
@@ -144,12 +145,12 @@
         BackendConnection connection = connections.remove(number);
         if (connection != null) {
             connection.discard("its state is unknown");
-            apply(new PoolEvent.ConnectionReturned(false));
+            apply(new CustomerPoolEvent.ConnectionReturned(connection.customer(), false));
         }
     }
 
     void tick() {
-        apply(new PoolEvent.TimePassed());
+        apply(new CustomerPoolEvent.TimePassed());
     }
 
     void recordAnswer(Duration took, boolean acknowledgedCommit) {
@@ -172,7 +173,7 @@
         connection.heardAt(engine.now());
         health = health.answered(engine.now(), false);
         idle.push(connection);
-        apply(new PoolEvent.ConnectionOpened());
+        apply(new CustomerPoolEvent.ConnectionOpened(connection.customer()));
         engine.drain();
     }
 
@@ -208,7 +209,7 @@
 
     @Override
     public void lost(BackendConnection connection, String reason) {
-        if (!connection.isOpen() && pool.totalConnections() > 0 && isOpening(connection)) {
+        if (isOpening(connection)) {
             openingFailed(connection, reason, false);
             engine.drain();
             return;
@@ -219,10 +220,10 @@
             engine.deliver(holder, new SessionEvent.ConnectionLost(connection.number()));
         } else if (rollingBack.remove(connection.number())) {
             connections.remove(connection.number());
-            apply(new PoolEvent.ConnectionReturned(false));
+            apply(new CustomerPoolEvent.ConnectionReturned(connection.customer(), false));
         } else if (idle.remove(connection)) {
             connections.remove(connection.number());
-            apply(new PoolEvent.IdleConnectionsLost(1));
+            apply(new CustomerPoolEvent.IdleConnectionLost(connection.customer()));
         }
         engine.drain();
     }
@@ -240,13 +241,13 @@
             return;
         }
         idle.push(connection);
-        apply(new PoolEvent.ConnectionReturned(true));
+        apply(new CustomerPoolEvent.ConnectionReturned(connection.customer(), true));
     }
 
     private void openingFailed(BackendConnection connection, String reason, boolean full) {
         engine.log("-", "connection not opened", "database=" + entry.name() + " reason=\"" + reason + "\"");
         connections.remove(connection.number());
-        apply(new PoolEvent.OpeningFailed());
+        apply(new CustomerPoolEvent.OpeningFailed(connection.customer(), full));
         if (!full) {
             health = health.failed(engine.now(), false);
             avoidUntil = engine.now().plus(SILENCE_AVOIDANCE);
@@ -264,58 +265,61 @@
     }
 
     private void closeIdle(String reason) {
-        int count = idle.size();
-        while (!idle.isEmpty()) {
-            BackendConnection connection = idle.pop();
+        for (BackendConnection connection : List.copyOf(idle)) {
+            idle.remove(connection);
             connections.remove(connection.number());
             connection.discard(reason);
-        }
-        if (count > 0) {
-            apply(new PoolEvent.IdleConnectionsLost(count));
+            apply(new CustomerPoolEvent.IdleConnectionLost(connection.customer()));
         }
     }
 
-    private void apply(PoolEvent event) {
-        Transition<PoolState, PoolEffect> transition = pool.on(event, view(), engine.now());
+    private void apply(CustomerPoolEvent event) {
+        Transition<CustomerPool, CustomerPoolEffect> transition = pool.on(event, view(), engine.now());
         pool = transition.state();
-        for (PoolEffect effect : transition.effects()) {
+        for (CustomerPoolEffect effect : transition.effects()) {
             carryOut(effect);
         }
     }
 
-    private PoolView view() {
-        int slots = Math.max(1, entry.slots());
-        int limit = engine.connectionLimit(entry.group());
-        int others = Math.max(0, engine.vmCount() - 1) * slots;
-        int share = gone ? 0 : Math.max(slots, limit - others);
-        return new PoolView(slots, limit, share, Optional.of(new ConnectionReport(engine.now(), 0)));
+    private CustomerPoolView view() {
+        return CustomerPoolView.of(
+                entry.slots(), engine.connectionLimit(entry.group()), engine.vmCount(), SURPLUS_IDLE);
     }
 
-    private void carryOut(PoolEffect effect) {
+    private void carryOut(CustomerPoolEffect effect) {
         switch (effect) {
-            case PoolEffect.Grant grant -> grant(grant.request());
-            case PoolEffect.Refuse refuse -> {
+            case CustomerPoolEffect.Grant grant -> grant(grant.request());
+            case CustomerPoolEffect.Refuse refuse -> {
                 long number = refuse.request().number();
                 waiting.remove(number);
                 engine.deliver(
                         CallerSession.sessionOf(number),
                         new SessionEvent.SlotRefused(number, "slot " + refuse.reason(), false));
             }
-            case PoolEffect.Open open -> {
-                for (int index = 0; index < open.count(); index++) {
-                    open();
-                }
-            }
-            case PoolEffect.CloseIdle close -> {
-                for (int index = 0; index < close.count(); index++) {
-                    BackendConnection connection = idle.removeLast();
-                    connections.remove(connection.number());
-                    connection.discard("not needed");
-                }
+            case CustomerPoolEffect.Open open -> open(open.customer());
+            case CustomerPoolEffect.CloseIdle close -> {
+                BackendConnection connection = oldestIdle(close.customer());
+                idle.remove(connection);
+                connections.remove(connection.number());
+                connection.discard("not needed");
             }
         }
     }
 
+    private BackendConnection youngestIdle(CustomerName customer) {
+        return idle.stream()
+                .filter(connection -> connection.customer().equals(customer))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private BackendConnection oldestIdle(CustomerName customer) {
+        return idle.reversed().stream()
+                .filter(connection -> connection.customer().equals(customer))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private void grant(SlotRequest request) {
         long holder = CallerSession.sessionOf(request.number());
         waiting.remove(request.number());
@@ -328,7 +332,8 @@
             }
             throw new IllegalStateException("a session without a connection says that it holds one");
         }
-        BackendConnection connection = idle.pop();
+        BackendConnection connection = youngestIdle(request.customer());
+        idle.remove(connection);
         holders.put(connection.number(), holder);
         grant(request, holder, connection);
     }
@@ -338,10 +343,10 @@
                 holder, new SessionEvent.SlotGranted(request.number(), connection.number(), connection.memory()));
     }
 
-    private void open() {
-        byte[] opening = engine.backendProtocol().open(entry.group(), CallerSession.ANONYMOUS, entry.name());
+    private void open(CustomerName customer) {
+        byte[] opening = engine.backendProtocol().open(entry.group(), customer, entry.name());
         BackendConnection connection =
-                new BackendConnection(engine.nextConnection(), this, engine.backendProtocol(), opening);
+                new BackendConnection(engine.nextConnection(), customer, this, engine.backendProtocol(), opening);
         connections.put(connection.number(), connection);
         connection.attach(engine.loop().connect(addressOf(entry.address()), connection));
         engine.loop().schedule(engine.now().plus(OPENING_TIMEOUT), () -> {
