--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -69,13 +69,18 @@
      *
      * @param demand operations per second that each customer asks for here
      * @param health how each database answers
+     * @param newestTerms newest term of each group that a primary named
      */
-    record TrafficReported(Map<CustomerName, Double> demand, Map<BackendServerName, DatabaseHealth> health)
+    record TrafficReported(
+            Map<CustomerName, Double> demand,
+            Map<BackendServerName, DatabaseHealth> health,
+            Map<GroupName, Long> newestTerms)
             implements FleetEvent {
         /** Copies the maps. */
         public TrafficReported {
             demand = Map.copyOf(demand);
             health = Map.copyOf(health);
+            newestTerms = Map.copyOf(newestTerms);
         }
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -7,10 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.geraniumproxy.core.caller.TrafficView;
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.directory.DatabaseEntry;
-import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
@@ -33,8 +34,7 @@
  * @param deposed revision of the entry of each database that refused as a replica
  * @param vms addresses of the other VMs
  * @param peers last message of each other VM
- * @param demand operations per second that each customer asks for here
- * @param health how each database answers here
+ * @param report the last report of the traffic thread
  * @param draining whether this process stops
  * @param callersLeave whether callers are asked to leave
  */
@@ -46,8 +46,7 @@
         Map<BackendServerName, Long> deposed,
         Map<VmName, String> vms,
         Map<VmName, HeardPeer> peers,
-        Map<CustomerName, Double> demand,
-        Map<BackendServerName, DatabaseHealth> health,
+        FleetEvent.TrafficReported report,
         boolean draining,
         boolean callersLeave) {
     /** Silence after which another VM counts as not heard: several lost messages in a row. */
@@ -60,8 +59,6 @@
         deposed = Map.copyOf(deposed);
         vms = Map.copyOf(vms);
         peers = Map.copyOf(peers);
-        demand = Map.copyOf(demand);
-        health = Map.copyOf(health);
     }
 
     /**
@@ -79,8 +76,7 @@
                 Map.of(),
                 Map.of(),
                 Map.of(),
-                Map.of(),
-                Map.of(),
+                new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of()),
                 false,
                 false);
     }
@@ -126,14 +122,16 @@
      * Tells how many other VMs see a database fail for at least some time, among those heard lately.
      *
      * @param database the database
-     * @param atLeast shortest time
+     * @param failing shortest time without any answer
+     * @param commitsFailing shortest time without an acknowledged commit
      * @param now the present moment
      * @return number of the VMs
      */
-    public int peersThatSeeFailing(BackendServerName database, Duration atLeast, Instant now) {
+    public int peersThatSeeFailing(
+            BackendServerName database, Duration failing, Duration commitsFailing, Instant now) {
         return (int) heardPeers(now).stream()
-                .filter(peer -> isAtLeast(peer.message().failingFor().get(database), atLeast)
-                        || isAtLeast(peer.message().commitsFailingFor().get(database), atLeast))
+                .filter(peer -> isAtLeast(peer.message().failingFor().get(database), failing)
+                        || isAtLeast(peer.message().commitsFailingFor().get(database), commitsFailing))
                 .count();
     }
 
@@ -148,14 +146,48 @@
     }
 
     /**
-     * Tells whether the entry of a database is missing in the store.
+     * Returns the newest term of a group that any VM saw.
+     *
+     * @param group the group
+     * @return the term, zero if none was seen
+     */
+    public long newestTerm(GroupName group) {
+        long newest = report.newestTerms().getOrDefault(group, 0L);
+        PrimaryClaim claim = claims.get(group);
+        if (claim != null) {
+            newest = Math.max(newest, claim.term());
+        }
+        for (HeardPeer peer : peers.values()) {
+            newest = Math.max(newest, peer.message().newestTerms().getOrDefault(group, 0L));
+        }
+        return newest;
+    }
+
+    /**
+     * Returns the databases that started again so lately that they may lack what they once confirmed.
+     *
+     * @param now the present moment
+     * @return their names
+     */
+    public Set<BackendServerName> unprovenDatabases(Instant now) {
+        return databases.values().stream()
+                .filter(tracked -> tracked.isUnproven(now))
+                .map(tracked -> tracked.entry().name())
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Returns how long the entry of a database has been missing in the store.
      *
      * @param database the database
-     * @return true if it is missing or was never seen
+     * @param now the present moment
+     * @return the time, zero if the entry is there
      */
-    public boolean isMissing(BackendServerName database) {
-        TrackedDatabase tracked = databases.get(database);
-        return tracked == null || tracked.missingSince().isPresent();
+    public Duration missingFor(BackendServerName database, Instant now) {
+        return Optional.ofNullable(databases.get(database))
+                .flatMap(TrackedDatabase::missingSince)
+                .map(since -> Duration.between(since, now))
+                .orElse(Duration.ZERO);
     }
 
     private FleetState apply(FleetEvent event, Instant now, List<FleetEffect> effects) {
@@ -181,7 +213,7 @@
         effects.add(new FleetEffect.Log(
                 "configuration in force", "version=" + newest.version() + " previous=" + configuration.version()));
         return new FleetState(
-                self, newest, databases, claims, deposed, vms, peers, demand, health, draining, callersLeave);
+                self, newest, databases, claims, deposed, vms, peers, report, draining, callersLeave);
     }
 
     private FleetState learnAll(Map<BackendServerName, DatabaseEntry> entries, Instant now) {
@@ -230,8 +262,7 @@
                 deposed,
                 others,
                 remaining,
-                demand,
-                health,
+                report,
                 draining,
                 callersLeave);
     }
@@ -244,7 +275,7 @@
                     message.sender(), vms.get(message.sender()), message.configurationVersion()));
         }
         FleetState next = new FleetState(
-                self, configuration, databases, claims, deposed, vms, heard, demand, health, draining, callersLeave);
+                self, configuration, databases, claims, deposed, vms, heard, report, draining, callersLeave);
         for (Map.Entry<GroupName, PrimaryClaim> claimed : message.claims().entrySet()) {
             next = next.claim(claimed.getKey(), claimed.getValue(), effects);
         }
@@ -263,7 +294,7 @@
         Map<BackendServerName, Long> remaining = new HashMap<>(deposed);
         remaining.remove(newer.database());
         return new FleetState(
-                self, configuration, databases, next, remaining, vms, peers, demand, health, draining, callersLeave);
+                self, configuration, databases, next, remaining, vms, peers, report, draining, callersLeave);
     }
 
     private FleetState depose(FleetEvent.RefusedAsReplica refused, List<FleetEffect> effects) {
@@ -280,7 +311,7 @@
                             + tracked.entry().revision()));
         }
         return new FleetState(
-                self, configuration, databases, claims, next, vms, peers, demand, health, draining, callersLeave);
+                self, configuration, databases, claims, next, vms, peers, report, draining, callersLeave);
     }
 
     private FleetState withReport(FleetEvent.TrafficReported reported) {
@@ -292,20 +323,19 @@
                 deposed,
                 vms,
                 peers,
-                reported.demand(),
-                reported.health(),
+                reported,
                 draining,
                 callersLeave);
     }
 
     private FleetState withDraining(boolean stops, boolean leave) {
         return new FleetState(
-                self, configuration, databases, claims, deposed, vms, peers, demand, health, stops, leave);
+                self, configuration, databases, claims, deposed, vms, peers, report, stops, leave);
     }
 
     private FleetState with(Map<BackendServerName, TrackedDatabase> next) {
         return new FleetState(
-                self, configuration, next, claims, deposed, vms, peers, demand, health, draining, callersLeave);
+                self, configuration, next, claims, deposed, vms, peers, report, draining, callersLeave);
     }
 
     private FleetState withoutGoneDatabases(Instant now, List<FleetEffect> effects) {
@@ -338,7 +368,7 @@
             List<Double> others = heard.stream()
                     .map(peer -> peer.message().demand().getOrDefault(customer.name(), 0.0))
                     .toList();
-            double own = demand.getOrDefault(customer.name(), 0.0);
+            double own = report.demand().getOrDefault(customer.name(), 0.0);
             shares.put(
                     customer.name(),
                     FleetShare.of(customer.operationsPerSecond(), customer.burst(), own, others, missing));
@@ -349,11 +379,12 @@
     private PeerMessage message(Instant now) {
         Map<BackendServerName, Duration> failing = new HashMap<>();
         Map<BackendServerName, Duration> commits = new HashMap<>();
-        health.forEach((database, seen) -> {
+        report.health().forEach((database, seen) -> {
             seen.failingSince().ifPresent(since -> failing.put(database, Duration.between(since, now)));
             seen.commitsFailingSince().ifPresent(since -> commits.put(database, Duration.between(since, now)));
         });
-        return new PeerMessage(self, configuration.version(), demand, failing, commits, claims);
+        return new PeerMessage(
+                self, configuration.version(), report.demand(), failing, commits, report.newestTerms(), claims);
     }
 
     private List<HeardPeer> heardPeers(Instant now) {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/PeerMessage.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PeerMessage.java
@@ -16,6 +16,7 @@
  * @param demand operations per second that each customer asks for there
  * @param failingFor databases that do not answer it, and since how long
  * @param commitsFailingFor databases that acknowledge no commit to it, and since how long
+ * @param newestTerms newest term of each group that a primary named to it
  * @param claims primaries that it learned
  */
 public record PeerMessage(
@@ -24,12 +25,14 @@
         Map<CustomerName, Double> demand,
         Map<BackendServerName, Duration> failingFor,
         Map<BackendServerName, Duration> commitsFailingFor,
+        Map<GroupName, Long> newestTerms,
         Map<GroupName, PrimaryClaim> claims) {
     /** Copies the maps. */
     public PeerMessage {
         demand = Map.copyOf(demand);
         failingFor = Map.copyOf(failingFor);
         commitsFailingFor = Map.copyOf(commitsFailingFor);
+        newestTerms = Map.copyOf(newestTerms);
         claims = Map.copyOf(claims);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PrimaryCheck.java
@@ -0,0 +1,69 @@
+package org.geraniumproxy.core.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.DatabaseHealth;
+import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.promotion.PromotionReason;
+
+/** Decides whether the primary of a group is to be replaced. */
+public final class PrimaryCheck {
+    /** Silence after which a VM reports a primary; several round trips between regions beyond the probe's timeout. */
+    static final Duration FAILING_TIME = Duration.ofMillis(300);
+
+    /** Time without an acknowledged commit after which a primary counts as cut off from its replicas. */
+    static final Duration COMMITS_FAILING_TIME = Duration.ofMillis(700);
+
+    /** Entries that lapsed with the store are back 2 s after its return; a primary that is missing longer is replaced. */
+    static final Duration MISSING_TIME = Duration.ofMillis(2500);
+
+    private PrimaryCheck() {}
+
+    /**
+     * Returns why the primary of a group is to be replaced. A VM that alone gets no answer is cut off itself, so its own
+     * view needs another VM's unless it hears none.
+     *
+     * @param state what this VM believes
+     * @param group the group
+     * @param now the present moment
+     * @return the reason, or empty if the primary stays
+     */
+    public static Optional<PromotionReason> reason(FleetState state, GroupName group, Instant now) {
+        GroupDirectory directory = state.groups().getOrDefault(group, GroupDirectory.EMPTY);
+        if (directory.databases().isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<DatabaseEntry> primary = directory.primary();
+        if (primary.isEmpty()) {
+            return Optional.of(PromotionReason.NONE_LEADS);
+        }
+        BackendServerName name = primary.get().name();
+        if (primary.get().draining()) {
+            return Optional.of(PromotionReason.LEAVING);
+        }
+        if (isFailing(state, name, now)) {
+            return Optional.of(PromotionReason.FAILING);
+        }
+        return state.missingFor(name, now).compareTo(MISSING_TIME) > 0
+                ? Optional.of(PromotionReason.MISSING)
+                : Optional.empty();
+    }
+
+    private static boolean isFailing(FleetState state, BackendServerName primary, Instant now) {
+        DatabaseHealth own = state.report().health().getOrDefault(primary, DatabaseHealth.UNUSED);
+        boolean ownFailing = hasLasted(own.failingSince(), FAILING_TIME, now)
+                || hasLasted(own.commitsFailingSince(), COMMITS_FAILING_TIME, now);
+        int heard = state.heardVms(now);
+        int others = state.peersThatSeeFailing(primary, FAILING_TIME, COMMITS_FAILING_TIME, now);
+        return ownFailing ? others >= 1 || heard == 0 : others * 2 > heard + 1;
+    }
+
+    private static boolean hasLasted(Optional<Instant> since, Duration atLeast, Instant now) {
+        return since.map(moment -> Duration.between(moment, now).compareTo(atLeast) >= 0)
+                .orElse(false);
+    }
+}
--- a/core/src/main/java/org/geraniumproxy/core/limit/FleetShare.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/FleetShare.java
@@ -10,7 +10,7 @@
  */
 public final class FleetShare {
     /** Part of the rate that is divided equally, so that the first operations at an idle VM find tokens. */
-    private static final double EQUAL_PART = 0.1;
+    private static final double EQUAL_PART = 0.3;
 
     private static final double MILLI_TOKENS_PER_TOKEN = 1000;
 
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -0,0 +1,83 @@
+package org.geraniumproxy.core.promotion;
+
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumproxy.core.identity.BackendServerName;
+
+/** How far a promotion has come. */
+sealed interface PromotionPhase {
+    /**
+     * Nothing is to be done, or not before a moment.
+     *
+     * @param notBefore moment of the next attempt
+     * @param leaderlessSince moment since which no database leads
+     */
+    record Watching(Instant notBefore, Optional<Instant> leaderlessSince) implements PromotionPhase {}
+
+    /**
+     * Databases are asked to stop.
+     *
+     * @param attempt what the attempt is about
+     * @param pending databases that have not answered
+     * @param stopped states of those that have stopped
+     */
+    record Stopping(
+            Attempt attempt, Set<BackendServerName> pending, Map<BackendServerName, DatabaseStatus> stopped)
+            implements PromotionPhase {
+        /** Copies the collections. */
+        public Stopping {
+            pending = Set.copyOf(pending);
+            stopped = Map.copyOf(stopped);
+        }
+    }
+
+    /**
+     * Stopped databases are asked again just before the order, because one that started again receives.
+     *
+     * @param attempt what the attempt is about
+     * @param pending databases that have not answered
+     * @param stopped states when they stopped
+     * @param target the choice
+     */
+    record Verifying(
+            Attempt attempt,
+            Set<BackendServerName> pending,
+            Map<BackendServerName, DatabaseStatus> stopped,
+            BackendServerName target)
+            implements PromotionPhase {
+        /** Copies the collections. */
+        public Verifying {
+            pending = Set.copyOf(pending);
+            stopped = Map.copyOf(stopped);
+        }
+    }
+
+    /**
+     * The order is being announced.
+     *
+     * @param attempt what the attempt is about
+     * @param target the choice
+     */
+    record Announcing(Attempt attempt, BackendServerName target) implements PromotionPhase {}
+
+    /**
+     * The order is sent until it is answered.
+     *
+     * @param attempt what the attempt is about
+     * @param target the choice
+     * @param repeatAt moment at which it is sent again; empty while an answer is awaited
+     */
+    record Ordering(Attempt attempt, BackendServerName target, Optional<Instant> repeatAt)
+            implements PromotionPhase {}
+
+    /**
+     * An attempt to replace a primary.
+     *
+     * @param term term that stops the databases
+     * @param situation the group when the attempt began
+     * @param startedAt its beginning
+     */
+    record Attempt(long term, GroupSituation situation, Instant startedAt) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -0,0 +1,280 @@
+package org.geraniumproxy.core.promotion;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumproxy.core.caller.BackendCommand;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.PrimaryClaim;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.promotion.PromotionPhase.Attempt;
+
+/**
+ * Supervision of a group by the holder of the duty. An attempt stops the receiving of the replicas, chooses a log that
+ * holds every acknowledged commit, checks that the databases are still stopped, announces the order in the store and
+ * sends it until it is answered. Receiving is resumed only if no order was sent: an order without an answer may still
+ * be carried out.
+ *
+ * @param phase how far the promotion has come
+ */
+public record PromotionState(PromotionPhase phase) {
+    /** Pause after an attempt without a safe choice: a crashed database that comes back needs about a second. */
+    static final Duration RETRY_PAUSE = Duration.ofMillis(400);
+
+    /** Time in which the primary's own view of a finished promotion arrives in the store. */
+    static final Duration SETTLING_TIME = Duration.ofSeconds(2);
+
+    /** Pause before an order without an answer is repeated; the platform takes few calls a second. */
+    static final Duration REPEAT_PAUSE = Duration.ofMillis(300);
+
+    /** Time without a leader before a replacement begins: a new primary says so at once, and its entry is on its way. */
+    static final Duration LEADERLESS_TIME = Duration.ofMillis(1500);
+
+    /** Longest time for an attempt to gather evidence. */
+    static final Duration LONGEST_STOP = Duration.ofMillis(1200);
+
+    /**
+     * Returns the state at the beginning of the duty.
+     *
+     * @return a state in which nothing was asked or ordered
+     */
+    public static PromotionState initial() {
+        return new PromotionState(new PromotionPhase.Watching(Instant.MIN, Optional.empty()));
+    }
+
+    /**
+     * Applies an event.
+     *
+     * @param event the event
+     * @param now the present moment
+     * @return the next state and its effects
+     */
+    public Transition<PromotionState, PromotionEffect> on(PromotionEvent event, Instant now) {
+        List<PromotionEffect> effects = new ArrayList<>();
+        PromotionPhase next =
+                switch (event) {
+                    case PromotionEvent.TimePassed passed -> timePassed(passed.situation(), now, effects);
+                    case PromotionEvent.DatabaseAnswered answered -> answered(answered, now, effects);
+                    case PromotionEvent.Announced announced -> announced(announced.written(), now, effects);
+                    case PromotionEvent.OrderDone _ -> done(now, effects);
+                    case PromotionEvent.OrderRefused _ -> refused(now, effects);
+                    case PromotionEvent.OrderUnanswered _ -> unanswered(now);
+                };
+        return Transition.to(new PromotionState(next), effects);
+    }
+
+    private PromotionPhase timePassed(GroupSituation situation, Instant now, List<PromotionEffect> effects) {
+        return switch (phase) {
+            case PromotionPhase.Watching watching -> watch(watching, situation, now, effects);
+            case PromotionPhase.Stopping stopping ->
+                isOverdue(stopping.attempt(), now) ? decide(stopping, now, effects) : stopping;
+            case PromotionPhase.Verifying verifying ->
+                isOverdue(verifying.attempt(), now)
+                        ? abandon(verifying.attempt(), verifying.stopped().keySet(), "verification took too long",
+                                now, effects)
+                        : verifying;
+            case PromotionPhase.Announcing announcing -> announcing;
+            case PromotionPhase.Ordering ordering -> {
+                boolean due = ordering.repeatAt().map(at -> !now.isBefore(at)).orElse(false);
+                yield due ? order(ordering.attempt(), ordering.target(), effects) : ordering;
+            }
+        };
+    }
+
+    private static PromotionPhase watch(
+            PromotionPhase.Watching watching,
+            GroupSituation situation,
+            Instant now,
+            List<PromotionEffect> effects) {
+        if (situation.reason().isEmpty()) {
+            return new PromotionPhase.Watching(watching.notBefore(), Optional.empty());
+        }
+        boolean leaderless = situation.reason().equals(Optional.of(PromotionReason.NONE_LEADS));
+        Instant since = watching.leaderlessSince().orElse(now);
+        boolean confirmed = !leaderless || Duration.between(since, now).compareTo(LEADERLESS_TIME) >= 0;
+        if (!confirmed || now.isBefore(watching.notBefore())) {
+            return new PromotionPhase.Watching(
+                    watching.notBefore(), leaderless ? Optional.of(since) : Optional.empty());
+        }
+        return begin(situation, now, effects);
+    }
+
+    private static PromotionPhase begin(GroupSituation situation, Instant now, List<PromotionEffect> effects) {
+        Optional<AnnouncedOrder> open = situation.announced().filter(order -> !order.done());
+        if (open.isPresent() && situation.databases().containsKey(open.get().target())) {
+            effects.add(new PromotionEffect.Log("order repeated", "database=" + open.get().target()));
+            Attempt attempt = new Attempt(open.get().term(), situation, now);
+            return order(attempt, open.get().target(), effects);
+        }
+        Set<BackendServerName> replicas = new HashSet<>(situation.databases().keySet());
+        situation.primary().ifPresent(replicas::remove);
+        long term = situation.newestTerm() + 1;
+        Attempt attempt = new Attempt(term, situation, now);
+        replicas.forEach(replica -> effects.add(
+                new PromotionEffect.Ask(replica, new BackendCommand.StopReceiving(term), term)));
+        effects.add(new PromotionEffect.Log(
+                "replacement begun",
+                "reason=" + situation.reason().get() + " term=" + term + " primary="
+                        + situation.primary().map(BackendServerName::value).orElse("none") + " asked=" + replicas));
+        return new PromotionPhase.Stopping(attempt, replicas, Map.of());
+    }
+
+    private PromotionPhase answered(
+            PromotionEvent.DatabaseAnswered answered, Instant now, List<PromotionEffect> effects) {
+        return switch (phase) {
+            case PromotionPhase.Stopping stopping when stopping.attempt().term() == answered.term() ->
+                stopped(stopping, answered, now, effects);
+            case PromotionPhase.Verifying verifying when verifying.attempt().term() == answered.term() ->
+                verified(verifying, answered, now, effects);
+            default -> phase;
+        };
+    }
+
+    private static PromotionPhase stopped(
+            PromotionPhase.Stopping stopping,
+            PromotionEvent.DatabaseAnswered answered,
+            Instant now,
+            List<PromotionEffect> effects) {
+        Set<BackendServerName> pending = new HashSet<>(stopping.pending());
+        pending.remove(answered.database());
+        Map<BackendServerName, DatabaseStatus> stopped = new HashMap<>(stopping.stopped());
+        Attempt attempt = stopping.attempt();
+        if (answered.status().isPresent()) {
+            DatabaseStatus status = answered.status().get();
+            effects.add(new PromotionEffect.Log("database state", "database=" + answered.database() + " " + status));
+            if (isStopped(attempt, status)) {
+                stopped.put(answered.database(), status);
+            }
+        } else {
+            effects.add(new PromotionEffect.Log("database silent", "database=" + answered.database()));
+        }
+        PromotionPhase.Stopping next = new PromotionPhase.Stopping(attempt, pending, stopped);
+        return pending.isEmpty() ? decide(next, now, effects) : next;
+    }
+
+    private static PromotionPhase decide(
+            PromotionPhase.Stopping stopping, Instant now, List<PromotionEffect> effects) {
+        Attempt attempt = stopping.attempt();
+        PromotionChoice choice = PromotionChoice.of(attempt.situation(), stopping.stopped());
+        return switch (choice) {
+            case PromotionChoice.Chosen chosen -> {
+                stopping.stopped().keySet().forEach(database -> effects.add(
+                        new PromotionEffect.Ask(database, new BackendCommand.ReadStatus(), attempt.term())));
+                effects.add(new PromotionEffect.Log("database chosen", "database=" + chosen.target()));
+                yield new PromotionPhase.Verifying(
+                        attempt, stopping.stopped().keySet(), stopping.stopped(), chosen.target());
+            }
+            case PromotionChoice.Insufficient insufficient ->
+                abandon(attempt, stopping.stopped().keySet(), insufficient.reason(), now, effects);
+        };
+    }
+
+    private static PromotionPhase verified(
+            PromotionPhase.Verifying verifying,
+            PromotionEvent.DatabaseAnswered answered,
+            Instant now,
+            List<PromotionEffect> effects) {
+        Attempt attempt = verifying.attempt();
+        DatabaseStatus before = verifying.stopped().get(answered.database());
+        boolean unchanged = answered.status()
+                .map(status -> isStopped(attempt, status)
+                        && status.received().equals(before.received()))
+                .orElse(false);
+        if (!unchanged) {
+            String reason = "database " + answered.database() + " is not stopped any more";
+            return abandon(attempt, verifying.stopped().keySet(), reason, now, effects);
+        }
+        Set<BackendServerName> pending = new HashSet<>(verifying.pending());
+        pending.remove(answered.database());
+        if (!pending.isEmpty()) {
+            return new PromotionPhase.Verifying(attempt, pending, verifying.stopped(), verifying.target());
+        }
+        effects.add(new PromotionEffect.Announce(new AnnouncedOrder(verifying.target(), attempt.term(), false)));
+        return new PromotionPhase.Announcing(attempt, verifying.target());
+    }
+
+    private PromotionPhase announced(boolean written, Instant now, List<PromotionEffect> effects) {
+        if (!(phase instanceof PromotionPhase.Announcing announcing)) {
+            return phase;
+        }
+        return written
+                ? order(announcing.attempt(), announcing.target(), effects)
+                : abandon(
+                        announcing.attempt(),
+                        announcing.attempt().situation().databases().keySet(),
+                        "the order could not be announced",
+                        now,
+                        effects);
+    }
+
+    private static PromotionPhase order(Attempt attempt, BackendServerName target, List<PromotionEffect> effects) {
+        effects.add(new PromotionEffect.Order(target));
+        return new PromotionPhase.Ordering(attempt, target, Optional.empty());
+    }
+
+    private PromotionPhase done(Instant now, List<PromotionEffect> effects) {
+        if (!(phase instanceof PromotionPhase.Ordering ordering)) {
+            return phase;
+        }
+        Attempt attempt = ordering.attempt();
+        Duration took = Duration.between(attempt.startedAt(), now);
+        effects.add(new PromotionEffect.Log(
+                "promotion done", "database=" + ordering.target() + " took=" + took.toMillis() + "ms"));
+        effects.add(new PromotionEffect.Claim(new PrimaryClaim(ordering.target(), attempt.term())));
+        effects.add(new PromotionEffect.Announce(new AnnouncedOrder(ordering.target(), attempt.term(), true)));
+        resume(attempt, attempt.situation().databases().keySet(), effects);
+        return new PromotionPhase.Watching(now.plus(SETTLING_TIME), Optional.empty());
+    }
+
+    private PromotionPhase refused(Instant now, List<PromotionEffect> effects) {
+        if (!(phase instanceof PromotionPhase.Ordering ordering)) {
+            return phase;
+        }
+        Attempt attempt = ordering.attempt();
+        effects.add(new PromotionEffect.Announce(new AnnouncedOrder(ordering.target(), attempt.term(), true)));
+        return abandon(
+                attempt, attempt.situation().databases().keySet(), "the order was refused", now, effects);
+    }
+
+    private PromotionPhase unanswered(Instant now) {
+        return phase instanceof PromotionPhase.Ordering ordering
+                ? new PromotionPhase.Ordering(
+                        ordering.attempt(), ordering.target(), Optional.of(now.plus(REPEAT_PAUSE)))
+                : phase;
+    }
+
+    private static PromotionPhase abandon(
+            Attempt attempt,
+            Set<BackendServerName> databases,
+            String reason,
+            Instant now,
+            List<PromotionEffect> effects) {
+        effects.add(new PromotionEffect.Log("replacement put off", "reason=\"" + reason + "\""));
+        resume(attempt, databases, effects);
+        return new PromotionPhase.Watching(now.plus(RETRY_PAUSE), Optional.empty());
+    }
+
+    private static void resume(Attempt attempt, Set<BackendServerName> databases, List<PromotionEffect> effects) {
+        for (BackendServerName database : databases) {
+            DatabaseEntry entry = attempt.situation().databases().get(database);
+            if (entry != null && !attempt.situation().primary().equals(Optional.of(database))) {
+                effects.add(new PromotionEffect.Send(database, new BackendCommand.ResumeReceiving()));
+            }
+        }
+    }
+
+    private static boolean isStopped(Attempt attempt, DatabaseStatus status) {
+        return !status.primary() && status.stoppedTerm() == attempt.term();
+    }
+
+    private static boolean isOverdue(Attempt attempt, Instant now) {
+        return Duration.between(attempt.startedAt(), now).compareTo(LONGEST_STOP) > 0;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -0,0 +1,233 @@
+package org.geraniumproxy.core.promotion;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumproxy.core.caller.BackendCommand;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.FailureDomain;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.LogPosition;
+import org.junit.jupiter.api.Test;
+
+/** Guards against promotions that lose an acknowledged commit. */
+class PromotionState_on_Test {
+    private static final BackendServerName PRIMARY = BackendServerName.of("db-1");
+    private static final BackendServerName SECOND = BackendServerName.of("db-2");
+    private static final BackendServerName THIRD = BackendServerName.of("db-3");
+    private static final long TERM = 4;
+
+    private Instant now = Instant.EPOCH;
+    private PromotionState state = PromotionState.initial();
+    private List<PromotionEffect> effects = List.of();
+    private Set<BackendServerName> draining = Set.of();
+    private Set<BackendServerName> unproven = Set.of();
+    private Optional<AnnouncedOrder> announced = Optional.empty();
+
+    @Test
+    void should_choose_the_longer_log_of_the_stopped_replicas() {
+        begin();
+        assertThat(asked(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
+        answer(SECOND, stopped(10));
+        answer(THIRD, stopped(12));
+        verifyAll(10, 12);
+        on(new PromotionEvent.Announced(true));
+        assertThat(orders(), containsInAnyOrder(THIRD));
+    }
+
+    @Test
+    void should_not_take_the_position_of_one_replica_as_enough() {
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, Optional.empty());
+        assertThat(orders(), is(empty()));
+        assertThat(sent(BackendCommand.ResumeReceiving.class), containsInAnyOrder(SECOND));
+    }
+
+    @Test
+    void should_not_take_a_position_of_a_replica_that_still_receives() {
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, Optional.of(new DatabaseStatus(false, TERM, LogPosition.of(3, 12), 0)));
+        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+        assertThat(orders(), is(empty()));
+    }
+
+    @Test
+    void should_not_order_when_a_replica_started_again_before_the_order() {
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, stopped(10));
+        answer(SECOND, Optional.of(new DatabaseStatus(false, 3, LogPosition.of(3, 11), 0)));
+        assertThat(state.phase() instanceof PromotionPhase.Watching, is(true));
+        assertThat(orders(), is(empty()));
+    }
+
+    @Test
+    void should_not_count_a_replica_that_lost_what_it_confirmed() {
+        unproven = Set.of(THIRD);
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, stopped(1));
+        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+    }
+
+    @Test
+    void should_wait_when_only_a_leaving_replica_has_the_highest_position() {
+        draining = Set.of(THIRD);
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, stopped(12));
+        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+    }
+
+    @Test
+    void should_not_order_what_could_not_be_announced() {
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, stopped(10));
+        verifyAll(10, 10);
+        on(new PromotionEvent.Announced(false));
+        assertThat(orders(), is(empty()));
+    }
+
+    @Test
+    void should_repeat_an_order_without_an_answer_and_keep_the_replicas_stopped() {
+        begin();
+        answer(SECOND, stopped(12));
+        answer(THIRD, stopped(10));
+        verifyAll(12, 10);
+        on(new PromotionEvent.Announced(true));
+        on(new PromotionEvent.OrderUnanswered());
+        assertThat(sent(BackendCommand.ResumeReceiving.class), is(empty()));
+        now = now.plus(PromotionState.REPEAT_PAUSE);
+        on(new PromotionEvent.TimePassed(situation()));
+        assertThat(orders(), containsInAnyOrder(SECOND));
+    }
+
+    @Test
+    void should_repeat_the_open_order_of_an_earlier_holder_before_choosing() {
+        announced = Optional.of(new AnnouncedOrder(SECOND, TERM, false));
+        begin();
+        assertThat(orders(), containsInAnyOrder(SECOND));
+        assertThat(asked(BackendCommand.StopReceiving.class), is(empty()));
+    }
+
+    @Test
+    void should_choose_anew_when_the_last_order_was_answered() {
+        announced = Optional.of(new AnnouncedOrder(SECOND, TERM, true));
+        begin();
+        assertThat(orders(), is(empty()));
+        assertThat(asked(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
+    }
+
+    @Test
+    void should_claim_the_new_primary_when_the_order_was_carried_out() {
+        begin();
+        answer(SECOND, stopped(12));
+        answer(THIRD, stopped(10));
+        verifyAll(12, 10);
+        on(new PromotionEvent.Announced(true));
+        on(new PromotionEvent.OrderDone());
+        assertThat(
+                effects.stream()
+                        .filter(PromotionEffect.Claim.class::isInstance)
+                        .map(effect -> ((PromotionEffect.Claim) effect).claim().database())
+                        .toList(),
+                containsInAnyOrder(SECOND));
+    }
+
+    @Test
+    void should_give_up_an_attempt_that_takes_too_long() {
+        begin();
+        answer(SECOND, stopped(12));
+        now = now.plus(PromotionState.LONGEST_STOP).plus(Duration.ofMillis(1));
+        on(new PromotionEvent.TimePassed(situation()));
+        assertThat(sent(BackendCommand.ResumeReceiving.class), containsInAnyOrder(SECOND));
+    }
+
+    private void begin() {
+        on(new PromotionEvent.TimePassed(situation()));
+    }
+
+    private void verifyAll(long second, long third) {
+        answer(SECOND, stopped(second));
+        answer(THIRD, stopped(third));
+    }
+
+    private void answer(BackendServerName database, Optional<DatabaseStatus> status) {
+        on(new PromotionEvent.DatabaseAnswered(database, TERM, status));
+    }
+
+    private void on(PromotionEvent event) {
+        Transition<PromotionState, PromotionEffect> transition = state.on(event, now);
+        state = transition.state();
+        effects = transition.effects();
+    }
+
+    private List<BackendServerName> asked(Class<? extends BackendCommand> type) {
+        return effects.stream()
+                .filter(PromotionEffect.Ask.class::isInstance)
+                .map(PromotionEffect.Ask.class::cast)
+                .filter(ask -> type.isInstance(ask.command()))
+                .map(PromotionEffect.Ask::database)
+                .toList();
+    }
+
+    private List<BackendServerName> sent(Class<? extends BackendCommand> type) {
+        return effects.stream()
+                .filter(PromotionEffect.Send.class::isInstance)
+                .map(PromotionEffect.Send.class::cast)
+                .filter(send -> type.isInstance(send.command()))
+                .map(PromotionEffect.Send::database)
+                .toList();
+    }
+
+    private List<BackendServerName> orders() {
+        return effects.stream()
+                .filter(PromotionEffect.Order.class::isInstance)
+                .map(effect -> ((PromotionEffect.Order) effect).target())
+                .toList();
+    }
+
+    private GroupSituation situation() {
+        Map<BackendServerName, DatabaseEntry> databases = new HashMap<>();
+        for (BackendServerName name : List.of(PRIMARY, SECOND, THIRD)) {
+            databases.put(
+                    name,
+                    new DatabaseEntry(
+                            name,
+                            GroupName.of("entries"),
+                            "10.0.0.1:1",
+                            FailureDomain.of("a"),
+                            2,
+                            draining.contains(name),
+                            name.equals(PRIMARY),
+                            1,
+                            1));
+        }
+        return new GroupSituation(
+                databases,
+                Optional.of(PRIMARY),
+                Optional.of(PromotionReason.FAILING),
+                TERM - 1,
+                unproven,
+                1,
+                announced);
+    }
+
+    private static Optional<DatabaseStatus> stopped(long position) {
+        return Optional.of(new DatabaseStatus(false, TERM, LogPosition.of(3, position), TERM));
+    }
+}
--- /dev/null
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionAdapters.java
@@ -0,0 +1,45 @@
+package org.geraniumproxy.engine.control;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.promotion.AnnouncedOrder;
+
+/** What the supervision of groups needs from the platform; called on the control thread. */
+public interface PromotionAdapters {
+    /**
+     * Returns the fencing token while this VM holds the duty.
+     *
+     * @return the token, or empty if another VM may hold the duty
+     */
+    OptionalLong token();
+
+    /**
+     * Returns the last announced order of a group.
+     *
+     * @param group the group
+     * @return the order, or empty if none was announced
+     */
+    Optional<AnnouncedOrder> announced(GroupName group);
+
+    /**
+     * Writes an order to the store.
+     *
+     * @param group the group
+     * @param order the order
+     * @return completes when it is written
+     */
+    CompletableFuture<Void> announce(GroupName group, AnnouncedOrder order);
+
+    /**
+     * Orders a promotion.
+     *
+     * @param group the group
+     * @param target the database
+     * @param token the fencing token
+     * @return how the order was answered
+     */
+    CompletableFuture<OrderOutcome> order(GroupName group, BackendServerName target, long token);
+}
--- /dev/null
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionDuty.java
@@ -0,0 +1,199 @@
+package org.geraniumproxy.engine.control;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumproxy.core.caller.BackendCommand;
+import org.geraniumproxy.core.caller.BackendReply;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.fleet.FleetEvent;
+import org.geraniumproxy.core.fleet.FleetState;
+import org.geraniumproxy.core.fleet.PrimaryCheck;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.promotion.DatabaseStatus;
+import org.geraniumproxy.core.promotion.GroupSituation;
+import org.geraniumproxy.core.promotion.PromotionEffect;
+import org.geraniumproxy.core.promotion.PromotionEvent;
+import org.geraniumproxy.core.promotion.PromotionState;
+import org.geraniumproxy.core.service.ServiceGroup;
+import org.geraniumproxy.engine.telemetry.DecisionLog;
+
+/** Supervises all groups on the control thread while this VM holds the duty. */
+public final class PromotionDuty {
+    /** Commands to databases; called on the control thread. */
+    public interface Databases {
+        /**
+         * Sends a command.
+         *
+         * @param database the database
+         * @param command the command
+         * @param timeout longest wait for the answer
+         * @return the answer; fails if none came in time
+         */
+        CompletableFuture<BackendReply> ask(BackendServerName database, BackendCommand command, Duration timeout);
+    }
+
+    /** Interval of looks at the groups. */
+    private static final Duration TICK = Duration.ofMillis(100);
+
+    /** Longest wait for a database: several round trips between regions, and the opening of a connection. */
+    private static final Duration COMMAND_TIMEOUT = Duration.ofMillis(500);
+
+    private final ControlLoop control;
+    private final Clock clock;
+    private final PromotionAdapters platform;
+    private final Databases databases;
+    private final StatusDecoder decoder;
+    private final DecisionLog log;
+    private final Map<GroupName, PromotionState> states = new HashMap<>();
+
+    /** Decodes the state that a database names in a reply. */
+    @FunctionalInterface
+    public interface StatusDecoder {
+        /**
+         * Decodes a reply.
+         *
+         * @param reply the reply
+         * @return the state, or empty if the reply names none
+         */
+        Optional<DatabaseStatus> decode(BackendReply reply);
+    }
+
+    /**
+     * Creates the supervision.
+     *
+     * @param control the control thread
+     * @param clock a clock that never jumps
+     * @param platform the duty, announcements and orders
+     * @param databases commands to databases
+     * @param decoder decodes states of databases
+     * @param log receives decisions
+     */
+    public PromotionDuty(
+            ControlLoop control,
+            Clock clock,
+            PromotionAdapters platform,
+            Databases databases,
+            StatusDecoder decoder,
+            DecisionLog log) {
+        this.control = control;
+        this.clock = clock;
+        this.platform = platform;
+        this.databases = databases;
+        this.decoder = decoder;
+        this.log = log;
+    }
+
+    /** Looks at the groups now and at regular intervals; called on the control thread. */
+    public void start() {
+        control.schedule(TICK, this::start);
+        if (platform.token().isEmpty()) {
+            states.clear();
+            return;
+        }
+        FleetState state = control.state();
+        for (ServiceGroup group : state.configuration().groups().values()) {
+            apply(group.name(), new PromotionEvent.TimePassed(situation(state, group)));
+        }
+    }
+
+    private GroupSituation situation(FleetState state, ServiceGroup group) {
+        Instant now = clock.instant();
+        GroupDirectory directory = state.groups().getOrDefault(group.name(), GroupDirectory.EMPTY);
+        return new GroupSituation(
+                directory.databases(),
+                directory.primary().map(DatabaseEntry::name),
+                PrimaryCheck.reason(state, group.name(), now),
+                state.newestTerm(group.name()),
+                state.unprovenDatabases(now),
+                group.synchronousReplicas(),
+                platform.announced(group.name()));
+    }
+
+    private void apply(GroupName group, PromotionEvent event) {
+        OptionalLong token = platform.token();
+        if (token.isEmpty()) {
+            states.clear();
+            return;
+        }
+        Transition<PromotionState, PromotionEffect> transition =
+                states.getOrDefault(group, PromotionState.initial()).on(event, clock.instant());
+        states.put(group, transition.state());
+        for (PromotionEffect effect : transition.effects()) {
+            carryOut(group, token.getAsLong(), effect);
+        }
+    }
+
+    private void carryOut(GroupName group, long token, PromotionEffect effect) {
+        switch (effect) {
+            case PromotionEffect.Ask ask -> {
+                var _ = databases
+                        .ask(ask.database(), ask.command(), COMMAND_TIMEOUT)
+                        .whenCompleteAsync(
+                                (reply, failure) -> apply(
+                                        group,
+                                        new PromotionEvent.DatabaseAnswered(
+                                                ask.database(),
+                                                ask.term(),
+                                                failure == null ? decoder.decode(reply) : Optional.empty())),
+                                control::execute);
+            }
+            case PromotionEffect.Send send -> {
+                var _ = databases
+                        .ask(send.database(), send.command(), COMMAND_TIMEOUT)
+                        .whenComplete((_, failure) -> {
+                            if (failure != null) {
+                                log(group, "command not answered", "database=" + send.database() + " " + failure);
+                            }
+                        });
+            }
+            case PromotionEffect.Announce announce -> announce(group, announce);
+            case PromotionEffect.Order order -> {
+                log(group, "order sent", "database=" + order.target() + " token=" + token);
+                var _ = platform.order(group, order.target(), token)
+                        .whenCompleteAsync(
+                                (outcome, failure) -> apply(group, event(group, outcome, failure)), control::execute);
+            }
+            case PromotionEffect.Claim claim -> control.submit(new FleetEvent.PrimaryClaimed(group, claim.claim()));
+            case PromotionEffect.Log line -> log(group, line.decision(), line.detail());
+        }
+    }
+
+    private void announce(GroupName group, PromotionEffect.Announce announce) {
+        var _ = platform.announce(group, announce.order())
+                .whenCompleteAsync(
+                        (_, failure) -> {
+                            if (failure != null) {
+                                log(group, "order not announced", "error=\"" + failure + "\"");
+                            }
+                            if (!announce.order().done()) {
+                                apply(group, new PromotionEvent.Announced(failure == null));
+                            }
+                        },
+                        control::execute);
+    }
+
+    private PromotionEvent event(GroupName group, OrderOutcome outcome, Throwable failure) {
+        log(group, "order answered", "outcome=" + outcome + " error=\"" + failure + "\"");
+        if (failure != null) {
+            return new PromotionEvent.OrderUnanswered();
+        }
+        return switch (outcome) {
+            case DONE -> new PromotionEvent.OrderDone();
+            case REFUSED -> new PromotionEvent.OrderRefused();
+            case UNANSWERED -> new PromotionEvent.OrderUnanswered();
+        };
+    }
+
+    private void log(GroupName group, String decision, String detail) {
+        log.write("promotion", decision, "group=" + group + " " + detail);
+    }
+}
--- a/engine/src/main/java/org/geraniumproxy/engine/peer/PeerMessageCodec.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/peer/PeerMessageCodec.java
@@ -47,6 +47,11 @@
                     message.commitsFailingFor(),
                     PeerMessageCodec::writeDatabase,
                     PeerMessageCodec::writeDuration);
+            write(
+                    output,
+                    message.newestTerms(),
+                    (out, group) -> out.writeUTF(group.value()),
+                    DataOutputStream::writeLong);
             write(output, message.claims(), (out, group) -> out.writeUTF(group.value()), (out, claim) -> {
                 out.writeUTF(claim.database().value());
                 out.writeLong(claim.term());
@@ -68,11 +73,12 @@
                     read(input, PeerMessageCodec::readDatabase, PeerMessageCodec::readDuration);
             Map<BackendServerName, Duration> commits =
                     read(input, PeerMessageCodec::readDatabase, PeerMessageCodec::readDuration);
+            Map<GroupName, Long> terms = read(input, in -> GroupName.of(in.readUTF()), DataInputStream::readLong);
             Map<GroupName, PrimaryClaim> claims = read(
                     input,
                     in -> GroupName.of(in.readUTF()),
                     in -> new PrimaryClaim(BackendServerName.of(in.readUTF()), in.readLong()));
-            return new PeerMessage(sender, version, demand, failing, commits, claims);
+            return new PeerMessage(sender, version, demand, failing, commits, terms, claims);
         } catch (IllegalArgumentException e) {
             throw new IOException("invalid name in a message between VMs", e);
         }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCalls.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCalls.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
-import org.geraniumproxy.core.caller.CallerSession;
 import org.geraniumproxy.core.caller.SessionEvent;
 import org.geraniumproxy.core.caller.TransactionState;
 import org.geraniumproxy.core.identity.BackendServerName;
@@ -48,7 +47,7 @@
             expire(number);
             engine.drain();
         });
-        link.request(new SlotRequest(number, CallerSession.ANONYMOUS, WEIGHT, 1, deadline, false), HOLDER);
+        link.request(new SlotRequest(number, link.administrativeCustomer(), WEIGHT, 1, deadline, false), HOLDER);
         return result;
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendProtocol.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendProtocol.java
@@ -2,11 +2,13 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Optional;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.promotion.DatabaseStatus;
 
 /** Translates between commands and replies and the bytes of databases. */
 public interface BackendProtocol {
@@ -46,4 +48,12 @@
      * @return the bytes
      */
     byte[] encode(BackendCommand command);
+
+    /**
+     * Decodes the state that a database names in a reply.
+     *
+     * @param reply the reply
+     * @return the state, or empty if the reply names none
+     */
+    Optional<DatabaseStatus> status(BackendReply reply);
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseLink.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseLink.java
@@ -58,6 +58,7 @@
     private Duration latency = DatabaseLoad.UNKNOWN.latency();
     private Instant avoidUntil = Instant.MIN;
     private boolean gone;
+    private boolean probing;
 
     DatabaseLink(TrafficEngine engine, DatabaseEntry entry) {
         this.engine = engine;
@@ -164,6 +165,30 @@
         closeIdle("another connection to the database went silent");
     }
 
+    /** Begins a probe unless one is under way or the database has answered since a moment. */
+    boolean startProbe(Instant since) {
+        boolean heard = health.lastAnswerAt().map(at -> at.isAfter(since)).orElse(false);
+        if (probing || heard) {
+            return false;
+        }
+        probing = true;
+        return true;
+    }
+
+    void endProbe(boolean answered) {
+        probing = false;
+        if (answered) {
+            health = health.answered(engine.now(), false);
+        } else {
+            recordSilence(false);
+        }
+    }
+
+    /** Customer in whose name this VM's own commands are sent: that of an idle connection, so that none is opened. */
+    CustomerName administrativeCustomer() {
+        return idle.isEmpty() ? CallerSession.ANONYMOUS : idle.peek().customer();
+    }
+
     void recordLag() {
         avoidUntil = engine.now().plus(LAG_AVOIDANCE);
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
@@ -46,6 +47,12 @@
     /** Interval of reports and of looks at pools whose openings failed. */
     private static final Duration TICK = Duration.ofMillis(100);
 
+    /** Silence after which a primary is asked whether it leads: above the usual time of a statement. */
+    private static final Duration PROBE_AFTER = Duration.ofMillis(250);
+
+    /** Longest wait for the answer: many round trips between regions and the opening of a connection. */
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
+
     /** Weight of the least important customers in the order of waiting requests; each priority above doubles it. */
     private static final int LOWEST_WEIGHT = 1;
 
@@ -61,6 +68,7 @@
     private final Map<Long, SessionCarrier> sessions = new HashMap<>();
     private final Map<BackendServerName, DatabaseLink> links = new HashMap<>();
     private final Map<GroupName, ProvenPositions> positions = new HashMap<>();
+    private final Map<GroupName, Long> newestTerms = new HashMap<>();
     private final Deque<Runnable> work = new ArrayDeque<>();
     private final RateGate rates = new RateGate();
     private final AdministrativeCalls administration = new AdministrativeCalls(this);
@@ -272,11 +280,7 @@
             case SessionEffect.ReturnConnection back ->
                 link(back.database()).giveBack(back.connection(), back.memory(), back.rollback());
             case SessionEffect.CloseConnection close -> link(close.database()).close(close.connection());
-            case SessionEffect.RecordPosition record ->
-                positions.merge(
-                        record.group(),
-                        ProvenPositions.NONE.with(record.sample()),
-                        (known, _) -> known.with(record.sample()));
+            case SessionEffect.RecordPosition record -> recordPosition(record.group(), record.sample());
             case SessionEffect.Observe observe -> observe(observe.group(), observe.observation());
             case SessionEffect.WakeAt wake -> wakeAt(carrier, wake.at());
             case SessionEffect.Log line -> log(line.request(), line.decision(), line.detail());
@@ -303,6 +307,38 @@
         link.request(slot, holder);
     }
 
+    private void recordPosition(GroupName group, ProvenPositions.Sample sample) {
+        ProvenPositions known = positions.getOrDefault(group, ProvenPositions.NONE);
+        positions.put(group, known.with(sample));
+        newestTerms.merge(group, sample.position().term().number(), Math::max);
+    }
+
+    /** Asks a primary that has not answered for a while whether it still leads; takes no slot of the database. */
+    private void probePrimary(GroupName group, GroupDirectory directory) {
+        Optional<DatabaseLink> primary = directory.primary().map(entry -> links.get(entry.name()));
+        if (primary.isEmpty() || !primary.get().startProbe(now().minus(PROBE_AFTER))) {
+            return;
+        }
+        DatabaseLink link = primary.get();
+        Instant sentAt = now();
+        BackendCommand begin = new BackendCommand.Begin(false, Optional.empty());
+        var _ = administration
+                .call(link.entry().name(), begin, PROBE_TIMEOUT)
+                .whenComplete((reply, failure) -> link.endProbe(probed(group, link, sentAt, reply, failure)));
+    }
+
+    private boolean probed(GroupName group, DatabaseLink link, Instant sentAt, BackendReply reply, Throwable failure) {
+        if (failure != null) {
+            return false;
+        }
+        if (reply.isCompleted() && reply.position().isPresent()) {
+            recordPosition(group, new ProvenPositions.Sample(reply.position().get(), sentAt));
+        } else if (reply.result() instanceof StatementResult.Failed failed && failed.code() == ErrorCode.READ_ONLY) {
+            observer.refusedAsReplica(group, link.entry().name());
+        }
+        return true;
+    }
+
     private void cancelSlot(SessionEffect.CancelSlot cancel) {
         DatabaseLink link = links.get(cancel.database());
         if (link != null) {
@@ -335,6 +371,7 @@
 
     private void tick() {
         links.values().forEach(DatabaseLink::tick);
+        view.groups().forEach(this::probePrimary);
         if (draining) {
             for (SessionCarrier carrier : List.copyOf(sessions.values())) {
                 carrier.apply(new SessionEvent.TimePassed());
@@ -343,7 +380,7 @@
         drain();
         Map<BackendServerName, DatabaseHealth> health = new HashMap<>();
         links.forEach((name, link) -> health.put(name, link.health()));
-        observer.reported(new TrafficReport(rates.demand(now()), health, sessions.size()));
+        observer.reported(new TrafficReport(rates.demand(now()), health, newestTerms, sessions.size()));
         loop.schedule(now().plus(TICK), this::tick);
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficReport.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficReport.java
@@ -4,19 +4,25 @@
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.GroupName;
 
 /**
  * What the traffic thread tells the control thread at regular intervals.
  *
  * @param demand operations per second that each customer asks for
  * @param health how each database answers
+ * @param newestTerms newest term of each group that a primary named
  * @param sessions sessions of callers
  */
 public record TrafficReport(
-        Map<CustomerName, Double> demand, Map<BackendServerName, DatabaseHealth> health, int sessions) {
+        Map<CustomerName, Double> demand,
+        Map<BackendServerName, DatabaseHealth> health,
+        Map<GroupName, Long> newestTerms,
+        int sessions) {
     /** Copies the maps. */
     public TrafficReport {
         demand = Map.copyOf(demand);
         health = Map.copyOf(health);
+        newestTerms = Map.copyOf(newestTerms);
     }
 }
