Refuse a statement whose key was withdrawn while it waited; start faster

Ruled out: a connection returned to the wrong customer; the refusing databases had shed it. Change: the customer is looked up at each placement, and none means that the statement is refused. The test fails before the change.

--- a/core/src/main/java/org/geraniumproxy/core/caller/DatabaseLoad.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/DatabaseLoad.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Set;
+import org.geraniumproxy.core.identity.CustomerName;
 
 /**
  * How busy a database is as seen from this VM.
@@ -9,8 +11,15 @@
  * @param outstanding statements that wait for it or run there, of this VM
  * @param latency usual time of a statement there, network included
  * @param avoidUntil moment until which reads go elsewhere because it lags or does not answer
+ * @param idleCustomers customers with an idle connection there
  */
-public record DatabaseLoad(int outstanding, Duration latency, Instant avoidUntil) {
+public record DatabaseLoad(int outstanding, Duration latency, Instant avoidUntil, Set<CustomerName> idleCustomers) {
     /** Assumed for a database that this VM has not used. */
-    public static final DatabaseLoad UNKNOWN = new DatabaseLoad(0, Duration.ofMillis(20), Instant.MIN);
+    public static final DatabaseLoad UNKNOWN =
+            new DatabaseLoad(0, Duration.ofMillis(20), Instant.MIN, Set.of());
+
+    /** Copies the set. */
+    public DatabaseLoad {
+        idleCustomers = Set.copyOf(idleCustomers);
+    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/caller/Placement.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/Placement.java
@@ -1,11 +1,13 @@
 package org.geraniumproxy.core.caller;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.service.Consistency;
 import org.geraniumproxy.core.service.ServiceRoute;
@@ -21,10 +23,14 @@
     /** Reads prefer a replica until it is expected to take this many times as long as the primary. */
     private static final double PRIMARY_PENALTY = 2.0;
 
+    /** Cost of a read that needs a new connection: the slot that the opening takes, and a round trip. */
+    private static final Duration OPENING_COST = Duration.ofMillis(40);
+
     /**
      * Chooses a database.
      *
      * @param route the route
+     * @param customer the customer
      * @param mayUseReplica whether the statement or transaction only reads
      * @param ownCommit position of the session's last commit
      * @param excluded databases that have refused the statement already
@@ -34,6 +40,7 @@
      */
     static Optional<Placement> choose(
             ServiceRoute route,
+            CustomerName customer,
             boolean mayUseReplica,
             Optional<LogPosition> ownCommit,
             Set<BackendServerName> excluded,
@@ -51,9 +58,9 @@
         }
         Placement best = atPrimary.orElse(null);
         double bestCost =
-                primary.map(entry -> cost(entry, context) * PRIMARY_PENALTY).orElse(Double.MAX_VALUE);
+                primary.map(entry -> cost(entry, customer, context) * PRIMARY_PENALTY).orElse(Double.MAX_VALUE);
         for (DatabaseEntry entry : group.readableReplicas()) {
-            double cost = cost(entry, context);
+            double cost = cost(entry, customer, context);
             if (!excluded.contains(entry.name()) && cost < bestCost) {
                 best = new Placement(entry.name(), false, required);
                 bestCost = cost;
@@ -75,12 +82,13 @@
                 position -> ownCommit.filter(own -> own.compareTo(position) > 0).orElse(position));
     }
 
-    private static double cost(DatabaseEntry entry, SessionContext context) {
+    private static double cost(DatabaseEntry entry, CustomerName customer, SessionContext context) {
         DatabaseLoad load = context.loads().getOrDefault(entry.name(), DatabaseLoad.UNKNOWN);
         if (context.now().isBefore(load.avoidUntil())) {
             return Double.MAX_VALUE / 4;
         }
         double queue = 1 + (double) load.outstanding() / Math.max(1, entry.slots());
-        return load.latency().toNanos() * queue;
+        double opening = load.idleCustomers().contains(customer) ? 0 : OPENING_COST.toNanos();
+        return load.latency().toNanos() * queue + opening;
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementEnd.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementEnd.java
@@ -30,6 +30,15 @@
         return finish(session, List.of(), new StatementResult.Failed(code, text), Optional.empty(), effects);
     }
 
+    /** Fails a statement that was not sent, and rolls back its transaction. */
+    static CallerSession failWithRollback(
+            CallerSession session, ErrorCode code, String text, List<SessionEffect> effects) {
+        CallerSession released = session.transaction().isPresent()
+                ? rollBack(session, OpenTransaction.Condition.FAILED, effects)
+                : session;
+        return fail(released, code, text, effects);
+    }
+
     /** Gives up the connection of the transaction and rolls it back there. */
     static CallerSession rollBack(
             CallerSession session, OpenTransaction.Condition condition, List<SessionEffect> effects) {
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementRun.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementRun.java
@@ -24,12 +24,20 @@
 
     static CallerSession place(CallerSession session, SessionContext context, List<SessionEffect> effects) {
         CurrentStatement current = session.current().orElseThrow().tried();
+        ServiceConfiguration configuration = context.view().configuration();
+        Optional<CustomerName> customer = session.customer(current.route(), configuration);
+        if (customer.isEmpty()) {
+            return StatementEnd.failWithRollback(
+                    session, ErrorCode.UNKNOWN_KEY, "the key was withdrawn before the statement was sent", effects);
+        }
         Optional<OpenTransaction.Pinned> pinned = session.transaction().flatMap(OpenTransaction::pinned);
         if (pinned.isPresent()) {
-            return requestSlot(session.with(current), pinned.get().placement(), true, context, effects);
+            return requestSlot(
+                    session.with(current), pinned.get().placement(), customer.get(), true, configuration, effects);
         }
         Optional<Placement> chosen = Placement.choose(
                 current.route(),
+                customer.get(),
                 mayUseReplica(session, current),
                 session.ownCommit(),
                 current.excluded(),
@@ -38,7 +46,7 @@
         if (chosen.isEmpty()) {
             return pause(session, session.current().orElseThrow().excludingNone(), context.now(), effects);
         }
-        return requestSlot(session.with(current), chosen.get(), false, context, effects);
+        return requestSlot(session.with(current), chosen.get(), customer.get(), false, configuration, effects);
     }
 
     static CallerSession pause(
@@ -94,10 +102,7 @@
         if (refused.elsewhere() && !holdsConnection) {
             return pause(session, session.current().orElseThrow(), context.now(), effects);
         }
-        CallerSession released = session.transaction().isPresent()
-                ? StatementEnd.rollBack(session, OpenTransaction.Condition.FAILED, effects)
-                : session;
-        return StatementEnd.fail(released, ErrorCode.BUSY, refused.reason(), effects);
+        return StatementEnd.failWithRollback(session, ErrorCode.BUSY, refused.reason(), effects);
     }
 
     static CallerSession run(
@@ -138,13 +143,12 @@
     private static CallerSession requestSlot(
             CallerSession session,
             Placement placement,
+            CustomerName customer,
             boolean holdsConnection,
-            SessionContext context,
+            ServiceConfiguration configuration,
             List<SessionEffect> effects) {
         CurrentStatement current = session.current().orElseThrow();
-        ServiceConfiguration configuration = context.view().configuration();
         BackendServerName database = placement.database();
-        CustomerName customer = session.customer(current.route(), configuration).orElse(CallerSession.ANONYMOUS);
         int priority = Optional.ofNullable(configuration.customers().get(customer))
                 .map(ServiceCustomer::priority)
                 .orElse(0);
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -35,6 +35,7 @@
  * @param vms addresses of the other VMs
  * @param peers last message of each other VM
  * @param report the last report of the traffic thread
+ * @param toldAt moment of the last message to the other VMs
  * @param draining whether this process stops
  * @param callersLeave whether callers are asked to leave
  */
@@ -47,11 +48,15 @@
         Map<VmName, String> vms,
         Map<VmName, HeardPeer> peers,
         FleetEvent.TrafficReported report,
+        Instant toldAt,
         boolean draining,
         boolean callersLeave) {
     /** Silence after which another VM counts as not heard: several lost messages in a row. */
     static final Duration PEER_SILENCE = Duration.ofMillis(1500);
 
+    /** Interval of messages to the other VMs while nothing is wrong; their bytes between regions are priced. */
+    static final Duration MESSAGE_INTERVAL = Duration.ofMillis(400);
+
     /** Copies the maps. */
     public FleetState {
         databases = Map.copyOf(databases);
@@ -77,6 +82,7 @@
                 Map.of(),
                 Map.of(),
                 new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of()),
+                Instant.MIN,
                 false,
                 false);
     }
@@ -92,8 +98,9 @@
         List<FleetEffect> effects = new ArrayList<>();
         FleetState next = apply(event, now, effects).withoutGoneDatabases(now, effects);
         effects.add(new FleetEffect.Publish(next.view(), next.shares(now)));
-        if (event instanceof FleetEvent.TrafficReported) {
+        if (event instanceof FleetEvent.TrafficReported && next.isMessageDue(now)) {
             effects.add(new FleetEffect.Tell(next.message(now), next.vms));
+            next = next.withToldAt(now);
         }
         return Transition.to(next, effects);
     }
@@ -213,7 +220,7 @@
         effects.add(new FleetEffect.Log(
                 "configuration in force", "version=" + newest.version() + " previous=" + configuration.version()));
         return new FleetState(
-                self, newest, databases, claims, deposed, vms, peers, report, draining, callersLeave);
+                self, newest, databases, claims, deposed, vms, peers, report, toldAt, draining, callersLeave);
     }
 
     private FleetState learnAll(Map<BackendServerName, DatabaseEntry> entries, Instant now) {
@@ -263,6 +270,7 @@
                 others,
                 remaining,
                 report,
+                toldAt,
                 draining,
                 callersLeave);
     }
@@ -275,7 +283,7 @@
                     message.sender(), vms.get(message.sender()), message.configurationVersion()));
         }
         FleetState next = new FleetState(
-                self, configuration, databases, claims, deposed, vms, heard, report, draining, callersLeave);
+                self, configuration, databases, claims, deposed, vms, heard, report, toldAt, draining, callersLeave);
         for (Map.Entry<GroupName, PrimaryClaim> claimed : message.claims().entrySet()) {
             next = next.claim(claimed.getKey(), claimed.getValue(), effects);
         }
@@ -294,7 +302,7 @@
         Map<BackendServerName, Long> remaining = new HashMap<>(deposed);
         remaining.remove(newer.database());
         return new FleetState(
-                self, configuration, databases, next, remaining, vms, peers, report, draining, callersLeave);
+                self, configuration, databases, next, remaining, vms, peers, report, toldAt, draining, callersLeave);
     }
 
     private FleetState depose(FleetEvent.RefusedAsReplica refused, List<FleetEffect> effects) {
@@ -311,7 +319,7 @@
                             + tracked.entry().revision()));
         }
         return new FleetState(
-                self, configuration, databases, claims, next, vms, peers, report, draining, callersLeave);
+                self, configuration, databases, claims, next, vms, peers, report, toldAt, draining, callersLeave);
     }
 
     private FleetState withReport(FleetEvent.TrafficReported reported) {
@@ -324,18 +332,19 @@
                 vms,
                 peers,
                 reported,
+                toldAt,
                 draining,
                 callersLeave);
     }
 
     private FleetState withDraining(boolean stops, boolean leave) {
         return new FleetState(
-                self, configuration, databases, claims, deposed, vms, peers, report, stops, leave);
+                self, configuration, databases, claims, deposed, vms, peers, report, toldAt, stops, leave);
     }
 
     private FleetState with(Map<BackendServerName, TrackedDatabase> next) {
         return new FleetState(
-                self, configuration, next, claims, deposed, vms, peers, report, draining, callersLeave);
+                self, configuration, next, claims, deposed, vms, peers, report, toldAt, draining, callersLeave);
     }
 
     private FleetState withoutGoneDatabases(Instant now, List<FleetEffect> effects) {
@@ -356,6 +365,19 @@
         return with(remaining);
     }
 
+    /** A database that fails is reported with every report of the traffic thread, because a failover waits for it. */
+    private boolean isMessageDue(Instant now) {
+        boolean failing = report.health().values().stream()
+                .anyMatch(seen -> seen.failingSince().isPresent()
+                        || seen.commitsFailingSince().isPresent());
+        return failing || !now.isBefore(toldAt.plus(MESSAGE_INTERVAL));
+    }
+
+    private FleetState withToldAt(Instant now) {
+        return new FleetState(
+                self, configuration, databases, claims, deposed, vms, peers, report, now, draining, callersLeave);
+    }
+
     private TrafficView view() {
         return new TrafficView(configuration, groups(), callersLeave, vms.size() + 1);
     }
--- a/core/src/main/java/org/geraniumproxy/core/pool/CustomerPool.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/CustomerPool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.geraniumproxy.core.control.InvariantViolation;
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.identity.CustomerName;
@@ -81,6 +82,15 @@
         return queue.size() + running.size();
     }
 
+    /**
+     * Returns the customers with an idle connection.
+     *
+     * @return their names
+     */
+    public Set<CustomerName> idleCustomers() {
+        return connections.idle().keySet();
+    }
+
     private CustomerPool apply(
             CustomerPoolEvent event, CustomerPoolView view, Instant now, List<CustomerPoolEffect> effects) {
         return switch (event) {
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_run_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_run_Test.java
@@ -142,6 +142,20 @@
         assertThat(bench.error(), is(ErrorCode.UNKNOWN_KEY));
     }
 
+    /** Guards against a statement that is placed again in the name of no customer (svps-kosba scale-1, seed 129601990315). */
+    @Test
+    void should_not_place_a_statement_again_whose_key_was_withdrawn() {
+        SessionBench bench = SessionBench.connectedTo(Consistency.PRIMARY)
+                .sends(WRITE)
+                .isGrantedSlot()
+                .isAnswered(failed(ErrorCode.BUSY, TransactionState.IDLE))
+                .forgetsKey()
+                .advance(StatementRun.PLACEMENT_PAUSE)
+                .on(new SessionEvent.TimePassed());
+        assertThat(bench.has(SessionEffect.RequestSlot.class), is(false));
+        assertThat(bench.error(), is(ErrorCode.UNKNOWN_KEY));
+    }
+
     @Test
     void should_refuse_a_name_that_is_prepared_twice() {
         Statement prepare = new Statement.Prepare(
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseLink.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseLink.java
@@ -74,7 +74,7 @@
     }
 
     DatabaseLoad load() {
-        return new DatabaseLoad(pool.outstanding(), latency, avoidUntil);
+        return new DatabaseLoad(pool.outstanding(), latency, avoidUntil, pool.idleCustomers());
     }
 
     /** Takes a newer entry. A database that started again or moved knows none of the connections. */
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/SessionCarrier.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/SessionCarrier.java
@@ -73,8 +73,9 @@
         takeMessages();
     }
 
-    private void takeMessages() {
-        while (!left && !session.isWorking() && !messages.isEmpty()) {
+    /** Messages wait until a configuration is known: a node that starts learns it within moments. */
+    void takeMessages() {
+        while (engine.isConfigured() && !left && !session.isWorking() && !messages.isEmpty()) {
             take(messages.remove());
         }
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -130,6 +130,7 @@
      * @param shares shares of the customers' rates
      */
     public void putInForce(TrafficView next, Map<CustomerName, RateShare> shares) {
+        boolean learnsFirst = !isConfigured();
         view = next;
         rates.putInForce(shares, now());
         Map<BackendServerName, DatabaseEntry> entries = new HashMap<>();
@@ -144,8 +145,9 @@
             }
         }
         links.values().removeIf(link -> !entries.containsKey(link.entry().name()) && link.isUnused());
-        if (next.draining() && !draining) {
-            draining = true;
+        draining = next.draining();
+        if (learnsFirst && isConfigured()) {
+            List.copyOf(sessions.values()).forEach(SessionCarrier::takeMessages);
         }
         drain();
     }
@@ -174,6 +176,10 @@
         return sessions.size();
     }
 
+    boolean isConfigured() {
+        return view.configuration().isKnown();
+    }
+
     EventLoop loop() {
         return loop;
     }
