Begin transactions ahead, let operations wait briefly for a token, serve metrics

Change: an operation whose token comes within a fifth of the route's target latency waits for it; a begin is answered and started at the database while the caller prepares its first statement; the connections of a VM beyond its share are those that the division leaves over. Tests for pools, shares and beliefs of the fleet.

--- a/core/src/main/java/org/geraniumproxy/core/caller/CurrentStatement.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/CurrentStatement.java
@@ -20,6 +20,7 @@
  * @param deadline moment at which the caller is told that there is no answer
  * @param tries placements tried
  * @param excluded databases that refused it
+ * @param answered whether the caller has its answer already
  */
 record CurrentStatement(
         String request,
@@ -29,7 +30,8 @@
         Instant arrivedAt,
         Instant deadline,
         int tries,
-        Set<BackendServerName> excluded) {
+        Set<BackendServerName> excluded,
+        boolean answered) {
     CurrentStatement {
         excluded = Set.copyOf(excluded);
     }
@@ -46,17 +48,25 @@
         };
     }
 
+    boolean isBegin() {
+        return statement instanceof Statement.Begin;
+    }
+
+    CurrentStatement answeredAhead() {
+        return new CurrentStatement(request, statement, shape, route, arrivedAt, deadline, tries, excluded, true);
+    }
+
     CurrentStatement tried() {
-        return new CurrentStatement(request, statement, shape, route, arrivedAt, deadline, tries + 1, excluded);
+        return new CurrentStatement(request, statement, shape, route, arrivedAt, deadline, tries + 1, excluded, answered);
     }
 
     CurrentStatement excluding(BackendServerName database) {
         Set<BackendServerName> extended = new HashSet<>(excluded);
         extended.add(database);
-        return new CurrentStatement(request, statement, shape, route, arrivedAt, deadline, tries, extended);
+        return new CurrentStatement(request, statement, shape, route, arrivedAt, deadline, tries, extended, answered);
     }
 
     CurrentStatement excludingNone() {
-        return new CurrentStatement(request, statement, shape, route, arrivedAt, deadline, tries, Set.of());
+        return new CurrentStatement(request, statement, shape, route, arrivedAt, deadline, tries, Set.of(), answered);
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/caller/OpenTransaction.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/OpenTransaction.java
@@ -36,6 +36,10 @@
         return new OpenTransaction(route, readOnly, next, Optional.empty(), idleSince);
     }
 
+    OpenTransaction reopened() {
+        return new OpenTransaction(route, readOnly, Condition.RUNNING, Optional.empty(), idleSince);
+    }
+
     OpenTransaction unpinned() {
         return new OpenTransaction(route, readOnly, condition, Optional.empty(), idleSince);
     }
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.core.caller;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -43,8 +44,9 @@
      * Ask for a token of the customer.
      *
      * @param customer the customer
+     * @param longestWait longest wait for the token before the operation is refused
      */
-    record TakeToken(CustomerName customer) implements SessionEffect {}
+    record TakeToken(CustomerName customer, Duration longestWait) implements SessionEffect {}
 
     /**
      * Ask for a slot of a database.
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementEnd.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementEnd.java
@@ -23,6 +23,9 @@
     }
 
     static CallerSession fail(CallerSession session, ErrorCode code, String text, List<SessionEffect> effects) {
+        if (session.current().map(CurrentStatement::answered).orElse(false)) {
+            return leaveToFirstStatement(session, text, effects);
+        }
         String request = session.current().map(CurrentStatement::request).orElse("-");
         int tries = session.current().map(CurrentStatement::tries).orElse(0);
         effects.add(new SessionEffect.Log(
@@ -30,6 +33,15 @@
         return finish(session, List.of(), new StatementResult.Failed(code, text), Optional.empty(), effects);
     }
 
+    /** A begin that was answered ahead did not succeed at a database: the first statement begins the transaction. */
+    private static CallerSession leaveToFirstStatement(
+            CallerSession session, String text, List<SessionEffect> effects) {
+        effects.add(new SessionEffect.Log(
+                session.current().orElseThrow().request(), "begin left to the first statement", "reason=\"" + text + "\""));
+        OpenTransaction open = session.transaction().orElseThrow();
+        return session.with(open.reopened()).withoutCurrent();
+    }
+
     /** Fails a statement that was not sent, and rolls back its transaction. */
     static CallerSession failWithRollback(
             CallerSession session, ErrorCode code, String text, List<SessionEffect> effects) {
@@ -191,8 +203,14 @@
         recordPosition(session, slot, replied.replies().getLast().position(), effects);
         OpenTransaction.Pinned pinned =
                 new OpenTransaction.Pinned(slot.placement(), slot.connection(), slot.memory(), false);
-        OpenTransaction open = session.transaction().orElseThrow().pinnedTo(pinned);
-        return StatementRun.run(session.with(open), slot, context, effects);
+        CallerSession begun = session.with(session.transaction().orElseThrow().pinnedTo(pinned));
+        if (session.current().orElseThrow().isBegin()) {
+            effects.add(new SessionEffect.ReleaseSlot(slot.placement().database(), slot.number()));
+            effects.add(new SessionEffect.WakeAt(
+                    context.now().plus(context.view().configuration().transactionIdleLimit())));
+            return begun.withoutCurrent();
+        }
+        return StatementRun.run(begun, slot, context, effects);
     }
 
     private static CallerSession answered(
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementStart.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementStart.java
@@ -14,6 +14,9 @@
 final class StatementStart {
     private static final StatementResult.Completed UNSIGNED = new StatementResult.Completed(StatementResult.UNSIGNED);
 
+    /** An operation that is refused in the end must not have waited longer than a quarter of its target latency. */
+    private static final int WAIT_PARTS = 5;
+
     private StatementStart() {}
 
     static CallerSession connect(
@@ -48,14 +51,33 @@
     }
 
     static CallerSession tokenGranted(CallerSession session, SessionContext context, List<SessionEffect> effects) {
+        if (!(session.progress() instanceof SessionProgress.AwaitingToken)) {
+            return session;
+        }
         CurrentStatement current = session.current().orElseThrow();
         if (current.statement() instanceof Statement.Begin begin) {
-            OpenTransaction open = OpenTransaction.begin(current.route(), begin.readOnly(), context.now());
-            return StatementEnd.finish(session.with(open), List.of(), UNSIGNED, Optional.empty(), effects);
+            return beginAhead(session, current, begin, context, effects);
         }
         return StatementRun.place(session, context, effects);
     }
 
+    /**
+     * Answers a begin and starts the transaction at a database while the caller prepares its first statement, so that the
+     * round trip and the opening of a connection are not added to that statement. If it does not succeed, the first
+     * statement starts the transaction.
+     */
+    private static CallerSession beginAhead(
+            CallerSession session,
+            CurrentStatement current,
+            Statement.Begin begin,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        OpenTransaction open = OpenTransaction.begin(current.route(), begin.readOnly(), context.now());
+        CallerSession begun = session.with(open);
+        effects.add(new SessionEffect.Reply(List.of(), UNSIGNED, begun.state(), Optional.empty()));
+        return StatementRun.place(begun.with(current.answeredAhead()), context, effects);
+    }
+
     static CallerSession tokenRefused(
             CallerSession session, SessionEvent.TokenRefused refused, List<SessionEffect> effects) {
         return StatementEnd.fail(
@@ -176,7 +198,7 @@
                 configuration.route(session.database().orElseThrow()).orElseThrow();
         CallerSession started = start(session, arrived, shape, route, context.now(), effects);
         CustomerName customer = session.customer(route, configuration).orElseThrow();
-        effects.add(new SessionEffect.TakeToken(customer));
+        effects.add(new SessionEffect.TakeToken(customer, route.targetLatency().dividedBy(WAIT_PARTS)));
         return started.with(new SessionProgress.AwaitingToken());
     }
 
@@ -190,7 +212,7 @@
         Instant deadline = now.plus(route.statementTimeout());
         effects.add(new SessionEffect.WakeAt(deadline));
         return session.with(
-                new CurrentStatement(arrived.request(), arrived.statement(), shape, route, now, deadline, 0, Set.of()));
+                new CurrentStatement(arrived.request(), arrived.statement(), shape, route, now, deadline, 0, Set.of(), false));
     }
 
     private static Optional<StatementResult.Failed> refusal(CallerSession session, ServiceConfiguration configuration) {
--- a/core/src/main/java/org/geraniumproxy/core/limit/LocalRate.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/LocalRate.java
@@ -10,8 +10,9 @@
  * @param share the share in force
  * @param bucket tokens at hand
  * @param demand operations asked for per second
+ * @param promised tokens that operations wait for
  */
-public record LocalRate(RateShare share, TokenBucket bucket, DemandEstimate demand) {
+public record LocalRate(RateShare share, TokenBucket bucket, DemandEstimate demand, int promised) {
     /** Whether an operation may run, and the state afterwards. */
     public sealed interface Admission {
         /**
@@ -28,6 +29,14 @@
          */
         record Admitted(LocalRate next) implements Admission {}
 
+        /**
+         * The operation may run after a wait; {@link LocalRate#redeem} is to be called then.
+         *
+         * @param next the state afterwards
+         * @param delay time until its token is there
+         */
+        record Delayed(LocalRate next, Duration delay) implements Admission {}
+
         /**
          * The operation is over the rate.
          *
@@ -44,7 +53,7 @@
      * @return the state
      */
     public static LocalRate none(Instant now) {
-        return new LocalRate(RateShare.NONE, TokenBucket.empty(now), DemandEstimate.none(now));
+        return new LocalRate(RateShare.NONE, TokenBucket.empty(now), DemandEstimate.none(now), 0);
     }
 
     /**
@@ -56,23 +65,41 @@
      */
     public LocalRate withShare(RateShare next, Instant now) {
         TokenBucket refilled = bucket.refill(now, share.milliTokensPerSecond(), share.burst());
-        return new LocalRate(next, refilled.clamp(next.burst()), demand);
+        return new LocalRate(next, refilled.clamp(next.burst()), demand, promised);
     }
 
     /**
-     * Admits or refuses an operation.
+     * Admits or refuses an operation. One whose token comes soon waits for it, because demand is spread unevenly over
+     * moments and VMs.
      *
+     * @param longestWait longest wait that is worth more than a refusal at once
      * @param now the present moment
      * @return the decision
      */
-    public Admission admit(Instant now) {
+    public Admission admit(Duration longestWait, Instant now) {
         TokenBucket refilled = bucket.refill(now, share.milliTokensPerSecond(), share.burst());
         DemandEstimate asked = demand.withArrival(now);
-        if (refilled.wholeTokens() >= 1) {
-            return new Admission.Admitted(new LocalRate(share, refilled.take(1), asked));
+        if (refilled.wholeTokens() > promised) {
+            return new Admission.Admitted(new LocalRate(share, refilled.take(1), asked, promised));
         }
-        Duration wait = refilled.timeUntil(1, share.milliTokensPerSecond());
-        return new Admission.Refused(new LocalRate(share, refilled, asked), wait);
+        Duration wait = refilled.timeUntil(promised + 1L, share.milliTokensPerSecond());
+        boolean fits = promised < share.burst() && wait.compareTo(longestWait) <= 0;
+        return fits
+                ? new Admission.Delayed(new LocalRate(share, refilled, asked, promised + 1), wait)
+                : new Admission.Refused(new LocalRate(share, refilled, asked, promised), wait);
+    }
+
+    /**
+     * Takes the token that an operation waited for. A share that shrank meanwhile may leave none; the operation then
+     * runs on the next one.
+     *
+     * @param now the present moment
+     * @return the state
+     */
+    public LocalRate redeem(Instant now) {
+        TokenBucket refilled = bucket.refill(now, share.milliTokensPerSecond(), share.burst());
+        TokenBucket left = refilled.wholeTokens() >= 1 ? refilled.take(1) : TokenBucket.empty(now);
+        return new LocalRate(share, left, demand, Math.max(0, promised - 1));
     }
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/pool/CustomerPoolView.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/CustomerPoolView.java
@@ -18,10 +18,12 @@
      * @param allConnections most connections from all VMs
      * @param vms number of VMs, at least one
      * @param surplusIdle time after which an idle connection beyond the share is closed
-     * @return the view: an equal share to keep, and twice as much while it is used
+     * @return the view: an equal share to keep, and while they are used the connections that the division leaves over
      */
     public static CustomerPoolView of(int slots, int allConnections, int vms, Duration surplusIdle) {
         int share = Math.max(1, allConnections / vms);
-        return new CustomerPoolView(Math.max(1, slots), Math.min(allConnections, 2 * share), share, surplusIdle);
+        int leftOver = Math.max(1, allConnections - share * vms);
+        return new CustomerPoolView(
+                Math.max(1, slots), Math.min(allConnections, share + leftOver), share, surplusIdle);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/geraniumproxy/core/fleet/FleetState_on_Test.java
@@ -0,0 +1,168 @@
+package org.geraniumproxy.core.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.DatabaseHealth;
+import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.directory.PrimaryClaim;
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.FailureDomain;
+import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.promotion.PromotionReason;
+import org.geraniumproxy.core.service.ServiceConfiguration;
+import org.junit.jupiter.api.Test;
+
+/** Guards against older versions, databases that left, and wrong beliefs about primaries. */
+class FleetState_on_Test {
+    private static final GroupName GROUP = GroupName.of("entries");
+    private static final BackendServerName PRIMARY = BackendServerName.of("db-1");
+    private static final BackendServerName REPLICA = BackendServerName.of("db-2");
+    private static final VmName OTHER = VmName.of("vm-2");
+
+    private Instant now = Instant.EPOCH;
+    private FleetState state = FleetState.initial(VmName.of("vm-1"));
+    private List<FleetEffect> effects = List.of();
+
+    @Test
+    void should_never_go_back_to_an_older_configuration() {
+        on(new FleetEvent.ConfigurationLearned(version(5)));
+        on(new FleetEvent.ConfigurationLearned(version(4)));
+        assertThat(state.configuration().version(), is(5L));
+    }
+
+    @Test
+    void should_ask_another_vm_for_a_newer_configuration() {
+        on(new FleetEvent.VmsLearned(Map.of(OTHER, "10.0.0.2:1")));
+        on(new FleetEvent.PeerHeard(message(7, Map.of(), Map.of())));
+        assertThat(effects.stream().anyMatch(FleetEffect.FetchConfiguration.class::isInstance), is(true));
+    }
+
+    @Test
+    void should_keep_entries_that_lapsed_with_the_store_until_they_had_time_to_return() {
+        learnBoth();
+        on(new FleetEvent.DatabasesLearned(Map.of()));
+        assertThat(directory().databases().containsKey(REPLICA), is(true));
+        advance(Duration.ofMillis(2600));
+        assertThat(directory().databases().containsKey(REPLICA), is(false));
+    }
+
+    @Test
+    void should_use_a_primary_that_only_the_store_misses_a_little_longer() {
+        learnBoth();
+        on(new FleetEvent.DatabaseMissing(PRIMARY));
+        advance(Duration.ofMillis(2600));
+        assertThat(directory().primary().map(DatabaseEntry::name), is(Optional.of(PRIMARY)));
+        assertThat(PrimaryCheck.reason(state, GROUP, now), is(Optional.of(PromotionReason.MISSING)));
+    }
+
+    @Test
+    void should_send_nothing_to_a_leaving_primary_that_was_not_replaced_in_time() {
+        learnBoth();
+        on(new FleetEvent.DatabaseChanged(entry(PRIMARY, true, true, 9)));
+        assertThat(PrimaryCheck.reason(state, GROUP, now), is(Optional.of(PromotionReason.LEAVING)));
+        advance(Duration.ofMillis(5600));
+        assertThat(directory().primary(), is(Optional.empty()));
+    }
+
+    @Test
+    void should_follow_a_claim_of_a_newer_term_before_the_entries_change() {
+        learnBoth();
+        on(new FleetEvent.PrimaryClaimed(GROUP, new PrimaryClaim(REPLICA, 4)));
+        assertThat(directory().primary().map(DatabaseEntry::name), is(Optional.of(REPLICA)));
+        on(new FleetEvent.PrimaryClaimed(GROUP, new PrimaryClaim(PRIMARY, 3)));
+        assertThat(directory().primary().map(DatabaseEntry::name), is(Optional.of(REPLICA)));
+    }
+
+    @Test
+    void should_not_send_writes_to_a_database_that_refused_as_a_replica() {
+        learnBoth();
+        on(new FleetEvent.RefusedAsReplica(GROUP, PRIMARY));
+        assertThat(directory().primary(), is(Optional.empty()));
+        on(new FleetEvent.DatabaseChanged(entry(PRIMARY, true, false, 9)));
+        assertThat(directory().primary().map(DatabaseEntry::name), is(Optional.of(PRIMARY)));
+    }
+
+    @Test
+    void should_not_replace_a_primary_that_only_this_vm_cannot_reach() {
+        learnBoth();
+        on(new FleetEvent.VmsLearned(Map.of(OTHER, "10.0.0.2:1")));
+        failingHere();
+        on(new FleetEvent.PeerHeard(message(0, Map.of(), Map.of())));
+        assertThat(PrimaryCheck.reason(state, GROUP, now), is(Optional.empty()));
+        on(new FleetEvent.PeerHeard(message(0, Map.of(PRIMARY, Duration.ofMillis(400)), Map.of())));
+        assertThat(PrimaryCheck.reason(state, GROUP, now), is(Optional.of(PromotionReason.FAILING)));
+    }
+
+    @Test
+    void should_replace_a_primary_that_acknowledges_no_commit() {
+        learnBoth();
+        on(new FleetEvent.VmsLearned(Map.of(OTHER, "10.0.0.2:1")));
+        Instant since = now;
+        now = now.plusMillis(900);
+        DatabaseHealth health = new DatabaseHealth(Optional.of(now), Optional.empty(), Optional.of(since));
+        on(new FleetEvent.TrafficReported(Map.of(), Map.of(PRIMARY, health), Map.of()));
+        on(new FleetEvent.PeerHeard(message(0, Map.of(), Map.of(PRIMARY, Duration.ofMillis(900)))));
+        assertThat(PrimaryCheck.reason(state, GROUP, now), is(Optional.of(PromotionReason.FAILING)));
+    }
+
+    @Test
+    void should_not_trust_the_log_of_a_database_that_started_again() {
+        learnBoth();
+        DatabaseEntry again = new DatabaseEntry(
+                REPLICA, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, false, 2, 9);
+        on(new FleetEvent.DatabaseChanged(again));
+        assertThat(state.unprovenDatabases(now).contains(REPLICA), is(true));
+        advance(Duration.ofMillis(4100));
+        assertThat(state.unprovenDatabases(now).contains(REPLICA), is(false));
+    }
+
+    private void failingHere() {
+        Instant since = now;
+        now = now.plusMillis(400);
+        DatabaseHealth health = new DatabaseHealth(Optional.empty(), Optional.of(since), Optional.empty());
+        on(new FleetEvent.TrafficReported(Map.of(), Map.of(PRIMARY, health), Map.of()));
+    }
+
+    private void learnBoth() {
+        on(new FleetEvent.DatabasesLearned(
+                Map.of(PRIMARY, entry(PRIMARY, true, false, 1), REPLICA, entry(REPLICA, false, false, 2))));
+    }
+
+    private void advance(Duration duration) {
+        now = now.plus(duration);
+        on(new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of()));
+    }
+
+    private void on(FleetEvent event) {
+        Transition<FleetState, FleetEffect> transition = state.on(event, now);
+        state = transition.state();
+        effects = transition.effects();
+    }
+
+    private GroupDirectory directory() {
+        return state.groups().getOrDefault(GROUP, GroupDirectory.EMPTY);
+    }
+
+    private static PeerMessage message(
+            long version, Map<BackendServerName, Duration> failing, Map<BackendServerName, Duration> commits) {
+        return new PeerMessage(OTHER, version, Map.of(), failing, commits, Map.of(), Map.of());
+    }
+
+    private static ServiceConfiguration version(long number) {
+        return ServiceConfiguration.of(number, Map.of(), Map.of(), Map.of(), Duration.ofSeconds(3));
+    }
+
+    private static DatabaseEntry entry(BackendServerName name, boolean primary, boolean draining, long revision) {
+        return new DatabaseEntry(
+                name, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, draining, primary, 1, revision);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumproxy/core/pool/CustomerPool_on_Test.java
@@ -0,0 +1,106 @@
+package org.geraniumproxy.core.pool;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.geraniumproxy.core.control.Transition;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.junit.jupiter.api.Test;
+
+/** Guards against connections that serve another customer than the one they were opened for. */
+class CustomerPool_on_Test {
+    private static final CustomerName TROUPE = CustomerName.of("troupe");
+    private static final CustomerName JURY = CustomerName.of("jury");
+    private static final Duration SURPLUS_IDLE = Duration.ofMillis(400);
+
+    private Instant now = Instant.EPOCH;
+    private CustomerPoolView view = CustomerPoolView.of(2, 2, 1, SURPLUS_IDLE);
+    private CustomerPool pool = CustomerPool.initial();
+    private List<CustomerPoolEffect> effects = List.of();
+
+    @Test
+    void should_open_a_connection_for_the_customer_that_waits() {
+        on(new CustomerPoolEvent.SlotRequested(request(1, TROUPE)));
+        assertThat(effects, contains(new CustomerPoolEffect.Open(TROUPE)));
+        on(new CustomerPoolEvent.ConnectionOpened(TROUPE));
+        assertThat(effects, contains(new CustomerPoolEffect.Grant(request(1, TROUPE))));
+    }
+
+    @Test
+    void should_not_use_an_idle_connection_of_another_customer() {
+        idle(TROUPE);
+        on(new CustomerPoolEvent.SlotRequested(request(2, JURY)));
+        assertThat(effects, contains(new CustomerPoolEffect.Open(JURY)));
+    }
+
+    @Test
+    void should_replace_the_connection_idle_longest_when_there_is_no_room() {
+        view = CustomerPoolView.of(2, 1, 1, SURPLUS_IDLE);
+        idle(TROUPE);
+        view = new CustomerPoolView(2, 1, 1, SURPLUS_IDLE);
+        on(new CustomerPoolEvent.SlotRequested(request(2, JURY)));
+        assertThat(
+                effects,
+                contains(new CustomerPoolEffect.CloseIdle(TROUPE), new CustomerPoolEffect.Open(JURY)));
+    }
+
+    @Test
+    void should_wait_when_all_connections_are_held() {
+        view = new CustomerPoolView(2, 1, 1, SURPLUS_IDLE);
+        on(new CustomerPoolEvent.SlotRequested(request(1, TROUPE)));
+        on(new CustomerPoolEvent.ConnectionOpened(TROUPE));
+        on(new CustomerPoolEvent.SlotRequested(request(2, JURY)));
+        assertThat(effects, is(empty()));
+    }
+
+    @Test
+    void should_pause_after_the_database_was_full() {
+        on(new CustomerPoolEvent.SlotRequested(request(1, TROUPE)));
+        on(new CustomerPoolEvent.OpeningFailed(TROUPE, true));
+        assertThat(effects, is(empty()));
+        now = now.plus(CustomerPool.FULL_PAUSE);
+        on(new CustomerPoolEvent.TimePassed());
+        assertThat(effects, contains(new CustomerPoolEffect.Open(TROUPE)));
+    }
+
+    @Test
+    void should_give_connections_beyond_the_share_back_once_they_are_idle() {
+        view = new CustomerPoolView(2, 2, 1, SURPLUS_IDLE);
+        idle(TROUPE);
+        idle(JURY);
+        now = now.plus(SURPLUS_IDLE).plusMillis(1);
+        on(new CustomerPoolEvent.TimePassed());
+        assertThat(effects, contains(new CustomerPoolEffect.CloseIdle(TROUPE)));
+    }
+
+    @Test
+    void should_forget_a_request_that_is_withdrawn() {
+        on(new CustomerPoolEvent.SlotRequested(request(1, TROUPE)));
+        on(new CustomerPoolEvent.RequestWithdrawn(1));
+        on(new CustomerPoolEvent.ConnectionOpened(TROUPE));
+        assertThat(effects, is(empty()));
+    }
+
+    private void idle(CustomerName customer) {
+        on(new CustomerPoolEvent.SlotRequested(request(100, customer)));
+        on(new CustomerPoolEvent.ConnectionOpened(customer));
+        on(new CustomerPoolEvent.SlotReleased(100));
+        on(new CustomerPoolEvent.ConnectionReturned(customer, true));
+        now = now.plusMillis(1);
+    }
+
+    private void on(CustomerPoolEvent event) {
+        Transition<CustomerPool, CustomerPoolEffect> transition = pool.on(event, view, now);
+        pool = transition.state();
+        effects = transition.effects();
+    }
+
+    private SlotRequest request(long number, CustomerName customer) {
+        return new SlotRequest(number, customer, 1, 1, Instant.EPOCH.plusSeconds(10), false);
+    }
+}
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseLink.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseLink.java
@@ -160,6 +160,7 @@
     }
 
     void recordSilence(boolean commit) {
+        engine.metrics().databaseSilent();
         health = health.failed(engine.now(), commit);
         avoidUntil = engine.now().plus(SILENCE_AVOIDANCE);
         closeIdle("another connection to the database went silent");
@@ -195,6 +196,7 @@
 
     @Override
     public void opened(BackendConnection connection) {
+        engine.metrics().opening(true);
         connection.heardAt(engine.now());
         health = health.answered(engine.now(), false);
         idle.push(connection);
@@ -271,6 +273,7 @@
 
     private void openingFailed(BackendConnection connection, String reason, boolean full) {
         engine.log("-", "connection not opened", "database=" + entry.name() + " reason=\"" + reason + "\"");
+        engine.metrics().opening(false);
         connections.remove(connection.number());
         apply(new CustomerPoolEvent.OpeningFailed(connection.customer(), full));
         if (!full) {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RateGate.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RateGate.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.engine.traffic;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
@@ -12,16 +13,20 @@
 final class RateGate {
     private final Map<CustomerName, LocalRate> rates = new HashMap<>();
 
-    LocalRate.Admission admit(CustomerName customer, Instant now) {
+    LocalRate.Admission admit(CustomerName customer, Duration longestWait, Instant now) {
         LocalRate rate = rates.computeIfAbsent(customer, _ -> LocalRate.none(now));
         if (customer.equals(CallerSession.ANONYMOUS)) {
             return new LocalRate.Admission.Admitted(rate);
         }
-        LocalRate.Admission admission = rate.admit(now);
+        LocalRate.Admission admission = rate.admit(longestWait, now);
         rates.put(customer, admission.next());
         return admission;
     }
 
+    void redeem(CustomerName customer, Instant now) {
+        rates.computeIfPresent(customer, (_, rate) -> rate.redeem(now));
+    }
+
     void putInForce(Map<CustomerName, RateShare> shares, Instant now) {
         rates.keySet().removeIf(customer -> !shares.containsKey(customer));
         shares.forEach((customer, share) -> rates.put(
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -38,6 +38,7 @@
 import org.geraniumproxy.engine.loop.StreamHandler;
 import org.geraniumproxy.engine.loop.TimeJumpDetector;
 import org.geraniumproxy.engine.telemetry.DecisionLog;
+import org.geraniumproxy.engine.telemetry.NodeMetrics;
 
 /**
  * Serves the callers of this VM. All state belongs to the thread of one event loop; what the control thread decides
@@ -64,6 +65,7 @@
     private final CallerProtocol callerProtocol;
     private final BackendProtocol backendProtocol;
     private final DecisionLog log;
+    private final NodeMetrics metrics;
     private final TrafficObserver observer;
     private final Map<Long, SessionCarrier> sessions = new HashMap<>();
     private final Map<BackendServerName, DatabaseLink> links = new HashMap<>();
@@ -86,6 +88,7 @@
      * @param callerProtocol the protocol of the callers
      * @param backendProtocol the protocol of the databases
      * @param log receives decisions
+     * @param metrics counts outcomes
      * @param observer receives what the traffic shows
      */
     public TrafficEngine(
@@ -95,6 +98,7 @@
             CallerProtocol callerProtocol,
             BackendProtocol backendProtocol,
             DecisionLog log,
+            NodeMetrics metrics,
             TrafficObserver observer) {
         this.loop = loop;
         this.clock = clock;
@@ -102,6 +106,7 @@
         this.callerProtocol = callerProtocol;
         this.backendProtocol = backendProtocol;
         this.log = log;
+        this.metrics = metrics;
         this.observer = observer;
     }
 
@@ -214,6 +219,10 @@
         return links.get(database);
     }
 
+    NodeMetrics metrics() {
+        return metrics;
+    }
+
     void log(String request, String decision, String detail) {
         log.write("traffic", request, decision, detail);
     }
@@ -276,9 +285,9 @@
                 carrier.stream().send(callerProtocol.rejected(reject.failure()));
                 carrier.stream().closeAfterOutput();
             }
-            case SessionEffect.Reply reply -> carrier.stream().send(callerProtocol.reply(reply));
+            case SessionEffect.Reply reply -> reply(carrier, reply);
             case SessionEffect.CloseCaller _ -> carrier.stream().closeAfterOutput();
-            case SessionEffect.TakeToken take -> deliver(carrier.session().id(), admit(take.customer()));
+            case SessionEffect.TakeToken take -> admit(carrier, take.customer(), take.longestWait());
             case SessionEffect.RequestSlot request -> requestSlot(request);
             case SessionEffect.CancelSlot cancel -> cancelSlot(cancel);
             case SessionEffect.ReleaseSlot release -> link(release.database()).release(release.number());
@@ -293,11 +302,29 @@
         }
     }
 
-    private SessionEvent admit(CustomerName customer) {
-        return switch (rates.admit(customer, now())) {
-            case LocalRate.Admission.Admitted _ -> new SessionEvent.TokenGranted();
-            case LocalRate.Admission.Refused refused -> new SessionEvent.TokenRefused(refused.retryAfter());
-        };
+    private void reply(SessionCarrier carrier, SessionEffect.Reply reply) {
+        carrier.stream().send(callerProtocol.reply(reply));
+        switch (reply.result()) {
+            case StatementResult.Completed _ -> metrics.answered();
+            case StatementResult.Failed failure -> metrics.failed(failure.code());
+        }
+    }
+
+    private void admit(SessionCarrier carrier, CustomerName customer, Duration longestWait) {
+        long session = carrier.session().id();
+        switch (rates.admit(customer, longestWait, now())) {
+            case LocalRate.Admission.Admitted _ -> deliver(session, new SessionEvent.TokenGranted());
+            case LocalRate.Admission.Refused refused ->
+                deliver(session, new SessionEvent.TokenRefused(refused.retryAfter()));
+            case LocalRate.Admission.Delayed delayed ->
+                loop.schedule(now().plus(delayed.delay()), () -> {
+                    rates.redeem(customer, now());
+                    if (!carrier.hasLeft()) {
+                        carrier.apply(new SessionEvent.TokenGranted());
+                        drain();
+                    }
+                });
+        }
     }
 
     private void requestSlot(SessionEffect.RequestSlot request) {
@@ -358,8 +385,14 @@
             return;
         }
         switch (observation) {
-            case DatabaseObservation.Answered answered ->
+            case DatabaseObservation.Answered answered -> {
+                metrics.databaseAnswered(answered.took());
+                metrics.placed(view.group(group)
+                        .primary()
+                        .map(primary -> primary.name().equals(answered.database()))
+                        .orElse(false));
                 link.recordAnswer(answered.took(), answered.acknowledgedCommit());
+            }
             case DatabaseObservation.Silent silent -> link.recordSilence(silent.commit());
             case DatabaseObservation.NotLeading refused -> observer.refusedAsReplica(group, refused.database());
             case DatabaseObservation.Lagging _ -> link.recordLag();
@@ -386,6 +419,7 @@
         drain();
         Map<BackendServerName, DatabaseHealth> health = new HashMap<>();
         links.forEach((name, link) -> health.put(name, link.health()));
+        metrics.state(sessions.size(), view.configuration().version());
         observer.reported(new TrafficReport(rates.demand(now()), health, newestTerms, sessions.size()));
         loop.schedule(now().plus(TICK), this::tick);
     }
