Step the old primary down, keep to an unanswered order, explore promotions

A model of three databases, one crash, one lost answer and two holders, driven by PromotionState itself, found two losses of an acknowledged commit: 1. a replica starts again between the check of the stopped state and the order, receives, and a commit is acknowledged (after 17,952 states). Change: the old primary is asked to step down when the choice is made. What remains: a primary that cannot be reached by the holder but by replicas and callers. 2. an order is not answered, its repetition is refused because the database is down, another database is chosen, and the first copy is carried out late (after 22,183 states). Change: a refusal does not end an attempt while a copy without an answer may still be carried out. Also: equal logs are chosen between by name, so that runs repeat.

--- a/core/src/main/java/org/geraniumproxy/core/caller/BackendCommand.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/BackendCommand.java
@@ -75,4 +75,11 @@
 
     /** Lets a stopped replica receive again. */
     record ResumeReceiving() implements BackendCommand {}
+
+    /**
+     * Makes a primary of a lower term a replica.
+     *
+     * @param term a term above that of the primary
+     */
+    record StepDown(long term) implements BackendCommand {}
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -50,7 +50,9 @@
         }
         Optional<Map.Entry<BackendServerName, DatabaseStatus>> best = stopped.entrySet().stream()
                 .filter(entry -> isEligible(situation, entry.getKey()))
-                .max(Comparator.comparing(entry -> entry.getValue().received()));
+                .max(Comparator.comparing((Map.Entry<BackendServerName, DatabaseStatus> entry) ->
+                                entry.getValue().received())
+                        .thenComparing(entry -> entry.getKey().value()));
         LogPosition highest = stopped.values().stream()
                 .map(DatabaseStatus::received)
                 .max(Comparator.naturalOrder())
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -68,8 +68,10 @@
      * @param attempt what the attempt is about
      * @param target the choice
      * @param repeatAt moment at which it is sent again; empty while an answer is awaited
+     * @param unansweredAt moment at which it was last found without an answer
      */
-    record Ordering(Attempt attempt, BackendServerName target, Optional<Instant> repeatAt)
+    record Ordering(
+            Attempt attempt, BackendServerName target, Optional<Instant> repeatAt, Optional<Instant> unansweredAt)
             implements PromotionPhase {}
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -34,6 +34,9 @@
     /** Pause before an order without an answer is repeated; the platform takes few calls a second. */
     static final Duration REPEAT_PAUSE = Duration.ofMillis(300);
 
+    /** Time in which an order without an answer may still be carried out; the platform names up to 12 s. */
+    static final Duration LATE_ORDER_TIME = Duration.ofSeconds(13);
+
     /** Time without a leader before a replacement begins: a new primary says so at once, and its entry is on its way. */
     static final Duration LEADERLESS_TIME = Duration.ofMillis(1500);
 
@@ -83,7 +86,7 @@
             case PromotionPhase.Announcing announcing -> announcing;
             case PromotionPhase.Ordering ordering -> {
                 boolean due = ordering.repeatAt().map(at -> !now.isBefore(at)).orElse(false);
-                yield due ? order(ordering.attempt(), ordering.target(), effects) : ordering;
+                yield due ? order(ordering.attempt(), ordering.target(), ordering.unansweredAt(), effects) : ordering;
             }
         };
     }
@@ -111,7 +114,7 @@
         if (open.isPresent() && situation.databases().containsKey(open.get().target())) {
             effects.add(new PromotionEffect.Log("order repeated", "database=" + open.get().target()));
             Attempt attempt = new Attempt(open.get().term(), situation, now);
-            return order(attempt, open.get().target(), effects);
+            return order(attempt, open.get().target(), Optional.empty(), effects);
         }
         Set<BackendServerName> replicas = new HashSet<>(situation.databases().keySet());
         situation.primary().ifPresent(replicas::remove);
@@ -167,6 +170,11 @@
             case PromotionChoice.Chosen chosen -> {
                 stopping.stopped().keySet().forEach(database -> effects.add(
                         new PromotionEffect.Ask(database, new BackendCommand.ReadStatus(), attempt.term())));
+                // A replica that starts again from here on receives; a primary that has stepped down acknowledges nothing.
+                attempt.situation()
+                        .primary()
+                        .ifPresent(primary -> effects.add(
+                                new PromotionEffect.Send(primary, new BackendCommand.StepDown(attempt.term()))));
                 effects.add(new PromotionEffect.Log("database chosen", "database=" + chosen.target()));
                 yield new PromotionPhase.Verifying(
                         attempt, stopping.stopped().keySet(), stopping.stopped(), chosen.target());
@@ -205,7 +213,7 @@
             return phase;
         }
         return written
-                ? order(announcing.attempt(), announcing.target(), effects)
+                ? order(announcing.attempt(), announcing.target(), Optional.empty(), effects)
                 : abandon(
                         announcing.attempt(),
                         announcing.attempt().situation().databases().keySet(),
@@ -214,9 +222,13 @@
                         effects);
     }
 
-    private static PromotionPhase order(Attempt attempt, BackendServerName target, List<PromotionEffect> effects) {
+    private static PromotionPhase order(
+            Attempt attempt,
+            BackendServerName target,
+            Optional<Instant> unansweredAt,
+            List<PromotionEffect> effects) {
         effects.add(new PromotionEffect.Order(target));
-        return new PromotionPhase.Ordering(attempt, target, Optional.empty());
+        return new PromotionPhase.Ordering(attempt, target, Optional.empty(), unansweredAt);
     }
 
     private PromotionPhase done(Instant now, List<PromotionEffect> effects) {
@@ -238,6 +250,13 @@
             return phase;
         }
         Attempt attempt = ordering.attempt();
+        boolean mayStillRun = ordering.unansweredAt()
+                .map(at -> now.isBefore(at.plus(LATE_ORDER_TIME)))
+                .orElse(false);
+        if (mayStillRun) {
+            return new PromotionPhase.Ordering(
+                    attempt, ordering.target(), Optional.of(now.plus(REPEAT_PAUSE)), ordering.unansweredAt());
+        }
         effects.add(new PromotionEffect.Announce(new AnnouncedOrder(ordering.target(), attempt.term(), true)));
         return abandon(
                 attempt, attempt.situation().databases().keySet(), "the order was refused", now, effects);
@@ -246,7 +265,10 @@
     private PromotionPhase unanswered(Instant now) {
         return phase instanceof PromotionPhase.Ordering ordering
                 ? new PromotionPhase.Ordering(
-                        ordering.attempt(), ordering.target(), Optional.of(now.plus(REPEAT_PAUSE)))
+                        ordering.attempt(),
+                        ordering.target(),
+                        Optional.of(now.plus(REPEAT_PAUSE)),
+                        Optional.of(now))
                 : phase;
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -116,6 +116,22 @@
         assertThat(orders(), containsInAnyOrder(SECOND));
     }
 
+    /** Guards against a second choice while a copy of the first order may still be carried out; the model found it. */
+    @Test
+    void should_keep_to_its_order_when_a_repetition_is_refused_after_one_was_not_answered() {
+        begin();
+        answer(SECOND, stopped(12));
+        answer(THIRD, stopped(10));
+        verifyAll(12, 10);
+        on(new PromotionEvent.Announced(true));
+        on(new PromotionEvent.OrderUnanswered());
+        on(new PromotionEvent.OrderRefused());
+        assertThat(sent(BackendCommand.ResumeReceiving.class), is(empty()));
+        now = now.plus(PromotionState.REPEAT_PAUSE);
+        on(new PromotionEvent.TimePassed(situation()));
+        assertThat(orders(), containsInAnyOrder(SECOND));
+    }
+
     @Test
     void should_repeat_the_open_order_of_an_earlier_holder_before_choosing() {
         announced = Optional.of(new AnnouncedOrder(SECOND, TERM, false));
