Let the promotion itself end the stop of replicas; repeat orders sooner

Cause: an order is answered some hundred milliseconds before the promotion takes place, and the node let the replicas receive again at the answer: with a primary that could not be asked to step down, a commit could be acknowledged in between by a replica that is not the target. Change: nothing is resumed after an order; the promotion ends the stop. The test fails before.

--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -19,8 +19,8 @@
 /**
  * Supervision of a group by the holder of the duty. An attempt stops the receiving of the replicas, chooses a log that
  * holds every acknowledged commit, checks that the databases are still stopped, announces the order in the store and
- * sends it until it is answered. Receiving is resumed only if no order was sent: an order without an answer may still
- * be carried out.
+ * sends it until it is answered. Receiving is resumed only if no order was sent: an order may be carried out some hundred
+ * milliseconds after its answer, or without one, and the promotion itself lets the replicas receive again.
  *
  * @param phase how far the promotion has come
  */
@@ -32,7 +32,7 @@
     static final Duration SETTLING_TIME = Duration.ofSeconds(2);
 
     /** Pause before an order without an answer is repeated; the platform takes few calls a second. */
-    static final Duration REPEAT_PAUSE = Duration.ofMillis(300);
+    static final Duration REPEAT_PAUSE = Duration.ofMillis(100);
 
     /** Time in which an order without an answer may still be carried out; the platform names up to 12 s. */
     static final Duration LATE_ORDER_TIME = Duration.ofSeconds(13);
@@ -241,7 +241,6 @@
                 "promotion done", "database=" + ordering.target() + " took=" + took.toMillis() + "ms"));
         effects.add(new PromotionEffect.Claim(new PrimaryClaim(ordering.target(), attempt.term())));
         effects.add(new PromotionEffect.Announce(new AnnouncedOrder(ordering.target(), attempt.term(), true)));
-        resume(attempt, attempt.situation().databases().keySet(), effects);
         return new PromotionPhase.Watching(now.plus(SETTLING_TIME), Optional.empty());
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -164,6 +164,18 @@
                 containsInAnyOrder(SECOND));
     }
 
+    /** Guards against a commit acknowledged between the answer to the order and the promotion some 600 ms later. */
+    @Test
+    void should_not_let_replicas_receive_before_the_promotion_takes_place() {
+        begin();
+        answer(SECOND, stopped(12));
+        answer(THIRD, stopped(10));
+        verifyAll(12, 10);
+        on(new PromotionEvent.Announced(true));
+        on(new PromotionEvent.OrderDone());
+        assertThat(sent(BackendCommand.ResumeReceiving.class), is(empty()));
+    }
+
     @Test
     void should_give_up_an_attempt_that_takes_too_long() {
         begin();
