--- a/proxy/src/test/java/org/geraniumproxy/proxy/control/ControlThread_view_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/control/ControlThread_view_Test.java
@@ -54,14 +54,19 @@
     void should_put_an_applied_configuration_in_force_on_every_VM() throws Exception {
         // given
         List<ControlThread> started = startNodes(3);
+        // A configuration that a peer passed on is known before the view is proven; it is in force when both hold.
         List<CompletableFuture<ControlSnapshot>> inForce = started.stream()
-                .map(node -> await(node, snapshot -> snapshot.configuration().revision() == 1))
+                .map(node -> await(
+                        node,
+                        snapshot -> snapshot.configuration().revision() == 1
+                                && snapshot.isViewCurrent(clock.instant())))
                 .toList();
         // when
         applyConfiguration(1);
         // then
         for (CompletableFuture<ControlSnapshot> future : inForce) {
             ControlSnapshot snapshot = future.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            assertThat(snapshot.configuration().revision(), is(1L));
             assertThat(snapshot.isViewCurrent(clock.instant()), is(true));
         }
     }
