--- a/proxy/src/test/java/org/geraniumproxy/proxy/control/ControlThread_view_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/control/ControlThread_view_Test.java
@@ -58,8 +58,8 @@
         List<CompletableFuture<ControlSnapshot>> inForce = started.stream()
                 .map(node -> await(
                         node,
-                        snapshot -> snapshot.configuration().revision() == 1
-                                && snapshot.isViewCurrent(clock.instant())))
+                        snapshot ->
+                                snapshot.configuration().revision() == 1 && snapshot.isViewCurrent(clock.instant())))
                 .toList();
         // when
         applyConfiguration(1);
