Keep the event loop running after an unexpected error

Cause: a handler that failed while its connection was closed by a flush ended the traffic thread, because only tasks, timers and ready connections were guarded; the process then served nobody and went on to count as ready. A connection whose channel could not be opened threw a NullPointerException when it was closed. Ruled out: ending the process instead; one faulty connection would stop all callers of a VM.

--- a/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
@@ -8,6 +8,8 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.channels.UnresolvedAddressException;
+import java.nio.channels.UnsupportedAddressTypeException;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
@@ -127,10 +129,10 @@
                 execute(connection::finishConnect);
             }
             return connection;
-        } catch (IOException e) {
+        } catch (IOException | UnresolvedAddressException | UnsupportedAddressTypeException e) {
             logFailure("opening a connection failed", e);
-            StreamConnection failed = new StreamConnection(this, null, handler);
-            execute(() -> handler.onClosed("connect failed: " + e.getMessage()));
+            StreamConnection failed = StreamConnection.unopened(this, handler);
+            execute(() -> failed.close("connect failed: " + e));
             return failed;
         }
     }
@@ -150,8 +152,8 @@
                 runTasks();
                 flushPending();
                 select();
-            } catch (IOException e) {
-                logFailure("the selector failed", e);
+            } catch (IOException | RuntimeException e) {
+                logFailure("an iteration failed", e);
             }
         }
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
@@ -31,6 +31,11 @@
         this.handler = handler;
     }
 
+    /** Returns a connection whose channel could not be opened. It can only be closed. */
+    static StreamConnection unopened(EventLoop loop, StreamHandler handler) {
+        return new StreamConnection(loop, null, handler);
+    }
+
     /**
      * Queues bytes for sending. Everything queued during one iteration of the loop is written with a single system
      * call. Does nothing if the connection is closed.
@@ -67,7 +72,9 @@
             key.cancel();
         }
         try {
-            channel.close();
+            if (channel != null) {
+                channel.close();
+            }
         } catch (IOException e) {
             loop.logFailure("closing a connection failed", e);
         }
--- /dev/null
+++ b/engine/src/test/java/org/geraniumproxy/engine/loop/EventLoop_run_Test.java
@@ -0,0 +1,104 @@
+package org.geraniumproxy.engine.loop;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.time.Clock;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.geraniumproxy.engine.telemetry.DecisionLog;
+import org.junit.jupiter.api.Test;
+
+/** Guards against one unexpected error that ends the thread which serves all callers. */
+class EventLoop_run_Test {
+    private static final long TIMEOUT_SECONDS = 5;
+
+    private final EventLoop loop = startLoop();
+
+    @Test
+    void should_continue_after_a_handler_failed_when_its_connection_was_closed_by_a_flush() throws Exception {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        int port = freePort();
+        loop.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                stream -> new FailingHandler(stream, closed));
+        startAfterListening();
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            caller.setTcpNoDelay(true);
+            closed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+        CompletableFuture<Void> nextTask = new CompletableFuture<>();
+        loop.execute(() -> nextTask.complete(null));
+        nextTask.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Guards against an address that the socket rejects with an exception that is not an I/O failure. */
+    @Test
+    void should_report_a_connection_that_cannot_be_opened_as_closed() throws Exception {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        startAfterListening();
+        loop.execute(
+                () -> loop.connect(InetSocketAddress.createUnresolved("unresolved", 1), new ClosingHandler(closed)));
+        closed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void startAfterListening() {
+        loop.start("loop");
+    }
+
+    private static EventLoop startLoop() {
+        try {
+            return new EventLoop(Clock.systemUTC(), new DecisionLog(new PrintStream(PrintStream.nullOutputStream())));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Closes its connection after the last reply and fails when it is told so. */
+    private static final class FailingHandler implements StreamHandler {
+        private final StreamConnection[] stream;
+        private final CompletableFuture<Void> closed;
+
+        FailingHandler(StreamConnection[] stream, CompletableFuture<Void> closed) {
+            this.stream = stream;
+            this.closed = closed;
+        }
+
+        @Override
+        public void onConnected() {
+            stream[0].closeAfterFlush();
+        }
+
+        @Override
+        public void onReceived(ByteBuffer bytes) {}
+
+        @Override
+        public void onClosed(String reason) {
+            closed.complete(null);
+            throw new IllegalStateException("failure of a handler");
+        }
+    }
+
+    private record ClosingHandler(CompletableFuture<Void> closed) implements StreamHandler {
+        @Override
+        public void onConnected() {}
+
+        @Override
+        public void onReceived(ByteBuffer bytes) {}
+
+        @Override
+        public void onClosed(String reason) {
+            closed.complete(null);
+        }
+    }
+}
