--- a/core/src/main/java/org/geraniumproxy/core/caller/PrimaryPositionHistory.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/PrimaryPositionHistory.java
@@ -66,15 +66,22 @@
         return new PrimaryPositionHistory(next);
     }
 
+    /**
+     * Returns the latest sample.
+     *
+     * @return the latest sample, or empty if there is none
+     */
+    public Optional<Sample> latestSample() {
+        return samples.isEmpty() ? Optional.empty() : Optional.of(samples.getLast());
+    }
+
     /**
      * Returns the latest position.
      *
      * @return the latest position, or empty if there is no sample
      */
     public Optional<LogPosition> latest() {
-        return samples.isEmpty()
-                ? Optional.empty()
-                : Optional.of(samples.getLast().position());
+        return latestSample().map(Sample::position);
     }
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionEvent.java
@@ -33,8 +33,9 @@
      * The rate limiter refused the statement because the customer is over its rate.
      *
      * @param retryAfter expected time until a token is available
+     * @param cause which limiter had no token
      */
-    record RateTokenRefused(Duration retryAfter) implements SessionEvent {}
+    record RateTokenRefused(Duration retryAfter, String cause) implements SessionEvent {}
 
     /**
      * The session was granted a slot.
--- a/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
@@ -1,6 +1,8 @@
 package org.geraniumproxy.core.caller;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.identity.BackendServerName;
@@ -15,20 +17,27 @@
  * @param formerDatabases databases that no longer accept statements but can be queried for their status
  * @param draining whether this VM closes idle callers before it stops
  * @param vmCount number of VMs that share the connections of a database, at least 1
+ * @param watchedGroups groups whose primaries this VM probes
+ * @param positionSources VMs that tell the positions of the other primaries
  */
 public record TrafficView(
         ServiceConfiguration configuration,
         Map<GroupName, GroupDirectory> groups,
         Map<BackendServerName, DatabaseEntry> formerDatabases,
         boolean draining,
-        int vmCount) {
+        int vmCount,
+        Set<GroupName> watchedGroups,
+        List<PositionSource> positionSources) {
     /** The view before any configuration is known. */
-    public static final TrafficView NONE = new TrafficView(ServiceConfiguration.NONE, Map.of(), Map.of(), false, 1);
+    public static final TrafficView NONE =
+            new TrafficView(ServiceConfiguration.NONE, Map.of(), Map.of(), false, 1, Set.of(), List.of());
 
-    /** Makes unmodifiable copies of the maps. */
+    /** Makes unmodifiable copies of the collections. */
     public TrafficView {
         groups = Map.copyOf(groups);
         formerDatabases = Map.copyOf(formerDatabases);
+        watchedGroups = Set.copyOf(watchedGroups);
+        positionSources = List.copyOf(positionSources);
     }
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEffect.java
@@ -2,9 +2,8 @@
 
 import java.util.Map;
 import org.geraniumproxy.core.caller.TrafficView;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.VmName;
-import org.geraniumproxy.core.limit.RateShare;
+import org.geraniumproxy.core.limit.RateOwnership;
 
 /** Side effects that the control thread requests from its adapters. */
 public sealed interface FleetEffect {
@@ -12,31 +11,21 @@
      * Publishes a new view to the traffic thread.
      *
      * @param view databases, configuration and size of the fleet
-     * @param shares this VM's share of each customer's rate limit
+     * @param ownership owners of the customers' rates
      */
-    record PublishView(TrafficView view, Map<CustomerName, RateShare> shares) implements FleetEffect {
-        /** Copies the map. */
-        public PublishView {
-            shares = Map.copyOf(shares);
-        }
-    }
+    record PublishView(TrafficView view, RateOwnership ownership) implements FleetEffect {}
 
     /**
-     * Updates the shares of the rate limits without a new view.
+     * Publishes the owners of the rates without a new view.
      *
-     * @param shares this VM's share of each customer's rate limit
+     * @param ownership owners of the customers' rates
      */
-    record PublishShares(Map<CustomerName, RateShare> shares) implements FleetEffect {
-        /** Copies the map. */
-        public PublishShares {
-            shares = Map.copyOf(shares);
-        }
-    }
+    record PublishOwnership(RateOwnership ownership) implements FleetEffect {}
 
     /**
-     * Sends a message to all other VMs.
+     * Sends a message to other VMs.
      *
-     * @param message state of this VM
+     * @param message state of this VM, or a part of it
      * @param addresses host and port of each recipient
      */
     record SendToPeers(PeerMessage message, Map<VmName, String> addresses) implements FleetEffect {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -1,13 +1,15 @@
 package org.geraniumproxy.core.fleet;
 
+import java.time.Instant;
 import java.util.Map;
+import java.util.Optional;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 
@@ -50,14 +52,30 @@
      * The store listed all VMs of the fleet.
      *
      * @param addresses host and port for peer messages, by VM
+     * @param regions regions of the VMs that stated one
      */
-    record VmsListed(Map<VmName, String> addresses) implements FleetEvent {
-        /** Copies the map. */
+    record VmsListed(Map<VmName, String> addresses, Map<VmName, RegionName> regions) implements FleetEvent {
+        /** Copies the maps. */
         public VmsListed {
             addresses = Map.copyOf(addresses);
+            regions = Map.copyOf(regions);
         }
     }
 
+    /**
+     * The store confirmed the registration of this VM.
+     *
+     * @param sentAt time at which the confirmed call was sent
+     */
+    record RegistrationConfirmed(Instant sentAt) implements FleetEvent {}
+
+    /**
+     * The promotion lease has another holder.
+     *
+     * @param holder the holder, empty if there is none
+     */
+    record PromotionLeaseMoved(Optional<VmName> holder) implements FleetEvent {}
+
     /**
      * A message of another VM arrived.
      *
@@ -68,20 +86,17 @@
     /**
      * The traffic thread published its periodic report.
      *
-     * @param demand operations per second that each customer requests from this VM
      * @param health how each database has responded to this VM
      * @param newestTerms newest term of each group that a primary reported
      * @param acknowledged last position of each group that was acknowledged to callers of this VM
      */
     record TrafficReported(
-            Map<CustomerName, Double> demand,
             Map<BackendServerName, DatabaseHealth> health,
             Map<GroupName, Long> newestTerms,
             Map<GroupName, LogPosition> acknowledged)
             implements FleetEvent {
         /** Copies the maps. */
         public TrafficReported {
-            demand = Map.copyOf(demand);
             health = Map.copyOf(health);
             newestTerms = Map.copyOf(newestTerms);
             acknowledged = Map.copyOf(acknowledged);
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.geraniumproxy.core.caller.TrafficView;
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.directory.DatabaseAvailability;
@@ -15,14 +16,11 @@
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.VmName;
-import org.geraniumproxy.core.limit.DemandWeightedShare;
-import org.geraniumproxy.core.limit.RateShare;
+import org.geraniumproxy.core.limit.RateOwnership;
 import org.geraniumproxy.core.service.ServiceConfiguration;
-import org.geraniumproxy.core.service.ServiceCustomer;
 
 /**
  * What this VM knows about the configuration, the databases and the other VMs. The configuration version never
@@ -34,7 +32,8 @@
  * @param peers addresses and last messages of the other VMs
  * @param acknowledged last position of each group that any VM acknowledged to its callers
  * @param lastReport last report of the traffic thread
- * @param lastSent last message to the other VMs and the time at which it was sent
+ * @param exchange last messages to the other VMs
+ * @param ownership last published owners of the customers' rates
  * @param drainingCallers whether callers are asked to disconnect
  */
 public record FleetState(
@@ -44,11 +43,9 @@
         TrackedPeers peers,
         Map<GroupName, AcknowledgedPosition> acknowledged,
         FleetEvent.TrafficReported lastReport,
-        TimestampedPeerMessage lastSent,
+        PeerExchange exchange,
+        RateOwnership ownership,
         boolean drainingCallers) {
-    /** Demand below this value isn't sent to other VMs, because it changes no share by a whole operation. */
-    static final double MINIMUM_REPORTED_OPERATIONS_PER_SECOND = 0.05;
-
     /**
      * Time for which a promotion requires a database that holds the last acknowledged commits. A crashed primary
      * usually returns with its log within seconds; after this time the group continues without it.
@@ -74,8 +71,9 @@
                 TrackedDatabases.empty(timing),
                 TrackedPeers.EMPTY,
                 Map.of(),
-                new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of(), Map.of()),
-                new TimestampedPeerMessage(PeerMessage.initial(self), Instant.MIN),
+                new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of()),
+                PeerExchange.initial(self),
+                RateOwnership.alone(self),
                 false);
     }
 
@@ -90,13 +88,17 @@
         List<FleetEffect> effects = new ArrayList<>();
         FleetState applied = apply(event, now, effects);
         FleetState next = applied.with(applied.databases.refresh(now, effects));
+        RateOwnership owners = next.peers.ownership(self, now);
         if (!next.hasSameViewAs(this)) {
-            effects.add(new FleetEffect.PublishView(next.view(), next.shares(now)));
-        } else if (event instanceof FleetEvent.TrafficReported) {
-            effects.add(new FleetEffect.PublishShares(next.shares(now)));
+            effects.add(new FleetEffect.PublishView(next.view(), owners));
+        } else if (!owners.equals(ownership)) {
+            effects.add(new FleetEffect.PublishOwnership(owners));
+        }
+        next = next.with(owners);
+        if (event instanceof FleetEvent.TrafficReported) {
+            next = next.with(next.exchange.send(next.createMessage(now), next.peers, now, effects));
         }
-        return Transition.to(
-                event instanceof FleetEvent.TrafficReported ? next.sendToPeersIfDue(now, effects) : next, effects);
+        return Transition.to(next, effects);
     }
 
     /**
@@ -116,9 +118,7 @@
      * @return its directory, empty if no database of the group is known
      */
     public GroupDirectory members(GroupName group) {
-        return databases
-                .directories(Set.of(DatabaseAvailability.USED, DatabaseAvailability.LEFT))
-                .getOrDefault(group, GroupDirectory.EMPTY);
+        return databases.directory(group, Set.of(DatabaseAvailability.USED, DatabaseAvailability.LEFT));
     }
 
     /**
@@ -128,37 +128,58 @@
      * @return last entries by database name
      */
     public Map<BackendServerName, DatabaseEntry> suspected(GroupName group) {
-        return databases
-                .directories(Set.of(DatabaseAvailability.GONE))
-                .getOrDefault(group, GroupDirectory.EMPTY)
-                .databases();
+        return databases.directory(group, Set.of(DatabaseAvailability.GONE)).databases();
+    }
+
+    /**
+     * Returns the VMs that probe the primary of a group.
+     *
+     * @param group name of the group
+     * @return names of VMs, possibly this one
+     */
+    public Set<VmName> watchersOf(GroupName group) {
+        return watchers().watchersOf(group);
+    }
+
+    /**
+     * Returns the peers whose last message is recent enough.
+     *
+     * @param now current time
+     * @return names of the reachable peers
+     */
+    public Set<VmName> reachablePeers(Instant now) {
+        return peers.reachable(now).stream()
+                .map(peer -> peer.message().sender())
+                .collect(Collectors.toSet());
     }
 
     /**
-     * Counts the reachable peers for which a database has been failing.
+     * Returns the reachable peers for which a database has been failing.
      *
      * @param database name of the database
      * @param minimumFailure time without any answer from which a peer counts
      * @param minimumCommitFailure time without an acknowledged commit from which a peer counts
      * @param now current time
-     * @return number of peers that meet either bound
+     * @return names of the peers that meet either bound
      */
-    public int countPeersSeeingFailure(
+    public Set<VmName> peersSeeingFailure(
             BackendServerName database, Duration minimumFailure, Duration minimumCommitFailure, Instant now) {
-        return (int) peers.reachable(now).stream()
-                .filter(peer -> isAtLeast(peer.message().failingFor().get(database), minimumFailure)
-                        || isAtLeast(peer.message().commitsFailingFor().get(database), minimumCommitFailure))
-                .count();
+        return peers.reachable(now).stream()
+                .map(TimestampedPeerMessage::message)
+                .filter(message -> isAtLeast(message.failingFor().get(database), minimumFailure)
+                        || isAtLeast(message.commitsFailingFor().get(database), minimumCommitFailure))
+                .map(PeerMessage::sender)
+                .collect(Collectors.toSet());
     }
 
     /**
-     * Counts the other VMs whose last message is recent enough.
+     * Returns whether this VM may take the promotion lease as soon as it has no holder. The candidates know the state
+     * of the groups that all VMs have seen; the others take the lease only if no candidate does.
      *
-     * @param now current time
-     * @return number of reachable peers
+     * @return true if it is a candidate
      */
-    public int countReachablePeers(Instant now) {
-        return peers.reachable(now).size();
+    public boolean isPromotionCandidate() {
+        return PeerExchange.candidates(self, peers).contains(self);
     }
 
     /**
@@ -221,14 +242,17 @@
             case FleetEvent.DatabaseEntryChanged changed -> with(databases.updateEntry(changed.entry(), now, effects));
             case FleetEvent.DatabaseEntryMissing missing ->
                 with(databases.markMissing(missing.database(), now, effects));
-            case FleetEvent.VmsListed update -> with(peers.updateAddresses(update.addresses(), self, now));
+            case FleetEvent.VmsListed update -> with(peers.update(update, self, now));
+            case FleetEvent.RegistrationConfirmed confirmed -> with(peers.confirmRegistration(confirmed.sentAt()));
             case FleetEvent.PeerMessageReceived received -> receive(received.message(), now, effects);
             case FleetEvent.TrafficReported reported -> with(reported).withAcknowledged(reported.acknowledged(), now);
+            case FleetEvent.PromotionLeaseMoved moved -> with(exchange.withLeaseHolder(moved.holder()));
             case FleetEvent.WriteRefusedByReplica refused -> with(databases.markDemoted(refused, effects));
             case FleetEvent.PrimaryClaimed claimed ->
                 with(databases.addClaim(claimed.group(), claimed.claim(), effects));
             case FleetEvent.CallerDrainStarted _ ->
-                new FleetState(self, configuration, databases, peers, acknowledged, lastReport, lastSent, true);
+                new FleetState(
+                        self, configuration, databases, peers, acknowledged, lastReport, exchange, ownership, true);
         };
     }
 
@@ -238,7 +262,8 @@
         }
         effects.add(new FleetEffect.Log(
                 "configuration in force", "version=" + newest.version() + " previous=" + configuration.version()));
-        return new FleetState(self, newest, databases, peers, acknowledged, lastReport, lastSent, drainingCallers);
+        return new FleetState(
+                self, newest, databases, peers, acknowledged, lastReport, exchange, ownership, drainingCallers);
     }
 
     private FleetState receive(PeerMessage message, Instant now, List<FleetEffect> effects) {
@@ -257,36 +282,33 @@
         Map<GroupName, AcknowledgedPosition> next = new HashMap<>(acknowledged);
         positions.forEach((group, position) ->
                 next.merge(group, new AcknowledgedPosition(position, now), AcknowledgedPosition::laterOf));
-        return new FleetState(self, configuration, databases, peers, next, lastReport, lastSent, drainingCallers);
+        return new FleetState(
+                self, configuration, databases, peers, next, lastReport, exchange, ownership, drainingCallers);
     }
 
     private FleetState with(FleetEvent.TrafficReported next) {
-        return new FleetState(self, configuration, databases, peers, acknowledged, next, lastSent, drainingCallers);
+        return new FleetState(
+                self, configuration, databases, peers, acknowledged, next, exchange, ownership, drainingCallers);
+    }
+
+    private FleetState with(RateOwnership next) {
+        return new FleetState(
+                self, configuration, databases, peers, acknowledged, lastReport, exchange, next, drainingCallers);
     }
 
     private FleetState with(TrackedDatabases next) {
-        return new FleetState(self, configuration, next, peers, acknowledged, lastReport, lastSent, drainingCallers);
+        return new FleetState(
+                self, configuration, next, peers, acknowledged, lastReport, exchange, ownership, drainingCallers);
     }
 
     private FleetState with(TrackedPeers next) {
         return new FleetState(
-                self, configuration, databases, next, acknowledged, lastReport, lastSent, drainingCallers);
+                self, configuration, databases, next, acknowledged, lastReport, exchange, ownership, drainingCallers);
     }
 
-    /**
-     * Failing databases are sent after every traffic report, because a failover waits for the other VMs' confirmation.
-     */
-    private FleetState sendToPeersIfDue(Instant now, List<FleetEffect> effects) {
-        PeerMessage message = createMessage(now);
-        Duration interval = message.hasSignificantChangeSince(lastSent.message())
-                ? TrackedPeers.MINIMUM_INTERVAL
-                : peers.messageInterval();
-        if (!message.reportsFailures() && now.isBefore(lastSent.timestamp().plus(interval))) {
-            return this;
-        }
-        effects.add(new FleetEffect.SendToPeers(message, peers.addresses()));
-        TimestampedPeerMessage sent = new TimestampedPeerMessage(message, now);
-        return new FleetState(self, configuration, databases, peers, acknowledged, lastReport, sent, drainingCallers);
+    private FleetState with(PeerExchange next) {
+        return new FleetState(
+                self, configuration, databases, peers, acknowledged, lastReport, next, ownership, drainingCallers);
     }
 
     /**
@@ -295,33 +317,25 @@
     private boolean hasSameViewAs(FleetState other) {
         return configuration.version() == other.configuration.version()
                 && databases.equals(other.databases)
-                && peers.addresses().size() == other.peers.addresses().size()
+                && peers.addresses().equals(other.peers.addresses())
+                && peers.regions().equals(other.peers.regions())
                 && drainingCallers == other.drainingCallers;
     }
 
     private TrafficView view() {
+        Set<GroupName> names = configuration.groups().keySet();
         return new TrafficView(
                 configuration,
                 groups(),
                 databases.unavailable(),
                 drainingCallers,
-                peers.addresses().size() + 1);
+                peers.addresses().size() + 1,
+                watchers().watchedBySelf(names),
+                watchers().sources(names));
     }
 
-    private Map<CustomerName, RateShare> shares(Instant now) {
-        List<TimestampedPeerMessage> reachable = peers.reachable(now);
-        int unreachable = Math.max(0, peers.addresses().size() - reachable.size());
-        Map<CustomerName, RateShare> shares = new HashMap<>();
-        for (ServiceCustomer customer : configuration.customers().values()) {
-            List<Double> others = reachable.stream()
-                    .map(peer -> peer.message().demand().getOrDefault(customer.name(), 0.0))
-                    .toList();
-            double own = lastReport.demand().getOrDefault(customer.name(), 0.0);
-            shares.put(
-                    customer.name(),
-                    DemandWeightedShare.of(customer.operationsPerSecond(), customer.burst(), own, others, unreachable));
-        }
-        return shares;
+    private GroupWatchers watchers() {
+        return GroupWatchers.of(self, peers, configuration.groups().size());
     }
 
     private PeerMessage createMessage(Instant now) {
@@ -331,14 +345,12 @@
             health.failingSince().ifPresent(since -> failing.put(database, Duration.between(since, now)));
             health.commitsFailingSince().ifPresent(since -> commitsFailing.put(database, Duration.between(since, now)));
         });
-        Map<CustomerName, Double> demand = new HashMap<>(lastReport.demand());
-        demand.values().removeIf(rate -> rate < MINIMUM_REPORTED_OPERATIONS_PER_SECOND);
         Map<GroupName, LogPosition> positions = new HashMap<>();
         acknowledged.forEach((group, known) -> positions.put(group, known.position()));
         return new PeerMessage(
                 self,
                 configuration.version(),
-                demand,
+                peers.isRegistered(now),
                 failing,
                 commitsFailing,
                 lastReport.newestTerms(),
--- a/core/src/main/java/org/geraniumproxy/core/fleet/PeerMessage.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PeerMessage.java
@@ -1,23 +1,20 @@
 package org.geraniumproxy.core.fleet;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.VmName;
 
 /**
- * State that a VM sends to all other VMs at regular intervals. Each message is complete, so the next one makes up for a
- * lost one.
+ * State that a VM sends to other VMs at regular intervals. Each message is complete, so the next one makes up for a
+ * lost one. A heartbeat is a message without the state of the groups.
  *
  * @param sender VM that sent the message
  * @param configurationVersion newest configuration version that the sender knows
- * @param demand operations per second that each customer requests from the sender
+ * @param registered whether the store confirmed the sender's registration so recently that it cannot have expired
  * @param failingFor databases that don't answer the sender, with the time since the first failure
  * @param commitsFailingFor databases that acknowledge no commit to the sender, with the time since the first failure
  * @param newestTerms newest term of each group that a primary reported to the sender
@@ -27,21 +24,14 @@
 public record PeerMessage(
         VmName sender,
         long configurationVersion,
-        Map<CustomerName, Double> demand,
+        boolean registered,
         Map<BackendServerName, Duration> failingFor,
         Map<BackendServerName, Duration> commitsFailingFor,
         Map<GroupName, Long> newestTerms,
         Map<GroupName, LogPosition> acknowledged,
         Map<GroupName, PrimaryClaim> claims) {
-    /** Smallest significant change of a demand in operations per second. Smaller changes barely affect the shares. */
-    private static final double MINIMUM_DEMAND_CHANGE = 1;
-
-    /** Smallest significant change relative to the earlier demand; normal fluctuation stays below it. */
-    private static final double MINIMUM_DEMAND_CHANGE_RATIO = 0.5;
-
     /** Copies the maps. */
     public PeerMessage {
-        demand = Map.copyOf(demand);
         failingFor = Map.copyOf(failingFor);
         commitsFailingFor = Map.copyOf(commitsFailingFor);
         newestTerms = Map.copyOf(newestTerms);
@@ -51,7 +41,25 @@
 
     /** Returns an empty message, which stands for the last sent one at process start. */
     static PeerMessage initial(VmName sender) {
-        return new PeerMessage(sender, 0, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+        return new PeerMessage(sender, 0, false, Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+    }
+
+    /** Returns the message without the state of the groups, with the claims only if they are new. */
+    PeerMessage toHeartbeat(boolean withClaims) {
+        return new PeerMessage(
+                sender,
+                configurationVersion,
+                registered,
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                withClaims ? claims : Map.of());
+    }
+
+    /** Returns whether both messages have the same configuration version and registration. */
+    boolean hasSameHeaderAs(PeerMessage other) {
+        return configurationVersion == other.configurationVersion && registered == other.registered;
     }
 
     /** Returns whether any database fails for the sender. */
@@ -59,25 +67,11 @@
         return !failingFor.isEmpty() || !commitsFailingFor.isEmpty();
     }
 
-    /**
-     * Returns whether this message could change a decision of its recipients compared with an earlier one. Demand
-     * affects rate shares, failures and claims affect promotions.
-     */
+    /** Returns whether this message could change a decision of its recipients compared with an earlier one. */
     boolean hasSignificantChangeSince(PeerMessage earlier) {
-        return configurationVersion != earlier.configurationVersion
+        return !hasSameHeaderAs(earlier)
                 || !claims.equals(earlier.claims)
                 || !failingFor.keySet().equals(earlier.failingFor.keySet())
-                || !commitsFailingFor.keySet().equals(earlier.commitsFailingFor.keySet())
-                || hasDemandChangeSince(earlier);
-    }
-
-    private boolean hasDemandChangeSince(PeerMessage earlier) {
-        Set<CustomerName> customers = new HashSet<>(demand.keySet());
-        customers.addAll(earlier.demand.keySet());
-        return customers.stream().anyMatch(customer -> {
-            double before = earlier.demand.getOrDefault(customer, 0.0);
-            double after = demand.getOrDefault(customer, 0.0);
-            return Math.abs(after - before) > Math.max(MINIMUM_DEMAND_CHANGE, before * MINIMUM_DEMAND_CHANGE_RATIO);
-        });
+                || !commitsFailingFor.keySet().equals(earlier.commitsFailingFor.keySet());
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/PrimaryReplacementPolicy.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PrimaryReplacementPolicy.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.Set;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.promotion.PromotionReason;
 
 /** Decides whether the primary of a group must be replaced. */
@@ -51,7 +53,7 @@
         if (primary.get().draining()) {
             return Optional.of(PromotionReason.LEAVING);
         }
-        if (isFailing(state, name, now)) {
+        if (isFailing(state, group, name, now)) {
             return Optional.of(PromotionReason.FAILING);
         }
         return state.missingDuration(name, now).compareTo(MISSING_ENTRY_TIMEOUT) > 0
@@ -59,13 +61,24 @@
                 : Optional.empty();
     }
 
-    private static boolean isFailing(FleetState state, BackendServerName primary, Instant now) {
+    /**
+     * Tells whether a primary is failing. If this VM sees it, one other VM must confirm it; if not, more than half of
+     * the reachable watchers of the group must see it, and at least two.
+     */
+    private static boolean isFailing(FleetState state, GroupName group, BackendServerName primary, Instant now) {
         DatabaseHealth own = state.lastReport().health().getOrDefault(primary, DatabaseHealth.UNUSED);
         boolean ownFailing = hasLasted(own.failingSince(), FAILURE_TIMEOUT, now)
                 || hasLasted(own.commitsFailingSince(), COMMIT_FAILURE_TIMEOUT, now);
-        int reachable = state.countReachablePeers(now);
-        int agreeing = state.countPeersSeeingFailure(primary, FAILURE_TIMEOUT, COMMIT_FAILURE_TIMEOUT, now);
-        return ownFailing ? agreeing >= 1 || reachable == 0 : agreeing * 2 > reachable + 1;
+        Set<VmName> reachable = state.reachablePeers(now);
+        Set<VmName> agreeing = state.peersSeeingFailure(primary, FAILURE_TIMEOUT, COMMIT_FAILURE_TIMEOUT, now);
+        if (ownFailing) {
+            return !agreeing.isEmpty() || reachable.isEmpty();
+        }
+        Set<VmName> watchers = state.watchersOf(group);
+        long observing =
+                reachable.stream().filter(watchers::contains).count() + (watchers.contains(state.self()) ? 1 : 0);
+        long failing = agreeing.stream().filter(watchers::contains).count();
+        return failing >= 2 && failing * 2 > observing;
     }
 
     private static boolean hasLasted(Optional<Instant> since, Duration minimum, Instant now) {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
@@ -48,14 +48,28 @@
             }
         }
         Map<GroupName, GroupDirectory> directories = new HashMap<>();
-        entries.forEach((group, members) -> {
-            Map<BackendServerName, Long> demoted = new HashMap<>(demotedRevisions);
-            demoted.keySet().retainAll(members.keySet());
-            directories.put(group, new GroupDirectory(members, Optional.ofNullable(claims.get(group)), demoted));
-        });
+        entries.forEach((group, members) -> directories.put(group, directory(group, members)));
         return directories;
     }
 
+    /** Returns the databases of one group whose availability is one of those given. */
+    GroupDirectory directory(GroupName group, Set<DatabaseAvailability> availabilities) {
+        Map<BackendServerName, DatabaseEntry> members = new HashMap<>();
+        for (TrackedDatabase database : byName.values()) {
+            DatabaseEntry entry = database.entry();
+            if (entry.group().equals(group) && availabilities.contains(database.availability())) {
+                members.put(entry.name(), entry);
+            }
+        }
+        return members.isEmpty() ? GroupDirectory.EMPTY : directory(group, members);
+    }
+
+    private GroupDirectory directory(GroupName group, Map<BackendServerName, DatabaseEntry> members) {
+        Map<BackendServerName, Long> demoted = new HashMap<>(demotedRevisions);
+        demoted.keySet().retainAll(members.keySet());
+        return new GroupDirectory(members, Optional.ofNullable(claims.get(group)), demoted);
+    }
+
     /** Returns the databases that must not get new statements. */
     Map<BackendServerName, DatabaseEntry> unavailable() {
         Map<BackendServerName, DatabaseEntry> unavailable = new HashMap<>();
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
@@ -3,24 +3,44 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.limit.RateOwnership;
 
 /**
  * Addresses and last messages of the other VMs.
  *
  * @param addresses host and port for peer messages, by VM
+ * @param registered VMs that the store listed last, this one included
+ * @param regions regions of the VMs that stated one, this one included
  * @param lastMessages last message of each VM that has sent one
+ * @param registeredAt time at which the last confirmed registration of this VM was sent, {@link Instant#MIN} if none
+ * @param resumed whether this VM was listed before this process registered it
  */
-record TrackedPeers(Map<VmName, String> addresses, Map<VmName, TimestampedPeerMessage> lastMessages) {
+record TrackedPeers(
+        Map<VmName, String> addresses,
+        Set<VmName> registered,
+        Map<VmName, RegionName> regions,
+        Map<VmName, TimestampedPeerMessage> lastMessages,
+        Instant registeredAt,
+        boolean resumed) {
+    /**
+     * Time for which a confirmed registration holds. Shorter than the lease of the registration, so that this VM stops
+     * to lend before another one begins.
+     */
+    static final Duration REGISTRATION_VALIDITY = Duration.ofMillis(4500);
+
     /**
      * Message interval of a small fleet. Shorter intervals would cost more traffic between regions, which is billed.
      */
     static final Duration MINIMUM_INTERVAL = Duration.ofMillis(400);
 
-    /** Longest interval between messages without changes, so that a lost VM is noticed within seconds. */
-    static final Duration MAXIMUM_INTERVAL = Duration.ofSeconds(2);
+    /** Longest interval between messages without changes. A registration in the store expires in this time, too. */
+    static final Duration MAXIMUM_INTERVAL = Duration.ofSeconds(5);
 
     /**
      * Number of VMs up to which the minimum interval applies. Traffic of a full mesh grows with the square of this
@@ -36,34 +56,77 @@
     /** Consecutive messages of a larger fleet that may be lost before a peer counts as unreachable. */
     private static final int TOLERATED_LOST_MESSAGES = 3;
 
-    static final TrackedPeers EMPTY = new TrackedPeers(Map.of(), Map.of());
+    static final TrackedPeers EMPTY = new TrackedPeers(Map.of(), Set.of(), Map.of(), Map.of(), Instant.MIN, false);
 
     TrackedPeers {
         addresses = Map.copyOf(addresses);
+        registered = Set.copyOf(registered);
+        regions = Map.copyOf(regions);
         lastMessages = Map.copyOf(lastMessages);
     }
 
     /**
      * Replaces the addresses, but keeps those of reachable peers: their keys may have expired during a store outage.
      */
-    TrackedPeers updateAddresses(Map<VmName, String> joined, VmName self, Instant now) {
+    TrackedPeers update(FleetEvent.VmsListed listed, VmName self, Instant now) {
+        Map<VmName, String> joined = listed.addresses();
+        boolean listedBefore = resumed || (registeredAt.equals(Instant.MIN) && joined.containsKey(self));
         Map<VmName, String> others = new HashMap<>(joined);
+        Map<VmName, RegionName> nextRegions = new HashMap<>(listed.regions());
         for (TimestampedPeerMessage peer : reachable(now)) {
             VmName name = peer.message().sender();
             if (addresses.containsKey(name)) {
                 others.putIfAbsent(name, addresses.get(name));
+                if (regions.containsKey(name)) {
+                    nextRegions.putIfAbsent(name, regions.get(name));
+                }
             }
         }
         others.remove(self);
         Map<VmName, TimestampedPeerMessage> remaining = new HashMap<>(lastMessages);
         remaining.keySet().retainAll(others.keySet());
-        return new TrackedPeers(others, remaining);
+        return new TrackedPeers(others, joined.keySet(), nextRegions, remaining, registeredAt, listedBefore);
     }
 
     TrackedPeers receive(PeerMessage message, Instant now) {
         Map<VmName, TimestampedPeerMessage> next = new HashMap<>(lastMessages);
         next.put(message.sender(), new TimestampedPeerMessage(message, now));
-        return new TrackedPeers(addresses, next);
+        return new TrackedPeers(addresses, registered, regions, next, registeredAt, resumed);
+    }
+
+    TrackedPeers confirmRegistration(Instant sentAt) {
+        return new TrackedPeers(
+                addresses,
+                registered,
+                regions,
+                lastMessages,
+                sentAt.isAfter(registeredAt) ? sentAt : registeredAt,
+                resumed);
+    }
+
+    boolean isRegistered(Instant now) {
+        return registeredAt.isAfter(now.minus(REGISTRATION_VALIDITY));
+    }
+
+    /**
+     * Returns the owners of the rates. They follow from the registrations in the store alone, so that all VMs that
+     * reach the store agree. A VM whose registration may have expired is no member while another VM reaches the store.
+     * If no VM reaches the store, nobody's registrations change.
+     */
+    RateOwnership ownership(VmName self, Instant now) {
+        List<TimestampedPeerMessage> reachable = reachable(now);
+        boolean mayBeReplaced = !isRegistered(now)
+                && reachable.stream().anyMatch(peer -> peer.message().registered());
+        Set<VmName> members = new HashSet<>(registered);
+        if (mayBeReplaced) {
+            members.remove(self);
+        } else {
+            members.add(self);
+        }
+        Set<VmName> unreachable = new HashSet<>(members);
+        unreachable.remove(self);
+        reachable.forEach(peer -> unreachable.remove(peer.message().sender()));
+        return new RateOwnership(self, members, addresses, unreachable, resumed);
     }
 
     /** Returns the interval between messages without changes. */
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/limit/RateOwnership.java
@@ -0,0 +1,65 @@
+package org.geraniumproxy.core.limit;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.routing.RendezvousHash;
+
+/**
+ * Which VM owns the rate of each customer, and which ones hold a part of it for the time in which the owner doesn't
+ * answer. All VMs that read the same registrations agree, and a member that joins or leaves changes few of them.
+ *
+ * @param self name of this VM
+ * @param members registered VMs; this one is missing while its registration may have expired
+ * @param addresses host and port for messages of the other VMs, registered or not
+ * @param unreachable members that may use their parts, because this VM doesn't hear from them
+ * @param resumed whether this VM was a member when its process started, so that no other VM has become the owner of its
+ *     rates meanwhile
+ */
+public record RateOwnership(
+        VmName self, Set<VmName> members, Map<VmName, String> addresses, Set<VmName> unreachable, boolean resumed) {
+    /** Copies the collections. A VM that knows no member is the only one. */
+    public RateOwnership {
+        members = members.isEmpty() ? Set.of(self) : Set.copyOf(members);
+        addresses = Map.copyOf(addresses);
+        unreachable = Set.copyOf(unreachable);
+    }
+
+    /**
+     * Returns the ownership of a VM that knows no other one.
+     *
+     * @param self name of the VM
+     * @return ownership of all rates
+     */
+    public static RateOwnership alone(VmName self) {
+        return new RateOwnership(self, Set.of(self), Map.of(), Set.of(), false);
+    }
+
+    /**
+     * Ranks the VMs that hold a part of a customer's rate. Each part has at least one token of the burst, because a VM
+     * with less could never admit an operation.
+     *
+     * @param customer name of the customer
+     * @param burst burst of the customer
+     * @return holders of equal parts, the owner of the whole rate first
+     */
+    public List<VmName> holders(CustomerName customer, int burst) {
+        int parts = Math.max(1, Math.min(members.size(), burst));
+        return RendezvousHash.rank("rate/" + customer.value(), members, VmName::value).stream()
+                .limit(parts)
+                .toList();
+    }
+
+    /**
+     * Returns the fraction of a rate that its owner may lend. Unreachable holders keep their parts.
+     *
+     * @param holders holders of the rate
+     * @return fraction from 0 to 1
+     */
+    public double lendableFraction(List<VmName> holders) {
+        long kept = holders.stream().filter(unreachable::contains).count();
+        return 1 - (double) kept / holders.size();
+    }
+}
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -158,7 +158,8 @@
         DatabaseEntry replica = entry(REPLICA, false);
         GroupDirectory directory =
                 new GroupDirectory(Map.of(PRIMARY, primary, REPLICA, replica), Optional.empty(), Map.of());
-        TrafficView view = new TrafficView(configuration(), Map.of(GROUP, directory), Map.of(), draining, 1);
+        TrafficView view = new TrafficView(
+                configuration(), Map.of(GROUP, directory), Map.of(), draining, 1, Set.of(GROUP), List.of());
         return new SessionContext(view, primaryHistory, Map.of(), now);
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_run_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_run_Test.java
@@ -140,7 +140,7 @@
     void should_refuse_a_statement_over_the_rate() {
         CallerSessionFixture fixture = CallerSessionFixture.connectedWith(Consistency.PRIMARY)
                 .on(new SessionEvent.StatementReceived("r1", READ))
-                .on(new SessionEvent.RateTokenRefused(Duration.ofMillis(40)));
+                .on(new SessionEvent.RateTokenRefused(Duration.ofMillis(40), "no token"));
         assertThat(fixture.error(), is(ErrorCode.BUSY));
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/control/ControlLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/ControlLoop.java
@@ -94,8 +94,8 @@
         state = transition.state();
         for (FleetEffect effect : transition.effects()) {
             switch (effect) {
-                case FleetEffect.PublishView publish -> effectHandler.publish(publish.view(), publish.shares());
-                case FleetEffect.PublishShares publish -> effectHandler.publishShares(publish.shares());
+                case FleetEffect.PublishView publish -> effectHandler.publish(publish.view(), publish.ownership());
+                case FleetEffect.PublishOwnership publish -> effectHandler.publishOwnership(publish.ownership());
                 case FleetEffect.SendToPeers send -> effectHandler.sendToPeers(send.message(), send.addresses());
                 case FleetEffect.FetchConfiguration fetch -> {
                     log.write("control", "configuration requested", "vm=" + fetch.vm() + " version=" + fetch.version());
--- a/engine/src/main/java/org/geraniumproxy/engine/control/FleetEffectHandler.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/FleetEffectHandler.java
@@ -3,26 +3,25 @@
 import java.util.Map;
 import org.geraniumproxy.core.caller.TrafficView;
 import org.geraniumproxy.core.fleet.PeerMessage;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.VmName;
-import org.geraniumproxy.core.limit.RateShare;
+import org.geraniumproxy.core.limit.RateOwnership;
 
 /** Executes the effects of decisions of the control thread. The methods must not block. */
 public interface FleetEffectHandler {
     /**
-     * Publishes a new view and new rate shares to the traffic thread.
+     * Publishes a new view and new owners of the rates to the traffic thread.
      *
      * @param view replaces the previous view
-     * @param shares this VM's share of the rate of each customer
+     * @param ownership owners of the customers' rates
      */
-    void publish(TrafficView view, Map<CustomerName, RateShare> shares);
+    void publish(TrafficView view, RateOwnership ownership);
 
     /**
-     * Publishes new rate shares to the traffic thread, which keeps its current view.
+     * Publishes new owners of the rates to the traffic thread, which keeps its current view.
      *
-     * @param shares this VM's share of the rate of each customer
+     * @param ownership owners of the customers' rates
      */
-    void publishShares(Map<CustomerName, RateShare> shares);
+    void publishOwnership(RateOwnership ownership);
 
     /**
      * Sends a message to other VMs.
--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.geraniumproxy.core.caller.ErrorCode;
+import org.geraniumproxy.core.limit.TokenSource;
 
 /** Prometheus metrics of a node. */
 public final class NodeMetrics {
@@ -44,6 +45,11 @@
             .name("geraniumproxy_database_silences")
             .help("Statements and probes that a database did not answer.")
             .register(registry);
+    private final Counter operationsOverRate = Counter.builder()
+            .name("geraniumproxy_operations_over_rate")
+            .help("Operations refused for want of a rate token, by where the token should have come from.")
+            .labelNames("source")
+            .register(registry);
     private final Gauge sessions = Gauge.builder()
             .name("geraniumproxy_sessions")
             .help("Connected callers.")
@@ -99,6 +105,15 @@
         unansweredRequests.inc();
     }
 
+    /**
+     * Counts an operation that was refused because its customer is over its rate.
+     *
+     * @param source where the lack of tokens is known from
+     */
+    public void operationOverRate(TokenSource source) {
+        operationsOverRate.labelValues(source.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /**
      * Updates the gauges.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -16,6 +16,8 @@
 import org.geraniumproxy.core.caller.DatabaseObservation;
 import org.geraniumproxy.core.caller.ErrorCode;
 import org.geraniumproxy.core.caller.GroupPositions;
+import org.geraniumproxy.core.caller.PositionAnswer;
+import org.geraniumproxy.core.caller.PositionRequest;
 import org.geraniumproxy.core.caller.PrimaryPositionHistory;
 import org.geraniumproxy.core.caller.SessionContext;
 import org.geraniumproxy.core.caller.SessionEffect;
@@ -26,11 +28,12 @@
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.identity.BackendServerName;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
-import org.geraniumproxy.core.limit.LocalRateLimit;
-import org.geraniumproxy.core.limit.RateShare;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.limit.RateOwnership;
+import org.geraniumproxy.core.limit.TokenAnswer;
+import org.geraniumproxy.core.limit.TokenRequest;
 import org.geraniumproxy.core.pool.SlotRequest;
 import org.geraniumproxy.core.service.ServiceGroup;
 import org.geraniumproxy.core.statement.Statement;
@@ -66,9 +69,12 @@
     private final Map<BackendServerName, DatabaseConnectionPool> connectionPools = new HashMap<>();
     private final Map<GroupName, GroupPositions> positions = new HashMap<>();
     private final Deque<Runnable> pendingSteps = new ArrayDeque<>();
-    private final RateLimiter rateLimiter = new RateLimiter();
+    private final RateLimiter rateLimiter;
+    private final long firstRequestId;
     private final AdministrativeCommands administrativeCommands = new AdministrativeCommands(this);
     private final PrimaryProber primaryProber;
+    private final PositionPoller positionPoller;
+    private RateOwnership members = RateOwnership.alone(VmName.of("unknown"));
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
     private long lastConnectionId;
@@ -85,6 +91,8 @@
      * @param log receives decisions
      * @param metrics counts outcomes of statements
      * @param observer receives reports about the traffic
+     * @param peerSender sends requests and answers to other VMs
+     * @param firstRequestId identifier of the first token request, larger than any of an earlier process of this VM
      */
     public TrafficEngine(
             EventLoop loop,
@@ -94,7 +102,9 @@
             BackendProtocol backendProtocol,
             DecisionLog log,
             NodeMetrics metrics,
-            TrafficObserver observer) {
+            TrafficObserver observer,
+            PeerSender peerSender,
+            long firstRequestId) {
         this.loop = loop;
         this.clock = clock;
         this.clockJumpDetector = clockJumpDetector;
@@ -103,6 +113,9 @@
         this.log = log;
         this.metrics = metrics;
         this.observer = observer;
+        this.rateLimiter = new RateLimiter(this, peerSender);
+        this.positionPoller = new PositionPoller(this, peerSender);
+        this.firstRequestId = firstRequestId;
         this.primaryProber = new PrimaryProber(this, administrativeCommands, observer);
     }
 
@@ -125,15 +138,16 @@
     }
 
     /**
-     * Applies a new view and new rate shares. Must be called on the loop's thread.
+     * Applies a new view and new owners of the rates. Must be called on the loop's thread.
      *
      * @param next replaces the current view
-     * @param shares this VM's share of the rate of each customer
+     * @param ownership owners of the customers' rates
      */
-    public void update(TrafficView next, Map<CustomerName, RateShare> shares) {
+    public void update(TrafficView next, RateOwnership ownership) {
         boolean firstConfiguration = !isConfigured();
         view = next;
-        rateLimiter.updateShares(shares, now());
+        applyMembers(ownership);
+        positionPoller.update(next.positionSources());
         Map<BackendServerName, DatabaseEntry> currentDatabases = new HashMap<>();
         for (GroupDirectory group : next.groups().values()) {
             currentDatabases.putAll(group.databases());
@@ -162,12 +176,62 @@
     }
 
     /**
-     * Applies new rate shares and keeps the current view. Must be called on the loop's thread.
+     * Applies new owners of the rates and keeps the current view. Must be called on the loop's thread.
      *
-     * @param shares this VM's share of the rate of each customer
+     * @param ownership owners of the customers' rates
      */
-    public void update(Map<CustomerName, RateShare> shares) {
-        rateLimiter.updateShares(shares, now());
+    public void update(RateOwnership ownership) {
+        applyMembers(ownership);
+        runPendingSteps();
+    }
+
+    private void applyMembers(RateOwnership ownership) {
+        members = ownership;
+        rateLimiter.update(view.configuration().customers(), ownership);
+    }
+
+    /**
+     * Answers the request of another VM for the positions of primaries. Must be called on the loop's thread.
+     *
+     * @param request request to a watcher
+     */
+    public void receive(PositionRequest request) {
+        dropSamplesAfterClockJump();
+        Map<GroupName, PrimaryPositionHistory.Sample> watched = new HashMap<>();
+        for (GroupName group : view.watchedGroups()) {
+            positions(group).primaryHistory().latestSample().ifPresent(sample -> watched.put(group, sample));
+        }
+        positionPoller.answer(request, watched, members);
+    }
+
+    /**
+     * Applies the positions that another VM told. Must be called on the loop's thread.
+     *
+     * @param answer answer of a watcher
+     */
+    public void receive(PositionAnswer answer) {
+        dropSamplesAfterClockJump();
+        positionPoller.apply(answer).forEach(this::recordPosition);
+    }
+
+    /**
+     * Answers the request of another VM for tokens. Must be called on the loop's thread.
+     *
+     * @param request request to the owner of a rate
+     */
+    public void receive(TokenRequest request) {
+        rateLimiter.receive(request);
+        runPendingSteps();
+    }
+
+    /**
+     * Applies the answer to a request of this VM for tokens. Must be called on the loop's thread.
+     *
+     * @param answer answer of the owner of a rate
+     */
+    public void receive(TokenAnswer answer) {
+        rateLimiter.receive(answer);
+        runPendingSteps();
     }
 
     /**
@@ -209,6 +273,10 @@
         return backendProtocol;
     }
 
+    long firstRequestId() {
+        return firstRequestId;
+    }
+
     long nextConnectionId() {
         lastConnectionId++;
         return lastConnectionId;
@@ -236,13 +304,18 @@
     }
 
     SessionContext context(CallerSession session) {
+        dropSamplesAfterClockJump();
+        return session.group(view.configuration())
+                .map(this::context)
+                .orElseGet(() -> new SessionContext(view, PrimaryPositionHistory.NONE, Map.of(), now()));
+    }
+
+    private void dropSamplesAfterClockJump() {
         if (clockJumpDetector.hasJumped()) {
             positions.replaceAll((_, known) -> known.withoutSamples());
+            positionPoller.onClockJump();
             log("-", "clock jumped", "effect=\"positions of primaries are refreshed\"");
         }
-        return session.group(view.configuration())
-                .map(this::context)
-                .orElseGet(() -> new SessionContext(view, PrimaryPositionHistory.NONE, Map.of(), now()));
     }
 
     private SessionContext context(GroupName group) {
@@ -308,7 +381,7 @@
             case SessionEffect.Reply reply -> sendReply(caller, reply);
             case SessionEffect.CloseCallerConnection _ -> caller.stream().closeAfterFlush();
             case SessionEffect.RequestRateToken tokenRequest ->
-                admit(caller, tokenRequest.customer(), tokenRequest.maximumWait());
+                rateLimiter.admit(caller.session().id(), tokenRequest.customer(), tokenRequest.maximumWait());
             case SessionEffect.RequestSlot request -> requestSlot(request);
             case SessionEffect.CancelSlotRequest cancel -> cancelSlotRequest(cancel);
             case SessionEffect.ReleaseSlot release ->
@@ -338,23 +411,6 @@
         }
     }
 
-    private void admit(CallerConnection caller, CustomerName customer, Duration maximumWait) {
-        long session = caller.session().id();
-        switch (rateLimiter.admit(customer, maximumWait, now())) {
-            case LocalRateLimit.Admission.Admitted _ -> deliver(session, new SessionEvent.RateTokenGranted());
-            case LocalRateLimit.Admission.Refused refused ->
-                deliver(session, new SessionEvent.RateTokenRefused(refused.retryAfter()));
-            case LocalRateLimit.Admission.Delayed delayed ->
-                loop.schedule(now().plus(delayed.delay()), () -> {
-                    rateLimiter.takeReserved(customer, now());
-                    if (!caller.isDisconnected()) {
-                        caller.apply(new SessionEvent.RateTokenGranted());
-                        runPendingSteps();
-                    }
-                });
-        }
-    }
-
     private void requestSlot(SessionEffect.RequestSlot request) {
         int weight = LOWEST_WEIGHT << Math.max(0, PRIORITY_COUNT - request.priority());
         SlotRequest slot = new SlotRequest(
@@ -372,8 +428,16 @@
         positions.put(group, positions(group).with(sample));
     }
 
+    /** Probes the primaries of watched groups, and others that failed until it is known whether they answer again. */
     private void probePrimary(GroupName group, GroupDirectory directory) {
-        directory.primary().ifPresent(primary -> primaryProber.probe(group, connectionPools.get(primary.name())));
+        directory.primary().ifPresent(primary -> {
+            DatabaseConnectionPool connectionPool = connectionPools.get(primary.name());
+            boolean unconfirmedFailure =
+                    connectionPool.condition().health().failingSince().isPresent();
+            if (view.watchedGroups().contains(group) || unconfirmedFailure) {
+                primaryProber.probe(group, connectionPool);
+            }
+        });
     }
 
     private void cancelSlotRequest(SessionEffect.CancelSlotRequest cancel) {
@@ -416,6 +480,7 @@
     private void tick() {
         connectionPools.values().forEach(DatabaseConnectionPool::onTick);
         view.groups().forEach(this::probePrimary);
+        positionPoller.onTick(members);
         if (draining) {
             for (CallerConnection caller : List.copyOf(sessions.values())) {
                 caller.apply(new SessionEvent.TimePassed());
@@ -437,6 +502,6 @@
             newestTerms.put(group, known.highestTerm());
             known.acknowledgedCommit().ifPresent(position -> acknowledged.put(group, position));
         });
-        return new TrafficReport(rateLimiter.demand(now()), health, newestTerms, acknowledged, sessions.size());
+        return new TrafficReport(health, newestTerms, acknowledged, sessions.size());
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficReport.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficReport.java
@@ -3,28 +3,24 @@
 import java.util.Map;
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.identity.BackendServerName;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 
 /**
  * Periodic report of the traffic thread to the control thread.
  *
- * @param demand requested operations per second of each customer
  * @param health health of each database as observed by this VM
  * @param newestTerms newest term of each group that a primary has reported
  * @param acknowledged position of each group up to which commits have been acknowledged
  * @param sessions number of connected callers
  */
 public record TrafficReport(
-        Map<CustomerName, Double> demand,
         Map<BackendServerName, DatabaseHealth> health,
         Map<GroupName, Long> newestTerms,
         Map<GroupName, LogPosition> acknowledged,
         int sessions) {
     /** Makes immutable copies of the maps. */
     public TrafficReport {
-        demand = Map.copyOf(demand);
         health = Map.copyOf(health);
         newestTerms = Map.copyOf(newestTerms);
         acknowledged = Map.copyOf(acknowledged);
--- a/engine/src/test/java/org/geraniumproxy/engine/peer/PeerMessageCodec_decode_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/peer/PeerMessageCodec_decode_Test.java
@@ -12,7 +12,6 @@
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.fleet.PeerMessage;
 import org.geraniumproxy.core.identity.BackendServerName;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.VmName;
@@ -28,7 +27,7 @@
     private static final PeerMessage MESSAGE = new PeerMessage(
             VmName.of("vm-1"),
             1L << 40,
-            Map.of(CustomerName.of("troupe"), 12.34, CustomerName.of("jury"), 0.0),
+            true,
             Map.of(DATABASE, Duration.ofMillis(300)),
             Map.of(DATABASE, Duration.ofSeconds(700)),
             Map.of(GROUP, 128L),
@@ -44,7 +43,7 @@
     /** Guards against encoding small numbers with their full width. */
     @Test
     void should_encode_small_numbers_compactly() throws IOException {
-        assertThat(PeerMessageCodec.encode(MESSAGE).length, lessThan(110));
+        assertThat(PeerMessageCodec.encode(MESSAGE).length, lessThan(100));
     }
 
     @Test
@@ -60,7 +59,7 @@
     void should_reject_an_unterminated_varint() {
         byte[] bytes = new byte[40];
         Arrays.fill(bytes, (byte) 0xff);
-        bytes[0] = 3;
+        bytes[0] = PeerMessageCodec.VERSION;
         assertThrows(IOException.class, () -> PeerMessageCodec.decode(bytes, bytes.length));
     }
 }
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -21,6 +22,8 @@
 import java.util.concurrent.TimeUnit;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
+import org.geraniumproxy.core.caller.PositionAnswer;
+import org.geraniumproxy.core.caller.PositionRequest;
 import org.geraniumproxy.core.caller.TrafficView;
 import org.geraniumproxy.core.configuration.KeyDigest;
 import org.geraniumproxy.core.directory.DatabaseEntry;
@@ -30,7 +33,10 @@
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.RouteName;
-import org.geraniumproxy.core.limit.RateShare;
+import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.limit.RateOwnership;
+import org.geraniumproxy.core.limit.TokenAnswer;
+import org.geraniumproxy.core.limit.TokenRequest;
 import org.geraniumproxy.core.service.Consistency;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 import org.geraniumproxy.core.service.ServiceCustomer;
@@ -76,7 +82,9 @@
                 TextProtocol.backendProtocol(),
                 log,
                 new NodeMetrics(),
-                new NoOpObserver());
+                new NoOpObserver(),
+                new NoOpSender(),
+                0);
         port = freePort();
         loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), engine::accept);
         loop.start("traffic");
@@ -128,8 +136,9 @@
                 Map.of(CUSTOMER, customer),
                 Duration.ofSeconds(3));
         GroupDirectory directory = new GroupDirectory(databases, Optional.empty(), Map.of());
-        TrafficView view = new TrafficView(configuration, Map.of(GROUP, directory), formerDatabases, false, 1);
-        return runOnLoop(() -> engine.update(view, Map.of(CUSTOMER, new RateShare(1_000_000, 1000))));
+        TrafficView view = new TrafficView(
+                configuration, Map.of(GROUP, directory), formerDatabases, false, 1, Set.of(GROUP), List.of());
+        return runOnLoop(() -> engine.update(view, RateOwnership.alone(VmName.of("vm-1"))));
     }
 
     /** Runs a step on the loop's thread and waits until it is finished. */
@@ -201,6 +210,21 @@
         }
     }
 
+    /** A single VM owns all rates and sends no message. */
+    private static final class NoOpSender implements PeerSender {
+        @Override
+        public void send(TokenRequest request, VmName owner, String address) {}
+
+        @Override
+        public void send(TokenAnswer answer, VmName borrower, String address) {}
+
+        @Override
+        public void send(PositionRequest request, VmName watcher, String address) {}
+
+        @Override
+        public void send(PositionAnswer answer, VmName requester, String address) {}
+    }
+
     private static final class NoOpObserver implements TrafficObserver {
         @Override
         public void onReport(TrafficReport report) {}
