--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -16,8 +16,6 @@
 import org.geraniumproxy.core.caller.DatabaseObservation;
 import org.geraniumproxy.core.caller.ErrorCode;
 import org.geraniumproxy.core.caller.GroupPositions;
-import org.geraniumproxy.core.caller.PositionAnswer;
-import org.geraniumproxy.core.caller.PositionRequest;
 import org.geraniumproxy.core.caller.PrimaryPositionHistory;
 import org.geraniumproxy.core.caller.SessionContext;
 import org.geraniumproxy.core.caller.SessionEffect;
@@ -30,11 +28,7 @@
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
-import org.geraniumproxy.core.identity.VmName;
-import org.geraniumproxy.core.limit.RateHandover;
 import org.geraniumproxy.core.limit.RateOwnership;
-import org.geraniumproxy.core.limit.TokenAnswer;
-import org.geraniumproxy.core.limit.TokenRequest;
 import org.geraniumproxy.core.pool.SlotRequest;
 import org.geraniumproxy.core.service.ServiceGroup;
 import org.geraniumproxy.core.statement.Statement;
@@ -70,12 +64,10 @@
     private final Map<BackendServerName, DatabaseConnectionPool> connectionPools = new HashMap<>();
     private final Map<GroupName, GroupPositions> positions = new HashMap<>();
     private final Deque<Runnable> pendingSteps = new ArrayDeque<>();
-    private final RateLimiter rateLimiter;
     private final long firstRequestId;
     private final AdministrativeCommands administrativeCommands = new AdministrativeCommands(this);
     private final PrimaryProber primaryProber;
-    private final PositionPoller positionPoller;
-    private RateOwnership members = RateOwnership.alone(VmName.of("unknown"));
+    private final PeerRequests peerRequests;
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
     private long lastConnectionId;
@@ -114,8 +106,7 @@
         this.log = log;
         this.metrics = metrics;
         this.observer = observer;
-        this.rateLimiter = new RateLimiter(this, peerSender);
-        this.positionPoller = new PositionPoller(this, peerSender);
+        this.peerRequests = new PeerRequests(this, peerSender);
         this.firstRequestId = firstRequestId;
         this.primaryProber = new PrimaryProber(this, administrativeCommands, observer);
     }
@@ -147,8 +138,7 @@
     public void update(TrafficView next, RateOwnership ownership) {
         boolean firstConfiguration = !isConfigured();
         view = next;
-        applyMembers(ownership);
-        positionPoller.update(next.positionSources());
+        peerRequests.update(next, ownership);
         Map<BackendServerName, DatabaseEntry> currentDatabases = new HashMap<>();
         for (GroupDirectory group : next.groups().values()) {
             currentDatabases.putAll(group.databases());
@@ -177,76 +167,22 @@
     }
 
     /**
-     * Applies new owners of the rates and keeps the current view. Must be called on the loop's thread.
+     * Applies new members of the fleet and keeps the current view. Must be called on the loop's thread.
      *
      * @param ownership owners of the customers' rates
      */
     public void update(RateOwnership ownership) {
-        applyMembers(ownership);
+        peerRequests.update(view, ownership);
         runPendingSteps();
     }
 
-    private void applyMembers(RateOwnership ownership) {
-        members = ownership;
-        rateLimiter.update(view.configuration().customers(), ownership);
-    }
-
-    /**
-     * Answers the request of another VM for the positions of primaries. Must be called on the loop's thread.
-     *
-     * @param request request to a watcher
-     */
-    public void receive(PositionRequest request) {
-        dropSamplesAfterClockJump();
-        Map<GroupName, PrimaryPositionHistory.Sample> watched = new HashMap<>();
-        for (GroupName group : view.watchedGroups()) {
-            positions(group).primaryHistory().latestSample().ifPresent(sample -> watched.put(group, sample));
-        }
-        positionPoller.answer(request, watched, members);
-    }
-
-    /**
-     * Applies the positions that another VM told. Must be called on the loop's thread.
-     *
-     * @param answer answer of a watcher
-     */
-    public void receive(PositionAnswer answer) {
-        dropSamplesAfterClockJump();
-        positionPoller.apply(answer).forEach(this::recordPosition);
-    }
-
-    /**
-     * Applies the handover of rates that another VM owned. Must be called on the loop's thread.
-     *
-     * @param handover rates that the sender doesn't lend any more
-     */
-    public void receive(RateHandover handover) {
-        rateLimiter.receive(handover);
-    }
-
-    /** Hands the rates that this VM owns over before it leaves. Must be called on the loop's thread. */
-    public void handOverRates() {
-        rateLimiter.handOverAll();
-    }
-
     /**
-     * Answers the request of another VM for tokens. Must be called on the loop's thread.
+     * Returns the requests between this VM and the others.
      *
-     * @param request request to the owner of a rate
+     * @return handler of the requests; must be used on the loop's thread
      */
-    public void receive(TokenRequest request) {
-        rateLimiter.receive(request);
-        runPendingSteps();
-    }
-
-    /**
-     * Applies the answer to a request of this VM for tokens. Must be called on the loop's thread.
-     *
-     * @param answer answer of the owner of a rate
-     */
-    public void receive(TokenAnswer answer) {
-        rateLimiter.receive(answer);
-        runPendingSteps();
+    public PeerRequests peerRequests() {
+        return peerRequests;
     }
 
     /**
@@ -325,10 +261,10 @@
                 .orElseGet(() -> new SessionContext(view, PrimaryPositionHistory.NONE, Map.of(), now()));
     }
 
-    private void dropSamplesAfterClockJump() {
+    void dropSamplesAfterClockJump() {
         if (clockJumpDetector.hasJumped()) {
             positions.replaceAll((_, known) -> known.withoutSamples());
-            positionPoller.onClockJump();
+            peerRequests.onClockJump();
             log("-", "clock jumped", "effect=\"positions of primaries are refreshed\"");
         }
     }
@@ -341,6 +277,15 @@
         return new SessionContext(view, positions(group).primaryHistory(), loads, now());
     }
 
+    /** Returns the newest position of each primary that this VM watches. */
+    Map<GroupName, PrimaryPositionHistory.Sample> watchedPositions() {
+        Map<GroupName, PrimaryPositionHistory.Sample> watched = new HashMap<>();
+        for (GroupName group : view.watchedGroups()) {
+            positions(group).primaryHistory().latestSample().ifPresent(sample -> watched.put(group, sample));
+        }
+        return watched;
+    }
+
     private GroupPositions positions(GroupName group) {
         return positions.getOrDefault(group, GroupPositions.NONE);
     }
@@ -396,7 +341,7 @@
             case SessionEffect.Reply reply -> sendReply(caller, reply);
             case SessionEffect.CloseCallerConnection _ -> caller.stream().closeAfterFlush();
             case SessionEffect.RequestRateToken tokenRequest ->
-                rateLimiter.admit(caller.session().id(), tokenRequest.customer(), tokenRequest.maximumWait());
+                peerRequests.admit(caller.session().id(), tokenRequest.customer(), tokenRequest.maximumWait());
             case SessionEffect.RequestSlot request -> requestSlot(request);
             case SessionEffect.CancelSlotRequest cancel -> cancelSlotRequest(cancel);
             case SessionEffect.ReleaseSlot release ->
@@ -495,7 +440,7 @@
     private void tick() {
         connectionPools.values().forEach(DatabaseConnectionPool::onTick);
         view.groups().forEach(this::probePrimary);
-        positionPoller.onTick(members);
+        peerRequests.onTick();
         if (draining) {
             for (CallerConnection caller : List.copyOf(sessions.values())) {
                 caller.apply(new SessionEvent.TimePassed());
