Test the path of a rate token through the engine

Cause: the adapter between borrowed rates and sessions was tested with a VM that owns all rates only. Change: tests: a grant, a refusal and a lost answer of another VM on real sockets.

--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -60,7 +60,7 @@
     static final Duration REPLY_TIMEOUT = Duration.ofSeconds(5);
 
     private static final Duration STATEMENT_TIMEOUT = Duration.ofSeconds(30);
-    private static final CustomerName CUSTOMER = CustomerName.of("troupe");
+    static final CustomerName CUSTOMER = CustomerName.of("troupe");
     private static final String KEY = "k7secret";
 
     private final Map<BackendServerName, DatabaseEntry> databases = new HashMap<>();
@@ -71,6 +71,10 @@
     private final int port;
 
     EngineFixture() throws IOException {
+        this(new NoOpSender());
+    }
+
+    EngineFixture(PeerSender sender) throws IOException {
         Clock clock = new MonotonicClock();
         DecisionLog log = new DecisionLog(new PrintStream(logOutput, true, StandardCharsets.UTF_8));
         log.start();
@@ -84,7 +88,7 @@
                 log,
                 new NodeMetrics(),
                 new NoOpObserver(),
-                new NoOpSender(),
+                sender,
                 0);
         port = freePort();
         loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), engine::accept);
@@ -117,8 +121,13 @@
         return this;
     }
 
-    /** Applies a configuration with one route of the given consistency. */
+    /** Applies a configuration with one route of the given consistency to a VM that owns all rates. */
     EngineFixture configure(Consistency consistency) throws Exception {
+        return configure(consistency, RateOwnership.alone(VmName.of("vm-1")));
+    }
+
+    /** Applies a configuration with one route of the given consistency. */
+    EngineFixture configure(Consistency consistency, RateOwnership ownership) throws Exception {
         ServiceRoute route = new ServiceRoute(
                 RouteName.of("route"),
                 "database",
@@ -139,7 +148,13 @@
         GroupDirectory directory = new GroupDirectory(databases, Optional.empty(), Map.of());
         TrafficView view = new TrafficView(
                 configuration, Map.of(GROUP, directory), formerDatabases, false, 1, Set.of(GROUP), List.of());
-        return runOnLoop(() -> engine.update(view, RateOwnership.alone(VmName.of("vm-1"))));
+        return runOnLoop(() -> engine.update(view, ownership));
+    }
+
+    /** Delivers the answer of another VM. */
+    EngineFixture receive(TokenAnswer answer) {
+        loop.execute(() -> engine.peerRequests().receive(answer));
+        return this;
     }
 
     /** Runs a step on the loop's thread and waits until it is finished. */
@@ -217,7 +232,7 @@
     }
 
     /** A single VM owns all rates and sends no message. */
-    private static final class NoOpSender implements PeerSender {
+    static class NoOpSender implements PeerSender {
         @Override
         public void send(TokenRequest request, VmName owner, String address) {}
 
