--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -238,7 +238,7 @@
     private FleetState apply(FleetEvent event, Instant now, List<FleetEffect> effects) {
         return switch (event) {
             case FleetEvent.ConfigurationReceived update -> updateConfiguration(update.configuration(), effects);
-            case FleetEvent.DatabasesListed update -> with(databases.replaceEntries(update.entries(), now));
+            case FleetEvent.DatabasesListed update -> with(databases.replaceEntries(update.entries(), now, effects));
             case FleetEvent.DatabaseEntryChanged changed -> with(databases.updateEntry(changed.entry(), now, effects));
             case FleetEvent.DatabaseEntryMissing missing ->
                 with(databases.markMissing(missing.database(), now, effects));
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
@@ -95,7 +95,9 @@
                 .orElse(Duration.ZERO);
     }
 
-    TrackedDatabases replaceEntries(Map<BackendServerName, DatabaseEntry> entries, Instant now) {
+    TrackedDatabases replaceEntries(
+            Map<BackendServerName, DatabaseEntry> entries, Instant now, List<FleetEffect> effects) {
+        entries.values().stream().filter(this::isNews).forEach(entry -> logEntry(entry, effects));
         Map<BackendServerName, TrackedDatabase> next = new HashMap<>();
         byName.forEach((name, database) -> next.put(name, database.markMissing(now)));
         entries.forEach((name, entry) -> next.compute(
@@ -107,13 +109,26 @@
     TrackedDatabases updateEntry(DatabaseEntry entry, Instant now, List<FleetEffect> effects) {
         TrackedDatabase known = byName.get(entry.name());
         if (known != null && known.entry().revision() > entry.revision()) {
+            effects.add(new FleetEffect.Log(
+                    "database entry ignored",
+                    "database=" + entry.name() + " revision=" + entry.revision() + " known="
+                            + known.entry().revision()));
             return this;
         }
+        logEntry(entry, effects);
+        return with(entry.name(), known == null ? TrackedDatabase.of(entry, timing, now) : known.updated(entry, now));
+    }
+
+    private boolean isNews(DatabaseEntry entry) {
+        TrackedDatabase known = byName.get(entry.name());
+        return known == null || !known.entry().equals(entry);
+    }
+
+    private static void logEntry(DatabaseEntry entry, List<FleetEffect> effects) {
         effects.add(new FleetEffect.Log(
                 "database entry",
                 "database=" + entry.name() + " group=" + entry.group() + " primary=" + entry.primary() + " draining="
                         + entry.draining() + " revision=" + entry.revision()));
-        return with(entry.name(), known == null ? TrackedDatabase.of(entry, timing, now) : known.updated(entry, now));
     }
 
     TrackedDatabases markMissing(BackendServerName database, Instant now, List<FleetEffect> effects) {
--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -59,6 +59,15 @@
             .help("Version of the configuration in force.")
             .register(registry);
 
+    private final Gauge storeEra = Gauge.builder()
+            .name("geraniumproxy_store_era")
+            .help("Number of times that the store was restored from an earlier copy.")
+            .register(registry);
+    private final Counter storeLoads = Counter.builder()
+            .name("geraniumproxy_store_loads")
+            .help("Times that the whole content of the store was read.")
+            .register(registry);
+
     /** Counts a statement that succeeded. */
     public void statementCompleted() {
         statements.labelValues("completed").inc();
@@ -125,6 +134,20 @@
         configurationVersion.set((double) version);
     }
 
+    /**
+     * Updates the era of the store.
+     *
+     * @param era number of times that the store was restored from an earlier copy
+     */
+    public void storeEra(long era) {
+        storeEra.set((double) era);
+    }
+
+    /** Counts a complete read of the store. */
+    public void storeLoaded() {
+        storeLoads.inc();
+    }
+
     /**
      * Writes all metrics in the Prometheus text format.
      *
