Compare revisions of the store by their era first

A primary had refused a write as a replica while its entry stood at revision 24. The store was restored, the entry came back at revision 21, and the nodes took it for older than the refusal: no primary. An entry that the copy lacks and that is written again at a lower revision was ignored as older altogether.

Cause: revisions of two histories were compared as numbers. Ruled out: a watch that missed the entry, because the log shows it in the load at revision 21.

--- a/core/src/main/java/org/geraniumproxy/core/directory/DatabaseEntry.java
+++ b/core/src/main/java/org/geraniumproxy/core/directory/DatabaseEntry.java
@@ -3,6 +3,7 @@
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.StoreRevision;
 
 /**
  * Store entry in which a database describes itself.
@@ -16,7 +17,7 @@
  * @param primary whether it considers itself the primary
  * @param startedAtMilliseconds start time in milliseconds on the database's own clock; a change means that the database
  *     restarted and holds no state of its earlier process
- * @param revision store revision of the entry, which grows with each change
+ * @param revision store revision at which the entry was read
  */
 public record DatabaseEntry(
         BackendServerName name,
@@ -27,4 +28,4 @@
         boolean draining,
         boolean primary,
         long startedAtMilliseconds,
-        long revision) {}
+        StoreRevision revision) {}
--- a/core/src/main/java/org/geraniumproxy/core/directory/GroupDirectory.java
+++ b/core/src/main/java/org/geraniumproxy/core/directory/GroupDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.StoreRevision;
 
 /**
  * The databases of a group and the evidence of which one is the primary.
@@ -17,7 +18,7 @@
 public record GroupDirectory(
         Map<BackendServerName, DatabaseEntry> databases,
         Optional<PrimaryClaim> claim,
-        Map<BackendServerName, Long> demotedRevisions) {
+        Map<BackendServerName, StoreRevision> demotedRevisions) {
     /** A group without databases. */
     public static final GroupDirectory EMPTY = new GroupDirectory(Map.of(), Optional.empty(), Map.of());
 
@@ -41,7 +42,7 @@
         return databases.values().stream()
                 .filter(DatabaseEntry::primary)
                 .filter(entry -> !isDemoted(entry))
-                .max(Comparator.comparingLong(DatabaseEntry::revision));
+                .max(Comparator.comparing(DatabaseEntry::revision));
     }
 
     /**
@@ -59,7 +60,7 @@
     }
 
     private boolean isDemoted(DatabaseEntry entry) {
-        Long revision = demotedRevisions.get(entry.name());
-        return revision != null && entry.revision() <= revision;
+        StoreRevision revision = demotedRevisions.get(entry.name());
+        return revision != null && !entry.revision().isAfter(revision);
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
@@ -14,6 +14,7 @@
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.StoreRevision;
 
 /**
  * The databases known to this VM and the primary of each group.
@@ -27,7 +28,7 @@
         FleetTiming timing,
         Map<BackendServerName, TrackedDatabase> byName,
         Map<GroupName, PrimaryClaim> claims,
-        Map<BackendServerName, Long> demotedRevisions) {
+        Map<BackendServerName, StoreRevision> demotedRevisions) {
     TrackedDatabases {
         byName = Map.copyOf(byName);
         claims = Map.copyOf(claims);
@@ -65,7 +66,7 @@
     }
 
     private GroupDirectory directory(GroupName group, Map<BackendServerName, DatabaseEntry> members) {
-        Map<BackendServerName, Long> demoted = new HashMap<>(demotedRevisions);
+        Map<BackendServerName, StoreRevision> demoted = new HashMap<>(demotedRevisions);
         demoted.keySet().retainAll(members.keySet());
         return new GroupDirectory(members, Optional.ofNullable(claims.get(group)), demoted);
     }
@@ -108,7 +109,7 @@
 
     TrackedDatabases updateEntry(DatabaseEntry entry, Instant now, List<FleetEffect> effects) {
         TrackedDatabase known = byName.get(entry.name());
-        if (known != null && known.entry().revision() > entry.revision()) {
+        if (known != null && known.entry().revision().isAfter(entry.revision())) {
             effects.add(new FleetEffect.Log(
                     "database entry ignored",
                     "database=" + entry.name() + " revision=" + entry.revision() + " known="
@@ -149,7 +150,7 @@
                 "primary learned", "group=" + group + " database=" + newer.database() + " term=" + newer.term()));
         Map<GroupName, PrimaryClaim> next = new HashMap<>(claims);
         next.put(group, newer);
-        Map<BackendServerName, Long> remaining = new HashMap<>(demotedRevisions);
+        Map<BackendServerName, StoreRevision> remaining = new HashMap<>(demotedRevisions);
         remaining.remove(newer.database());
         return new TrackedDatabases(timing, byName, next, remaining);
     }
@@ -159,10 +160,10 @@
         if (database == null) {
             return this;
         }
-        long revision = database.entry().revision();
-        Map<BackendServerName, Long> next = new HashMap<>(demotedRevisions);
-        Long previous = next.put(refused.database(), revision);
-        if (previous == null || previous != revision) {
+        StoreRevision revision = database.entry().revision();
+        Map<BackendServerName, StoreRevision> next = new HashMap<>(demotedRevisions);
+        StoreRevision previous = next.put(refused.database(), revision);
+        if (!revision.equals(previous)) {
             effects.add(new FleetEffect.Log(
                     "write refused by replica",
                     "group=" + refused.group() + " database=" + refused.database() + " revision=" + revision));
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -17,6 +17,7 @@
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.RouteName;
+import org.geraniumproxy.core.identity.StoreRevision;
 import org.geraniumproxy.core.service.Consistency;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 import org.geraniumproxy.core.service.ServiceCustomer;
@@ -192,6 +193,7 @@
     }
 
     private static DatabaseEntry entry(BackendServerName name, boolean primary) {
-        return new DatabaseEntry(name, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, primary, 1, 1);
+        return new DatabaseEntry(
+                name, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, primary, 1, new StoreRevision(1, 1));
     }
 }
--- a/core/src/test/java/org/geraniumproxy/core/fleet/FleetState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/fleet/FleetState_on_Test.java
@@ -22,6 +22,7 @@
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.StoreRevision;
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.promotion.PromotionReason;
 import org.geraniumproxy.core.service.ServiceConfiguration;
@@ -386,8 +387,8 @@
     @Test
     void should_treat_a_restarted_database_as_recently_restarted_until_it_caught_up() {
         learnBoth();
-        DatabaseEntry restarted =
-                new DatabaseEntry(REPLICA, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, false, 2, 9);
+        DatabaseEntry restarted = new DatabaseEntry(
+                REPLICA, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, false, 2, new StoreRevision(1, 9));
         on(new FleetEvent.DatabaseEntryChanged(restarted));
         assertThat(state.recentlyRestartedDatabases(now).contains(REPLICA), is(true));
         advance(Duration.ofMillis(4100));
@@ -448,6 +449,15 @@
     }
 
     private static DatabaseEntry entry(BackendServerName name, boolean primary, boolean draining, long revision) {
-        return new DatabaseEntry(name, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, draining, primary, 1, revision);
+        return new DatabaseEntry(
+                name,
+                GROUP,
+                "10.0.0.1:1",
+                FailureDomain.of("a"),
+                2,
+                draining,
+                primary,
+                1,
+                new StoreRevision(1, revision));
     }
 }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -18,6 +18,7 @@
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.StoreRevision;
 
 /**
  * Explores every order of events in a small group: three databases with one confirming replica, two commits, one crash
@@ -443,7 +444,7 @@
                             false,
                             index == presumedPrimary,
                             1,
-                            1));
+                            new StoreRevision(1, 1)));
         }
         if (omittedRule == OmittedRule.DRAINED_DATABASE) {
             databases.remove(name(DATABASES - 1));
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -20,6 +20,7 @@
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.StoreRevision;
 import org.junit.jupiter.api.Test;
 
 /** Guards against losing acknowledged commits in a promotion. */
@@ -380,7 +381,7 @@
                     draining.contains(name),
                     name.equals(PRIMARY),
                     1,
-                    1);
+                    new StoreRevision(1, 1));
             (suspected.contains(name) ? withoutEntry : databases).put(name, entry);
         }
         return new GroupSnapshot(
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -33,6 +33,7 @@
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.RouteName;
+import org.geraniumproxy.core.identity.StoreRevision;
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.limit.RateHandover;
 import org.geraniumproxy.core.limit.RateOwnership;
@@ -107,7 +108,16 @@
 
     private static DatabaseEntry entry(String name, ScriptedDatabase database, boolean primary) {
         BackendServerName server = BackendServerName.of(name);
-        return new DatabaseEntry(server, GROUP, database.address(), FailureDomain.of("zone"), 2, false, primary, 1, 1);
+        return new DatabaseEntry(
+                server,
+                GROUP,
+                database.address(),
+                FailureDomain.of("zone"),
+                2,
+                false,
+                primary,
+                1,
+                new StoreRevision(1, 1));
     }
 
     /** Sends an administrative command and waits for the reply. */
