Ignore database entries that a restored copy of the store shows older

A database that drained before the store was restored counted as ready again until it wrote its entry anew, and its drain notice then began from the start: a drained primary could get statements beyond the notice.

Cause: a load replaced every entry by what the store showed, and an earlier copy shows what the database said earlier. An entry now carries the sequence number that the database writes into it. In the load of a later era, an entry that the database wrote before the known one and that says something else is ignored; the database writes it again. An entry that only has an earlier sequence still counts as present, because a database need not write that one anew.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
@@ -59,6 +59,16 @@
                 restarted ? Optional.of(now) : restartedAt);
     }
 
+    /**
+     * Returns whether an entry comes from an earlier copy of the store and differs from what the database has written
+     * since. The database writes it again.
+     */
+    boolean isOutdatedCopy(DatabaseEntry read) {
+        return read.revision().era() > entry.revision().era()
+                && read.isWrittenBefore(entry)
+                && !read.hasSameContentAs(entry);
+    }
+
     TrackedDatabase markMissing(Instant now) {
         return missingSince.isPresent()
                 ? this
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
@@ -98,31 +98,44 @@
 
     TrackedDatabases replaceEntries(
             Map<BackendServerName, DatabaseEntry> entries, Instant now, List<FleetEffect> effects) {
-        entries.values().stream().filter(this::isNews).forEach(entry -> logEntry(entry, effects));
         Map<BackendServerName, TrackedDatabase> next = new HashMap<>();
         byName.forEach((name, database) -> next.put(name, database.markMissing(now)));
-        entries.forEach((name, entry) -> next.compute(
-                name,
-                (_, known) -> known == null ? TrackedDatabase.of(entry, timing, now) : known.updated(entry, now)));
+        entries.forEach((name, entry) -> next.put(name, replaceEntry(entry, now, effects)));
         return with(next);
     }
 
+    private TrackedDatabase replaceEntry(DatabaseEntry entry, Instant now, List<FleetEffect> effects) {
+        TrackedDatabase known = byName.get(entry.name());
+        if (known == null) {
+            logEntry(entry, effects);
+            return TrackedDatabase.of(entry, timing, now);
+        }
+        if (known.isOutdatedCopy(entry)) {
+            logIgnored(entry, known, effects);
+            return known;
+        }
+        if (!known.entry().equals(entry)) {
+            logEntry(entry, effects);
+        }
+        return known.updated(entry, now);
+    }
+
     TrackedDatabases updateEntry(DatabaseEntry entry, Instant now, List<FleetEffect> effects) {
         TrackedDatabase known = byName.get(entry.name());
         if (known != null && known.entry().revision().isAfter(entry.revision())) {
-            effects.add(new FleetEffect.Log(
-                    "database entry ignored",
-                    "database=" + entry.name() + " revision=" + entry.revision() + " known="
-                            + known.entry().revision()));
+            logIgnored(entry, known, effects);
             return this;
         }
         logEntry(entry, effects);
         return with(entry.name(), known == null ? TrackedDatabase.of(entry, timing, now) : known.updated(entry, now));
     }
 
-    private boolean isNews(DatabaseEntry entry) {
-        TrackedDatabase known = byName.get(entry.name());
-        return known == null || !known.entry().equals(entry);
+    private static void logIgnored(DatabaseEntry entry, TrackedDatabase known, List<FleetEffect> effects) {
+        effects.add(new FleetEffect.Log(
+                "database entry ignored",
+                "database=" + entry.name() + " revision=" + entry.revision() + " sequence=" + entry.sequence()
+                        + " known=" + known.entry().revision() + " knownSequence="
+                        + known.entry().sequence()));
     }
 
     private static void logEntry(DatabaseEntry entry, List<FleetEffect> effects) {
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -194,6 +194,6 @@
 
     private static DatabaseEntry entry(BackendServerName name, boolean primary) {
         return new DatabaseEntry(
-                name, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, primary, 1, new StoreRevision(1, 1));
+                name, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, primary, 1, 1, new StoreRevision(1, 1));
     }
 }
--- a/core/src/test/java/org/geraniumproxy/core/fleet/FleetState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/fleet/FleetState_on_Test.java
@@ -111,6 +111,29 @@
         assertThat(state.suspected(GROUP).containsKey(REPLICA), is(false));
     }
 
+    /** Guards against statements to a drained database that an earlier copy of the store shows as ready. */
+    @Test
+    void should_not_use_a_drained_database_again_when_the_store_is_restored() {
+        learnBoth();
+        on(new FleetEvent.DatabaseEntryChanged(entry(REPLICA, false, true, 7, new StoreRevision(1, 9))));
+        advance(Duration.ofMillis(5600));
+        on(new FleetEvent.DatabasesListed(Map.of(
+                PRIMARY, entry(PRIMARY, true, false, 1, new StoreRevision(2, 5)),
+                REPLICA, entry(REPLICA, false, false, 3, new StoreRevision(2, 6)))));
+        assertThat(directory().databases().containsKey(REPLICA), is(false));
+    }
+
+    /** Guards against a database that stays out of use because only the time of its entry went back. */
+    @Test
+    void should_keep_using_a_database_whose_entry_in_the_copy_says_the_same() {
+        learnBoth();
+        on(new FleetEvent.DatabaseEntryChanged(entry(REPLICA, false, false, 7, new StoreRevision(1, 9))));
+        on(new FleetEvent.DatabaseEntryMissing(REPLICA));
+        on(new FleetEvent.DatabasesListed(Map.of(REPLICA, entry(REPLICA, false, false, 3, new StoreRevision(2, 6)))));
+        advance(Duration.ofMillis(2600));
+        assertThat(directory().databases().containsKey(REPLICA), is(true));
+    }
+
     /** Guards against statements to a database whose drain notice ended while this process started. */
     @Test
     void should_use_a_database_that_drains_at_startup_for_half_of_the_grace_period() {
@@ -388,7 +411,7 @@
     void should_treat_a_restarted_database_as_recently_restarted_until_it_caught_up() {
         learnBoth();
         DatabaseEntry restarted = new DatabaseEntry(
-                REPLICA, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, false, 2, new StoreRevision(1, 9));
+                REPLICA, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, false, 2, 1, new StoreRevision(1, 9));
         on(new FleetEvent.DatabaseEntryChanged(restarted));
         assertThat(state.recentlyRestartedDatabases(now).contains(REPLICA), is(true));
         advance(Duration.ofMillis(4100));
@@ -449,15 +472,12 @@
     }
 
     private static DatabaseEntry entry(BackendServerName name, boolean primary, boolean draining, long revision) {
+        return entry(name, primary, draining, 1, new StoreRevision(1, revision));
+    }
+
+    private static DatabaseEntry entry(
+            BackendServerName name, boolean primary, boolean draining, long sequence, StoreRevision revision) {
         return new DatabaseEntry(
-                name,
-                GROUP,
-                "10.0.0.1:1",
-                FailureDomain.of("a"),
-                2,
-                draining,
-                primary,
-                1,
-                new StoreRevision(1, revision));
+                name, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, draining, primary, 1, sequence, revision);
     }
 }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -444,6 +444,7 @@
                             false,
                             index == presumedPrimary,
                             1,
+                            1,
                             new StoreRevision(1, 1)));
         }
         if (omittedRule == OmittedRule.DRAINED_DATABASE) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -381,6 +381,7 @@
                     draining.contains(name),
                     name.equals(PRIMARY),
                     1,
+                    1,
                     new StoreRevision(1, 1));
             (suspected.contains(name) ? withoutEntry : databases).put(name, entry);
         }
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -117,6 +117,7 @@
                 false,
                 primary,
                 1,
+                1,
                 new StoreRevision(1, 1));
     }
 
