--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
@@ -23,6 +23,16 @@
         REFUSED
     }
 
+    /**
+     * Returns whether this intent was recorded after another one of the same group.
+     *
+     * @param other intent to compare with
+     * @return true if it has a later term, or the same term and further progress
+     */
+    public boolean isNewerThan(PromotionIntent other) {
+        return term == other.term ? progress.compareTo(other.progress) > 0 : term > other.term;
+    }
+
     /** Returns whether the promotion may be in progress, so that another attempt would interfere with it. */
     boolean isSettling(Instant now) {
         return progress != Progress.REFUSED && now.isBefore(learnedAt.plus(PromotionState.SETTLING_TIME));
@@ -31,8 +41,11 @@
     /**
      * Returns whether the promotion may still take effect. Until then, replicas must not confirm commits of the old
      * primary.
+     *
+     * @param now current time
+     * @return true if a database may still become primary by it
      */
-    boolean mayTakeEffect(Instant now) {
+    public boolean mayTakeEffect(Instant now) {
         return switch (progress) {
             case OPEN -> now.isBefore(learnedAt.plus(PromotionState.LATE_REQUEST_TIMEOUT));
             case TAKEN -> isSettling(now);
