Take the configuration that the store holds over one of the same version

If the store loses a configuration that nodes have read and then accepts another one with the same version, the nodes that read the first one kept it until the next version: a confirmed change was not in force there. Whether an operator gives a version out twice is not known; the issue describes the symptom.

A configuration of the store with the known version and other content now replaces the known one.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -257,7 +257,7 @@
     }
 
     private FleetState updateConfiguration(ServiceConfiguration newest, List<FleetEffect> effects) {
-        if (newest.version() <= configuration.version()) {
+        if (newest.version() < configuration.version() || newest.equals(configuration)) {
             return this;
         }
         effects.add(new FleetEffect.Log(
@@ -315,7 +315,7 @@
      * Returns whether both states have the same view. Messages and reports arrive far more often than the view changes.
      */
     private boolean hasSameViewAs(FleetState other) {
-        return configuration.version() == other.configuration.version()
+        return configuration.equals(other.configuration)
                 && databases.equals(other.databases)
                 && peers.addresses().equals(other.peers.addresses())
                 && peers.regions().equals(other.peers.regions())
