Log the attempt, result and age of each step of a promotion

Cause: from the lines of one run it couldn't be told which attempt wrote a promotion intent, whether a command was carried out, given up before it was sent, or left without an answer, and whether a promotion request followed from a fresh choice or from an intent of an earlier attempt.

Change: attempts have an identifier (holder and number), which commands, intents and requests carry. A command ends as answered, failed (never carried out) or unanswered (may be carried out later). Decisions are unchanged.

Ruled out: metrics instead of lines; the order of events within one attempt is what matters.

The tests of core, engine and platform pass.

--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEffect.java
@@ -1,5 +1,7 @@
 package org.geraniumproxy.core.promotion;
 
+import java.time.Duration;
+import java.util.Optional;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
@@ -7,21 +9,14 @@
 /** Side effects that the supervision of a group requests from its adapters. */
 public sealed interface PromotionEffect {
     /**
-     * Sends a command and reports the status in its answer as {@link PromotionEvent.DatabaseAnswered}.
+     * Sends a command and reports its result as {@link PromotionEvent.CommandCompleted}.
      *
      * @param database recipient
      * @param command command that is answered with a status
-     * @param term term of the attempt, returned with the answer
+     * @param attempt attempt to which the command belongs, or empty if it belongs to none
      */
-    record Ask(BackendServerName database, BackendCommand command, long term) implements PromotionEffect {}
-
-    /**
-     * Sends a command and ignores its answer.
-     *
-     * @param database recipient
-     * @param command command to send
-     */
-    record Send(BackendServerName database, BackendCommand command) implements PromotionEffect {}
+    record SendCommand(BackendServerName database, BackendCommand command, Optional<AttemptId> attempt)
+            implements PromotionEffect {}
 
     /**
      * Writes a promotion intent to the store and replaces the previous one.
@@ -37,8 +32,12 @@
      * Asks the platform to promote a database.
      *
      * @param target database to promote
+     * @param attempt attempt that chose the database
+     * @param age time since the attempt began
+     * @param repeated whether an earlier request of the same attempt got no answer
      */
-    record RequestPromotion(BackendServerName target) implements PromotionEffect {}
+    record RequestPromotion(BackendServerName target, AttemptId attempt, Duration age, boolean repeated)
+            implements PromotionEffect {}
 
     /**
      * Announces the primary to all VMs.
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEvent.java
@@ -1,6 +1,7 @@
 package org.geraniumproxy.core.promotion;
 
 import java.util.Optional;
+import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.identity.BackendServerName;
 
 /** Inputs of the supervision of a group by the lease holder. */
@@ -13,13 +14,15 @@
     record TimePassed(GroupSnapshot snapshot) implements PromotionEvent {}
 
     /**
-     * A database answered a command, or the command timed out.
+     * A command was answered, or was given up.
      *
      * @param database recipient of the command
-     * @param term term of the attempt to which the command belonged
-     * @param status status in the answer, or empty after a timeout
+     * @param command the command
+     * @param attempt attempt to which the command belonged, or empty if it belonged to none
+     * @param result whether the database carried it out
      */
-    record DatabaseAnswered(BackendServerName database, long term, Optional<DatabaseStatus> status)
+    record CommandCompleted(
+            BackendServerName database, BackendCommand command, Optional<AttemptId> attempt, CommandResult result)
             implements PromotionEvent {}
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
@@ -1,6 +1,8 @@
 package org.geraniumproxy.core.promotion;
 
+import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import org.geraniumproxy.core.identity.BackendServerName;
 
 /**
@@ -10,9 +12,11 @@
  * @param target database to promote
  * @param term term with which the replicas were stopped
  * @param progress outcome of the request so far
+ * @param attempt attempt that chose the database, or empty if an earlier release recorded the intent
  * @param learnedAt time at which this VM learned of this progress; the request is sent shortly before or after it
  */
-public record PromotionIntent(BackendServerName target, long term, Progress progress, Instant learnedAt) {
+public record PromotionIntent(
+        BackendServerName target, long term, Progress progress, Optional<AttemptId> attempt, Instant learnedAt) {
     /** Outcome of a promotion request. */
     public enum Progress {
         /** The request has no answer yet and is retried. */
@@ -52,4 +56,11 @@
             case REFUSED -> false;
         };
     }
+
+    /** Returns the intent with its age at this VM, for the log. */
+    String describe(Instant now) {
+        return "\"" + target + " term=" + term + " " + progress + " attempt="
+                + attempt.map(AttemptId::toString).orElse("unknown") + " age="
+                + Duration.between(learnedAt, now).toMillis() + "ms\"";
+    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -87,9 +87,10 @@
     /**
      * An attempt to replace a primary.
      *
+     * @param id identifies the attempt
      * @param term term with which the replicas are stopped
      * @param snapshot state of the group when the attempt began
      * @param startedAt start of the attempt
      */
-    record Attempt(long term, GroupSnapshot snapshot, Instant startedAt) {}
+    record Attempt(AttemptId id, long term, GroupSnapshot snapshot, Instant startedAt) {}
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -22,10 +22,12 @@
  * take effect some hundred milliseconds after its answer, or without one, and the promotion itself resumes the
  * replicas. Once a primary serves again, replicas that are still stopped are resumed.
  *
+ * @param holder process that holds the lease
+ * @param attempts number of attempts begun so far
  * @param phase current phase
  * @param lateRequestUntil time until which an unanswered request of this lease holder may still take effect
  */
-public record PromotionState(PromotionPhase phase, Instant lateRequestUntil) {
+public record PromotionState(String holder, long attempts, PromotionPhase phase, Instant lateRequestUntil) {
     /**
      * Time limit of a command, after which the connection is closed and the command can't arrive any more. Covers
      * opening a connection and several round trips between regions.
@@ -56,11 +58,24 @@
     /**
      * Returns the state at the start of the promotion lease.
      *
+     * @param holder process that holds the lease
      * @return a state without an attempt, in which any replica may be stopped
      */
-    public static PromotionState initial() {
+    public static PromotionState initial(String holder) {
         return new PromotionState(
-                new PromotionPhase.Watching(Instant.MIN, Optional.empty(), Resumption.ALL_REPLICAS), Instant.MIN);
+                holder,
+                0,
+                new PromotionPhase.Watching(Instant.MIN, Optional.empty(), Resumption.ALL_REPLICAS),
+                Instant.MIN);
+    }
+
+    /**
+     * Returns the state after the loss of the promotion lease.
+     *
+     * @return a state without an attempt; attempts are numbered on
+     */
+    public PromotionState released() {
+        return new PromotionState(holder, attempts, initial(holder).phase(), Instant.MIN);
     }
 
     /**
@@ -74,7 +89,7 @@
         List<PromotionEffect> effects = new ArrayList<>();
         PromotionPhase next = switch (event) {
             case PromotionEvent.TimePassed passed -> timePassed(passed.snapshot(), now, effects);
-            case PromotionEvent.DatabaseAnswered answered -> answered(answered, now, effects);
+            case PromotionEvent.CommandCompleted completed -> completed(completed, now, effects);
             case PromotionEvent.IntentRecorded recorded -> intentRecorded(recorded.written(), now, effects);
             case PromotionEvent.FencingTokenRenewed renewed -> tokenRenewed(renewed.renewed(), now, effects);
             case PromotionEvent.RequestAccepted _ -> accepted(now, effects);
@@ -82,8 +97,14 @@
             case PromotionEvent.RequestUnanswered _ -> unanswered(now);
         };
         boolean unanswered = event instanceof PromotionEvent.RequestUnanswered;
+        boolean begun = phase instanceof PromotionPhase.Watching && !(next instanceof PromotionPhase.Watching);
         return Transition.to(
-                new PromotionState(next, unanswered ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil), effects);
+                new PromotionState(
+                        holder,
+                        begun ? attempts + 1 : attempts,
+                        next,
+                        unanswered ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil),
+                effects);
     }
 
     private PromotionPhase timePassed(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
@@ -93,7 +114,12 @@
                 hasTimedOut(stopping.attempt(), now) ? decide(stopping, now, effects) : stopping;
             case PromotionPhase.Verifying verifying ->
                 hasTimedOut(verifying.attempt(), now)
-                        ? abandon(verifying.stopped().keySet(), "verification took too long", now, effects)
+                        ? abandon(
+                                verifying.attempt(),
+                                verifying.stopped().keySet(),
+                                "verification took too long",
+                                now,
+                                effects)
                         : verifying;
             case PromotionPhase.RecordingIntent recording -> recording;
             case PromotionPhase.RenewingToken renewing -> renewing;
@@ -101,13 +127,13 @@
                 boolean due = requesting.retryAt().map(at -> !now.isBefore(at)).orElse(false);
                 yield due
                         ? requestPromotion(
-                                requesting.attempt(), requesting.target(), requesting.unansweredAt(), effects)
+                                requesting.attempt(), requesting.target(), requesting.unansweredAt(), now, effects)
                         : requesting;
             }
         };
     }
 
-    private static PromotionPhase watch(
+    private PromotionPhase watch(
             PromotionPhase.Watching watching, GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         boolean settling =
                 snapshot.intent().map(intent -> intent.isSettling(now)).orElse(false);
@@ -134,83 +160,94 @@
     private static Resumption resume(
             Resumption resumption, GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         Set<BackendServerName> due = resumption.due(snapshot.replicas(), now);
-        due.forEach(replica ->
-                effects.add(new PromotionEffect.Ask(replica, new BackendCommand.ReadStatus(), Resumption.NO_TERM)));
+        due.forEach(replica -> effects.add(
+                new PromotionEffect.SendCommand(replica, new BackendCommand.ReadStatus(), Optional.empty())));
         return due.isEmpty() ? resumption : resumption.queried(due, now);
     }
 
-    private static PromotionPhase begin(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
+    private PromotionPhase begin(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         Optional<PromotionIntent> open =
                 snapshot.intent().filter(intent -> intent.progress() == PromotionIntent.Progress.OPEN);
         if (open.isPresent() && snapshot.databases().containsKey(open.get().target())) {
+            Attempt attempt = new Attempt(nextAttempt(), open.get().term(), snapshot, now);
             effects.add(new PromotionEffect.Log(
-                    "promotion request retried", "database=" + open.get().target()));
-            Attempt attempt = new Attempt(open.get().term(), snapshot, now);
-            return requestPromotion(attempt, open.get().target(), Optional.empty(), effects);
+                    "open intent repeated",
+                    "attempt=" + attempt.id() + " intent=" + open.get().describe(now)));
+            return requestPromotion(attempt, open.get().target(), Optional.empty(), now, effects);
         }
         Set<BackendServerName> replicas = snapshot.replicas();
         long term = snapshot.newestTerm() + 1;
-        Attempt attempt = new Attempt(term, snapshot, now);
-        replicas.forEach(
-                replica -> effects.add(new PromotionEffect.Ask(replica, new BackendCommand.StopReceiving(term), term)));
+        Attempt attempt = new Attempt(nextAttempt(), term, snapshot, now);
+        replicas.forEach(replica -> effects.add(new PromotionEffect.SendCommand(
+                replica, new BackendCommand.StopReceiving(term), Optional.of(attempt.id()))));
         effects.add(new PromotionEffect.Log(
                 "replacement started",
-                "reason=" + snapshot.reason().get() + " term=" + term + " primary="
-                        + snapshot.primary().map(BackendServerName::value).orElse("none") + " asked=" + replicas));
+                "attempt=" + attempt.id() + " reason=" + snapshot.reason().get() + " term=" + term + " primary="
+                        + snapshot.primary().map(BackendServerName::value).orElse("none") + " asked=" + replicas
+                        + " intent="
+                        + snapshot.intent().map(intent -> intent.describe(now)).orElse("none")));
         return new PromotionPhase.Stopping(attempt, replicas, Map.of());
     }
 
-    private PromotionPhase answered(
-            PromotionEvent.DatabaseAnswered answered, Instant now, List<PromotionEffect> effects) {
+    private AttemptId nextAttempt() {
+        return new AttemptId(holder, attempts + 1);
+    }
+
+    private PromotionPhase completed(
+            PromotionEvent.CommandCompleted completed, Instant now, List<PromotionEffect> effects) {
         return switch (phase) {
             case PromotionPhase.Stopping stopping
-            when stopping.attempt().term() == answered.term() -> stopped(stopping, answered, now, effects);
+            when belongsTo(stopping.attempt(), completed)
+                    && completed.command() instanceof BackendCommand.StopReceiving ->
+                stopped(stopping, completed, now, effects);
             case PromotionPhase.Verifying verifying
-            when verifying.attempt().term() == answered.term() -> verified(verifying, answered, now, effects);
+            when belongsTo(verifying.attempt(), completed)
+                    && completed.command() instanceof BackendCommand.ReadStatus ->
+                verified(verifying, completed, now, effects);
             case PromotionPhase.Watching watching
-            when answered.term() == Resumption.NO_TERM -> resumed(watching, answered, effects);
+            when completed.attempt().isEmpty() -> resumed(watching, completed, effects);
             default -> phase;
         };
     }
 
+    private static boolean belongsTo(Attempt attempt, PromotionEvent.CommandCompleted completed) {
+        return completed.attempt().equals(Optional.of(attempt.id()));
+    }
+
     /**
      * Resumes a replica only if it is stopped. A resume command that is carried out late could interfere with a later
      * attempt.
      */
     private static PromotionPhase resumed(
-            PromotionPhase.Watching watching, PromotionEvent.DatabaseAnswered answered, List<PromotionEffect> effects) {
-        if (answered.status().isEmpty()) {
+            PromotionPhase.Watching watching,
+            PromotionEvent.CommandCompleted completed,
+            List<PromotionEffect> effects) {
+        if (!(completed.result() instanceof CommandResult.Answered answered)) {
             return watching;
         }
-        if (answered.status().get().stoppedTerm() != 0) {
-            effects.add(new PromotionEffect.Log("replica still stopped", "database=" + answered.database()));
-            effects.add(new PromotionEffect.Ask(
-                    answered.database(), new BackendCommand.ResumeReceiving(), Resumption.NO_TERM));
+        if (answered.status().stoppedTerm() != 0) {
+            effects.add(new PromotionEffect.Log("replica still stopped", "database=" + completed.database()));
+            effects.add(new PromotionEffect.SendCommand(
+                    completed.database(), new BackendCommand.ResumeReceiving(), Optional.empty()));
             return watching;
         }
         return new PromotionPhase.Watching(
                 watching.notBefore(),
                 watching.noPrimarySince(),
-                watching.resumption().without(answered.database()));
+                watching.resumption().without(completed.database()));
     }
 
     private static PromotionPhase stopped(
             PromotionPhase.Stopping stopping,
-            PromotionEvent.DatabaseAnswered answered,
+            PromotionEvent.CommandCompleted completed,
             Instant now,
             List<PromotionEffect> effects) {
         Set<BackendServerName> pending = new HashSet<>(stopping.pending());
-        pending.remove(answered.database());
+        pending.remove(completed.database());
         Map<BackendServerName, DatabaseStatus> stopped = new HashMap<>(stopping.stopped());
         Attempt attempt = stopping.attempt();
-        if (answered.status().isPresent()) {
-            DatabaseStatus status = answered.status().get();
-            effects.add(new PromotionEffect.Log("replica status", "database=" + answered.database() + " " + status));
-            if (isStopped(attempt, status)) {
-                stopped.put(answered.database(), status);
-            }
-        } else {
-            effects.add(new PromotionEffect.Log("replica did not answer", "database=" + answered.database()));
+        if (completed.result() instanceof CommandResult.Answered answered && isStopped(attempt, answered.status())) {
+            stopped.put(completed.database(), answered.status());
         }
         PromotionPhase.Stopping next = new PromotionPhase.Stopping(attempt, pending, stopped);
         return pending.isEmpty() ? decide(next, now, effects) : next;
@@ -223,39 +260,40 @@
             case PromotionChoice.Chosen chosen -> {
                 stopping.stopped()
                         .keySet()
-                        .forEach(database -> effects.add(
-                                new PromotionEffect.Ask(database, new BackendCommand.ReadStatus(), attempt.term())));
+                        .forEach(database -> effects.add(new PromotionEffect.SendCommand(
+                                database, new BackendCommand.ReadStatus(), Optional.of(attempt.id()))));
                 // A replica that restarts from now on receives again, so the primary steps down and acknowledges no
                 // further commits.
                 attempt.snapshot()
                         .primary()
-                        .ifPresent(primary -> effects.add(
-                                new PromotionEffect.Send(primary, new BackendCommand.StepDown(attempt.term()))));
-                effects.add(new PromotionEffect.Log("database chosen", "database=" + chosen.target()));
+                        .ifPresent(primary -> effects.add(new PromotionEffect.SendCommand(
+                                primary, new BackendCommand.StepDown(attempt.term()), Optional.of(attempt.id()))));
+                effects.add(new PromotionEffect.Log(
+                        "database chosen", "attempt=" + attempt.id() + " database=" + chosen.target()));
                 yield new PromotionPhase.Verifying(
                         attempt, stopping.stopped().keySet(), stopping.stopped(), chosen.target());
             }
             case PromotionChoice.Insufficient insufficient ->
-                abandon(stopping.stopped().keySet(), insufficient.reason(), now, effects);
+                abandon(attempt, stopping.stopped().keySet(), insufficient.reason(), now, effects);
         };
     }
 
     private PromotionPhase verified(
             PromotionPhase.Verifying verifying,
-            PromotionEvent.DatabaseAnswered answered,
+            PromotionEvent.CommandCompleted completed,
             Instant now,
             List<PromotionEffect> effects) {
         Attempt attempt = verifying.attempt();
-        DatabaseStatus before = verifying.stopped().get(answered.database());
-        boolean unchanged = answered.status()
-                .map(status -> isStopped(attempt, status) && status.received().equals(before.received()))
-                .orElse(false);
+        DatabaseStatus before = verifying.stopped().get(completed.database());
+        boolean unchanged = completed.result() instanceof CommandResult.Answered answered
+                && isStopped(attempt, answered.status())
+                && answered.status().received().equals(before.received());
         if (!unchanged) {
-            String reason = "database " + answered.database() + " is no longer stopped";
-            return abandon(verifying.stopped().keySet(), reason, now, effects);
+            String reason = "database " + completed.database() + " is no longer stopped";
+            return abandon(attempt, verifying.stopped().keySet(), reason, now, effects);
         }
         Set<BackendServerName> pending = new HashSet<>(verifying.pending());
-        pending.remove(answered.database());
+        pending.remove(completed.database());
         if (!pending.isEmpty()) {
             return new PromotionPhase.Verifying(attempt, pending, verifying.stopped(), verifying.target());
         }
@@ -273,6 +311,7 @@
         return renewed
                 ? recordIntent(renewing.attempt(), renewing.target(), now, effects)
                 : abandon(
+                        renewing.attempt(),
                         renewing.attempt().snapshot().replicas(),
                         "the fencing token could not be renewed",
                         now,
@@ -290,8 +329,9 @@
             return phase;
         }
         return written
-                ? requestPromotion(recording.attempt(), recording.target(), Optional.empty(), effects)
+                ? requestPromotion(recording.attempt(), recording.target(), Optional.empty(), now, effects)
                 : abandon(
+                        recording.attempt(),
                         recording.attempt().snapshot().replicas(),
                         "the promotion intent could not be recorded",
                         now,
@@ -299,14 +339,20 @@
     }
 
     private static PromotionPhase requestPromotion(
-            Attempt attempt, BackendServerName target, Optional<Instant> unansweredAt, List<PromotionEffect> effects) {
-        effects.add(new PromotionEffect.RequestPromotion(target));
+            Attempt attempt,
+            BackendServerName target,
+            Optional<Instant> unansweredAt,
+            Instant now,
+            List<PromotionEffect> effects) {
+        effects.add(new PromotionEffect.RequestPromotion(
+                target, attempt.id(), Duration.between(attempt.startedAt(), now), unansweredAt.isPresent()));
         return new PromotionPhase.Requesting(attempt, target, Optional.empty(), unansweredAt);
     }
 
     private static PromotionEffect intentEffect(
             BackendServerName target, Attempt attempt, PromotionIntent.Progress progress, Instant now) {
-        return new PromotionEffect.RecordIntent(new PromotionIntent(target, attempt.term(), progress, now));
+        return new PromotionEffect.RecordIntent(
+                new PromotionIntent(target, attempt.term(), progress, Optional.of(attempt.id()), now));
     }
 
     private PromotionPhase accepted(Instant now, List<PromotionEffect> effects) {
@@ -316,7 +362,9 @@
         Attempt attempt = requesting.attempt();
         Duration duration = Duration.between(attempt.startedAt(), now);
         effects.add(new PromotionEffect.Log(
-                "promotion accepted", "database=" + requesting.target() + " took=" + duration.toMillis() + "ms"));
+                "promotion accepted",
+                "attempt=" + attempt.id() + " database=" + requesting.target() + " took=" + duration.toMillis()
+                        + "ms"));
         effects.add(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(requesting.target(), attempt.term())));
         effects.add(intentEffect(requesting.target(), attempt, PromotionIntent.Progress.TAKEN, now));
         return new PromotionPhase.Watching(now.plus(SETTLING_TIME), Optional.empty(), Resumption.ALL_REPLICAS);
@@ -339,7 +387,7 @@
                     requesting.unansweredAt());
         }
         effects.add(intentEffect(requesting.target(), attempt, PromotionIntent.Progress.REFUSED, now));
-        return abandon(attempt.snapshot().replicas(), "the promotion request was refused", now, effects);
+        return abandon(attempt, attempt.snapshot().replicas(), "the promotion request was refused", now, effects);
     }
 
     private PromotionPhase unanswered(Instant now) {
@@ -357,10 +405,16 @@
      * stopped.
      */
     private static PromotionPhase abandon(
-            Set<BackendServerName> stopped, String reason, Instant now, List<PromotionEffect> effects) {
-        effects.add(new PromotionEffect.Log("replacement postponed", "reason=\"" + reason + "\""));
+            Attempt attempt,
+            Set<BackendServerName> stopped,
+            String reason,
+            Instant now,
+            List<PromotionEffect> effects) {
+        effects.add(new PromotionEffect.Log(
+                "replacement postponed", "attempt=" + attempt.id() + " reason=\"" + reason + "\""));
         for (BackendServerName replica : stopped) {
-            effects.add(new PromotionEffect.Send(replica, new BackendCommand.ResumeReceiving()));
+            effects.add(new PromotionEffect.SendCommand(
+                    replica, new BackendCommand.ResumeReceiving(), Optional.of(attempt.id())));
         }
         return new PromotionPhase.Watching(now.plus(ATTEMPT_RETRY_DELAY), Optional.empty(), Resumption.ALL_REPLICAS);
     }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/Resumption.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/Resumption.java
@@ -15,9 +15,6 @@
  * @param retryAt time at which they are queried again
  */
 record Resumption(Optional<Set<BackendServerName>> pending, Instant retryAt) {
-    /** Marks answers that belong to no attempt; the terms of attempts start at one. */
-    static final long NO_TERM = 0;
-
     /**
      * Delay before a replica that did not answer is queried again. A replacement attempt waits while a command is in
      * flight, so a replica that is down must be queried rarely.
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -48,6 +48,7 @@
         TOKEN
     }
 
+    private static final String HOLDER = "vm-1";
     private static final int DATABASES = 3;
     private static final int MAXIMUM_COMMITS = 2;
     private static final int NO_PRIMARY = -1;
@@ -65,7 +66,7 @@
         }
     }
 
-    private record Command(int holder, int database, BackendCommand command, long term, boolean answered) {}
+    private record Command(int holder, int database, BackendCommand command, Optional<AttemptId> attempt) {}
 
     private record Request(int holder, int target, long token, boolean awaited) {}
 
@@ -146,7 +147,7 @@
      * Explores all orders of events of an idle group until a commit is lost or the maximum number of states is reached.
      */
     boolean losesCommit() {
-        return losesCommitFrom(0, Set.of(), new LeaseHolder(1, 1, PromotionState.initial(), Optional.empty()));
+        return losesCommitFrom(0, Set.of(), new LeaseHolder(1, 1, PromotionState.initial(HOLDER), Optional.empty()));
     }
 
     /**
@@ -155,9 +156,9 @@
      */
     boolean losesCommitAfterOpenIntent() {
         Set<Request> requests = Set.of(new Request(1, 1, 1, false));
-        PromotionIntent open = new PromotionIntent(name(1), 2, PromotionIntent.Progress.OPEN, EARLY);
+        PromotionIntent open = new PromotionIntent(name(1), 2, PromotionIntent.Progress.OPEN, Optional.empty(), EARLY);
         return losesCommitFrom(
-                NO_PRIMARY, requests, new LeaseHolder(2, 2, PromotionState.initial(), Optional.of(open)));
+                NO_PRIMARY, requests, new LeaseHolder(2, 2, PromotionState.initial(HOLDER), Optional.of(open)));
     }
 
     /**
@@ -167,9 +168,11 @@
      */
     boolean losesCommitAfterLateRequest() {
         Set<Request> requests = Set.of(new Request(1, 1, 1, false));
-        PromotionState state = new PromotionState(PromotionState.initial().phase(), LATE.plus(Duration.ofHours(1)));
+        PromotionState state =
+                new PromotionState(HOLDER, 0, PromotionState.initial(HOLDER).phase(), LATE.plus(Duration.ofHours(1)));
         holderChanges = false;
-        PromotionIntent accepted = new PromotionIntent(name(1), 2, PromotionIntent.Progress.TAKEN, EARLY);
+        PromotionIntent accepted =
+                new PromotionIntent(name(1), 2, PromotionIntent.Progress.TAKEN, Optional.empty(), EARLY);
         return losesCommitFrom(1, requests, new LeaseHolder(1, 1, state, Optional.of(accepted)));
     }
 
@@ -294,7 +297,7 @@
         ModelState after = delivered.with(group.with(command.database(), next));
         boolean claimsStopped = omittedRule == OmittedRule.STOPPING
                 || (omittedRule == OmittedRule.VERIFICATION && command.command() instanceof BackendCommand.ReadStatus);
-        long stoppedTerm = claimsStopped ? command.term() : next.stoppedTerm();
+        long stoppedTerm = claimsStopped ? group.term() + 1 : next.stoppedTerm();
         LogPosition position = next.position();
         if (claimsStopped && state.leaseHolder().state().phase() instanceof PromotionPhase.Verifying verifying) {
             position = verifying.stopped().get(name(command.database())).received();
@@ -303,11 +306,17 @@
     }
 
     private void answer(ModelState state, Command command, Optional<DatabaseStatus> status) {
-        if (!command.answered() || command.holder() != state.leaseHolder().holder()) {
+        if (command.holder() != state.leaseHolder().holder()) {
             add(state);
             return;
         }
-        apply(state, new PromotionEvent.DatabaseAnswered(name(command.database()), command.term(), status), EARLY);
+        CommandResult result = status.<CommandResult>map(CommandResult.Answered::new)
+                .orElseGet(() -> new CommandResult.Unanswered("not running"));
+        apply(
+                state,
+                new PromotionEvent.CommandCompleted(
+                        name(command.database()), command.command(), command.attempt(), result),
+                EARLY);
     }
 
     private void carryOutRequest(ModelState state, Request request) {
@@ -355,7 +364,7 @@
             add(state.with(new LeaseHolder(
                     2,
                     state.leaseHolder().token() + 1,
-                    PromotionState.initial(),
+                    PromotionState.initial(HOLDER),
                     state.leaseHolder().intent())));
         }
     }
@@ -377,14 +386,12 @@
         Group group = state.group();
         for (PromotionEffect effect : transition.effects()) {
             switch (effect) {
-                case PromotionEffect.Ask ask ->
-                    commands.add(
-                            new Command(leaseHolder.holder(), index(ask.database()), ask.command(), ask.term(), true));
-                case PromotionEffect.Send send
+                case PromotionEffect.SendCommand send
                 when send.command() instanceof BackendCommand.StepDown stepDown ->
                     group = stepDown(group, index(send.database()), stepDown.term());
-                case PromotionEffect.Send send ->
-                    commands.add(new Command(leaseHolder.holder(), index(send.database()), send.command(), 0, false));
+                case PromotionEffect.SendCommand send ->
+                    commands.add(
+                            new Command(leaseHolder.holder(), index(send.database()), send.command(), send.attempt()));
                 case PromotionEffect.RecordIntent record -> {
                     intent = Optional.of(record.intent());
                     recordsIntent = record.intent().progress() == PromotionIntent.Progress.OPEN;
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -32,7 +32,7 @@
     private static final Instant LONG_AGO = Instant.EPOCH.minus(Duration.ofMinutes(1));
 
     private Instant now = Instant.EPOCH;
-    private PromotionState state = PromotionState.initial();
+    private PromotionState state = PromotionState.initial("vm-1");
     private List<PromotionEffect> effects = List.of();
     private Set<BackendServerName> draining = Set.of();
     private Set<BackendServerName> recentlyRestarted = Set.of();
@@ -44,7 +44,7 @@
     @Test
     void should_choose_the_longer_log_of_the_stopped_replicas() {
         begin();
-        assertThat(asked(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
         answer(SECOND, stopped(10));
         answer(THIRD, stopped(12));
         answerStopped(10, 12);
@@ -66,7 +66,7 @@
         begin();
         answer(SECOND, stopped(10));
         answer(THIRD, Optional.of(new DatabaseStatus(false, TERM, LogPosition.of(3, 12), 0)));
-        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
         assertThat(requestedPromotions(), is(empty()));
     }
 
@@ -82,7 +82,7 @@
     void should_not_count_a_replica_that_may_have_lost_confirmed_commits() {
         recentlyRestarted = Set.of(THIRD);
         stopAt(10, 1);
-        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
     }
 
     @Test
@@ -90,7 +90,7 @@
         draining = Set.of(THIRD);
         reason = Optional.of(PromotionReason.LEAVING);
         stopAt(10, 12);
-        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
     }
 
     /** Guards against losing a commit that only a draining replica holds. */
@@ -106,7 +106,7 @@
     void should_count_the_log_of_a_suspected_database_that_answers() {
         suspected = Set.of(THIRD);
         begin();
-        assertThat(asked(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
         answer(SECOND, stopped(10));
         answer(THIRD, stopped(12));
         answerStopped(10, 12);
@@ -157,18 +157,20 @@
 
     @Test
     void should_retry_the_open_request_of_an_earlier_holder_before_choosing() {
-        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.OPEN, LONG_AGO));
+        intent = Optional.of(
+                new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.OPEN, Optional.empty(), LONG_AGO));
         begin();
         assertThat(requestedPromotions(), containsInAnyOrder(SECOND));
-        assertThat(asked(BackendCommand.StopReceiving.class), is(empty()));
+        assertThat(sent(BackendCommand.StopReceiving.class), is(empty()));
     }
 
     @Test
     void should_choose_again_when_the_last_request_was_answered() {
-        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.TAKEN, LONG_AGO));
+        intent = Optional.of(
+                new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.TAKEN, Optional.empty(), LONG_AGO));
         begin();
         assertThat(requestedPromotions(), is(empty()));
-        assertThat(asked(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
     }
 
     @Test
@@ -198,7 +200,7 @@
     void should_wait_when_no_replica_holds_all_acknowledged_commits() {
         acknowledged = Optional.of(LogPosition.of(3, 13));
         stopAt(10, 12);
-        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
         assertThat(sent(BackendCommand.StepDown.class), is(empty()));
         assertThat(sent(BackendCommand.ResumeReceiving.class), containsInAnyOrder(SECOND, THIRD));
     }
@@ -207,18 +209,18 @@
     void should_choose_a_replica_that_holds_all_acknowledged_commits() {
         acknowledged = Optional.of(LogPosition.of(3, 12));
         stopAt(10, 12);
-        assertThat(asked(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
     }
 
     /** Guards against a second attempt that stops replicas while the first promotion is in progress. */
     @Test
     void should_not_begin_an_attempt_while_the_last_promotion_is_settling() {
-        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.TAKEN, now));
+        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.TAKEN, Optional.empty(), now));
         begin();
-        assertThat(asked(BackendCommand.StopReceiving.class), is(empty()));
+        assertThat(sent(BackendCommand.StopReceiving.class), is(empty()));
         now = now.plus(PromotionState.SETTLING_TIME);
         begin();
-        assertThat(asked(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
     }
 
     /** Guards against a replica that stays stopped after the holder that stopped it lost the lease. */
@@ -226,18 +228,18 @@
     void should_query_replicas_until_they_receive() {
         reason = Optional.empty();
         begin();
-        assertThat(asked(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
         resumed(SECOND, Optional.of(new DatabaseStatus(false, TERM, LogPosition.of(3, 10), 0)));
         resumed(THIRD, Optional.empty());
         now = now.plus(Resumption.RETRY_DELAY);
         begin();
-        assertThat(asked(BackendCommand.ReadStatus.class), containsInAnyOrder(THIRD));
+        assertThat(sent(BackendCommand.ReadStatus.class), containsInAnyOrder(THIRD));
         resumed(THIRD, stopped(10));
-        assertThat(asked(BackendCommand.ResumeReceiving.class), containsInAnyOrder(THIRD));
+        assertThat(sent(BackendCommand.ResumeReceiving.class), containsInAnyOrder(THIRD));
         resumed(THIRD, Optional.of(new DatabaseStatus(false, TERM, LogPosition.of(3, 10), 0)));
         now = now.plus(Resumption.RETRY_DELAY);
         begin();
-        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
     }
 
     /** Guards against a resume command that a database carries out seconds later, during an attempt. */
@@ -246,7 +248,7 @@
         reason = Optional.empty();
         begin();
         resumed(SECOND, Optional.of(new DatabaseStatus(false, TERM, LogPosition.of(3, 10), 0)));
-        assertThat(asked(BackendCommand.ResumeReceiving.class), is(empty()));
+        assertThat(sent(BackendCommand.ResumeReceiving.class), is(empty()));
     }
 
     /** Guards against replicas that confirm commits of the old primary after its replacement was requested. */
@@ -256,31 +258,31 @@
         on(new PromotionEvent.RequestAccepted());
         reason = Optional.empty();
         begin();
-        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
         now = now.plus(PromotionState.SETTLING_TIME);
         begin();
-        assertThat(asked(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
     }
 
     /** Guards against a new holder that learns of the new primary from another VM before the promotion takes effect. */
     @Test
     void should_not_resume_replicas_while_a_request_of_an_earlier_holder_is_open() {
-        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.OPEN, now));
+        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.OPEN, Optional.empty(), now));
         reason = Optional.empty();
         now = now.plus(PromotionState.SETTLING_TIME);
         begin();
-        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
         now = now.plus(PromotionState.LATE_REQUEST_TIMEOUT);
         begin();
-        assertThat(asked(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
     }
 
     @Test
     void should_not_resume_replicas_while_the_last_promotion_is_settling() {
-        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.TAKEN, now));
+        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.TAKEN, Optional.empty(), now));
         reason = Optional.empty();
         begin();
-        assertThat(asked(BackendCommand.ReadStatus.class), is(empty()));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
     }
 
     /** Guards against a late copy of a request that promotes its target again after another database was promoted. */
@@ -330,11 +332,24 @@
     }
 
     private void answer(BackendServerName database, Optional<DatabaseStatus> status) {
-        on(new PromotionEvent.DatabaseAnswered(database, TERM, status));
+        BackendCommand command = state.phase() instanceof PromotionPhase.Stopping
+                ? new BackendCommand.StopReceiving(TERM)
+                : new BackendCommand.ReadStatus();
+        complete(database, command, Optional.of(new AttemptId("vm-1", state.attempts())), status);
     }
 
     private void resumed(BackendServerName database, Optional<DatabaseStatus> status) {
-        on(new PromotionEvent.DatabaseAnswered(database, Resumption.NO_TERM, status));
+        complete(database, new BackendCommand.ReadStatus(), Optional.empty(), status);
+    }
+
+    private void complete(
+            BackendServerName database,
+            BackendCommand command,
+            Optional<AttemptId> attempt,
+            Optional<DatabaseStatus> status) {
+        CommandResult result = status.<CommandResult>map(CommandResult.Answered::new)
+                .orElseGet(() -> new CommandResult.Unanswered("no answer in time"));
+        on(new PromotionEvent.CommandCompleted(database, command, attempt, result));
     }
 
     private void on(PromotionEvent event) {
@@ -343,21 +358,12 @@
         effects = transition.effects();
     }
 
-    private List<BackendServerName> asked(Class<? extends BackendCommand> type) {
-        return effects.stream()
-                .filter(PromotionEffect.Ask.class::isInstance)
-                .map(PromotionEffect.Ask.class::cast)
-                .filter(ask -> type.isInstance(ask.command()))
-                .map(PromotionEffect.Ask::database)
-                .toList();
-    }
-
     private List<BackendServerName> sent(Class<? extends BackendCommand> type) {
         return effects.stream()
-                .filter(PromotionEffect.Send.class::isInstance)
-                .map(PromotionEffect.Send.class::cast)
+                .filter(PromotionEffect.SendCommand.class::isInstance)
+                .map(PromotionEffect.SendCommand.class::cast)
                 .filter(send -> type.isInstance(send.command()))
-                .map(PromotionEffect.Send::database)
+                .map(PromotionEffect.SendCommand::database)
                 .toList();
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionPlatform.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionPlatform.java
@@ -9,6 +9,13 @@
 
 /** Platform operations that the {@link PromotionSupervisor} uses. All methods are called on the control thread. */
 public interface PromotionPlatform {
+    /**
+     * Returns the name under which this process holds the promotion lease.
+     *
+     * @return name that no other process has
+     */
+    String holder();
+
     /**
      * Returns the fencing token while this VM holds the promotion lease.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -18,6 +18,8 @@
 import org.geraniumproxy.core.fleet.PrimaryReplacementPolicy;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.promotion.AttemptId;
+import org.geraniumproxy.core.promotion.CommandResult;
 import org.geraniumproxy.core.promotion.DatabaseStatus;
 import org.geraniumproxy.core.promotion.GroupSnapshot;
 import org.geraniumproxy.core.promotion.PromotionEffect;
@@ -26,6 +28,7 @@
 import org.geraniumproxy.core.promotion.PromotionState;
 import org.geraniumproxy.core.service.ServiceGroup;
 import org.geraniumproxy.engine.telemetry.DecisionLog;
+import org.geraniumproxy.engine.traffic.CommandNotSentException;
 
 /** Supervises the promotions of all groups while this VM holds the promotion lease. Runs on the control thread. */
 public final class PromotionSupervisor {
@@ -37,7 +40,8 @@
          * @param database receiver of the command
          * @param command command to send
          * @param timeout maximum wait for the reply
-         * @return the reply; fails if none arrives in time
+         * @return the reply; fails with {@link CommandNotSentException} if the command was not sent, and otherwise if
+         *     no reply arrives in time
          */
         CompletableFuture<BackendReply> send(BackendServerName database, BackendCommand command, Duration timeout);
     }
@@ -94,7 +98,7 @@
     public void start() {
         control.schedule(CHECK_INTERVAL, this::start);
         if (platform.fencingToken().isEmpty()) {
-            states.clear();
+            states.replaceAll((_, state) -> state.released());
             return;
         }
         FleetState state = control.state();
@@ -121,11 +125,12 @@
     private void apply(GroupName group, PromotionEvent event) {
         OptionalLong fencingToken = platform.fencingToken();
         if (fencingToken.isEmpty()) {
-            states.clear();
+            states.replaceAll((_, state) -> state.released());
             return;
         }
-        Transition<PromotionState, PromotionEffect> transition =
-                states.getOrDefault(group, PromotionState.initial()).on(event, clock.instant());
+        Transition<PromotionState, PromotionEffect> transition = states.computeIfAbsent(
+                        group, _ -> PromotionState.initial(platform.holder()))
+                .on(event, clock.instant());
         states.put(group, transition.state());
         for (PromotionEffect effect : transition.effects()) {
             execute(group, fencingToken.getAsLong(), effect);
@@ -134,27 +139,7 @@
 
     private void execute(GroupName group, long fencingToken, PromotionEffect effect) {
         switch (effect) {
-            case PromotionEffect.Ask ask -> {
-                var unused = commandSender
-                        .send(ask.database(), ask.command(), PromotionState.COMMAND_TIMEOUT)
-                        .whenCompleteAsync(
-                                (reply, failure) -> apply(
-                                        group,
-                                        new PromotionEvent.DatabaseAnswered(
-                                                ask.database(),
-                                                ask.term(),
-                                                failure == null ? statusDecoder.decode(reply) : Optional.empty())),
-                                control::execute);
-            }
-            case PromotionEffect.Send send -> {
-                var unused = commandSender
-                        .send(send.database(), send.command(), PromotionState.COMMAND_TIMEOUT)
-                        .whenComplete((_, failure) -> {
-                            if (failure != null) {
-                                log(group, "no reply to a command", "database=" + send.database() + " " + failure);
-                            }
-                        });
-            }
+            case PromotionEffect.SendCommand send -> sendCommand(group, send);
             case PromotionEffect.RecordIntent recordIntent -> recordIntent(group, recordIntent);
             case PromotionEffect.RenewFencingToken _ -> {
                 var unused = platform.renewFencingToken()
@@ -162,10 +147,15 @@
                                 (_, failure) -> fencingTokenRenewed(group, fencingToken, failure), control::execute);
             }
             case PromotionEffect.RequestPromotion request -> {
-                log(group, "promotion requested", "database=" + request.target() + " token=" + fencingToken);
+                log(
+                        group,
+                        "promotion requested",
+                        "attempt=" + request.attempt() + " database=" + request.target() + " token=" + fencingToken
+                                + " age=" + request.age().toMillis() + "ms repeated=" + request.repeated());
                 var unused = platform.requestPromotion(group, request.target(), fencingToken)
                         .whenCompleteAsync(
-                                (outcome, failure) -> apply(group, requestAnswered(group, outcome, failure)),
+                                (outcome, failure) ->
+                                        apply(group, requestAnswered(group, request.attempt(), outcome, failure)),
                                 control::execute);
             }
             case PromotionEffect.AnnouncePrimary announcement ->
@@ -182,13 +172,47 @@
         apply(group, new PromotionEvent.FencingTokenRenewed(failure == null));
     }
 
+    private void sendCommand(GroupName group, PromotionEffect.SendCommand send) {
+        String command = "attempt=" + send.attempt().map(AttemptId::toString).orElse("none") + " database="
+                + send.database() + " command=" + send.command();
+        log(group, "command sent", command);
+        var unused = commandSender
+                .send(send.database(), send.command(), PromotionState.COMMAND_TIMEOUT)
+                .whenCompleteAsync(
+                        (reply, failure) -> {
+                            CommandResult result = toResult(reply, failure);
+                            log(group, "command completed", command + " result=" + result);
+                            apply(
+                                    group,
+                                    new PromotionEvent.CommandCompleted(
+                                            send.database(), send.command(), send.attempt(), result));
+                        },
+                        control::execute);
+    }
+
+    private CommandResult toResult(BackendReply reply, Throwable failure) {
+        if (failure instanceof CommandNotSentException) {
+            return new CommandResult.Failed(failure.getMessage());
+        }
+        if (failure != null) {
+            return new CommandResult.Unanswered(failure.getMessage());
+        }
+        return statusDecoder
+                .decode(reply)
+                .<CommandResult>map(CommandResult.Answered::new)
+                .orElseGet(() -> new CommandResult.Failed(reply.result().toString()));
+    }
+
     private void recordIntent(GroupName group, PromotionEffect.RecordIntent effect) {
         var unused = platform.recordIntent(group, effect.intent())
                 .whenCompleteAsync(
                         (_, failure) -> {
-                            if (failure != null) {
-                                log(group, "promotion intent not recorded", "error=\"" + failure + "\"");
-                            }
+                            log(
+                                    group,
+                                    failure == null ? "promotion intent recorded" : "promotion intent not recorded",
+                                    "attempt=" + effect.intent().attempt().orElseThrow() + " database="
+                                            + effect.intent().target() + " progress="
+                                            + effect.intent().progress() + " error=\"" + failure + "\"");
                             if (effect.intent().progress() == PromotionIntent.Progress.OPEN) {
                                 apply(group, new PromotionEvent.IntentRecorded(failure == null));
                             }
@@ -196,8 +220,12 @@
                         control::execute);
     }
 
-    private PromotionEvent requestAnswered(GroupName group, PromotionRequestOutcome outcome, Throwable failure) {
-        log(group, "promotion request answered", "outcome=" + outcome + " error=\"" + failure + "\"");
+    private PromotionEvent requestAnswered(
+            GroupName group, AttemptId attempt, PromotionRequestOutcome outcome, Throwable failure) {
+        log(
+                group,
+                "promotion request answered",
+                "attempt=" + attempt + " outcome=" + outcome + " error=\"" + failure + "\"");
         if (failure != null) {
             return new PromotionEvent.RequestUnanswered();
         }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCommands.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCommands.java
@@ -46,7 +46,7 @@
         CompletableFuture<BackendReply> result = new CompletableFuture<>();
         DatabaseConnectionPool connectionPool = engine.connectionPool(database);
         if (connectionPool == null) {
-            result.completeExceptionally(new IllegalStateException("unknown database " + database));
+            result.completeExceptionally(new CommandNotSentException("unknown database " + database));
             return result;
         }
         lastSlotRequestId++;
@@ -118,9 +118,14 @@
 
     private void fail(long slotRequestId, String reason) {
         PendingCommand pending = pendingCommands.remove(slotRequestId);
-        if (pending != null) {
-            pending.result()
-                    .completeExceptionally(new IllegalStateException("database " + pending.database() + ": " + reason));
+        if (pending == null) {
+            return;
         }
+        String message = "database " + pending.database() + ": " + reason;
+        pending.result()
+                .completeExceptionally(
+                        pending.connection().isPresent()
+                                ? new IllegalStateException(message)
+                                : new CommandNotSentException(message));
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -191,7 +191,8 @@
      * @param database receiver of the command
      * @param command command to send
      * @param timeout maximum wait for the reply
-     * @return the reply; fails if none arrives in time
+     * @return the reply; fails with {@link CommandNotSentException} if the command was not sent, and otherwise if no
+     *     reply arrives in time
      */
     public CompletableFuture<BackendReply> sendCommand(
             BackendServerName database, BackendCommand command, Duration timeout) {
