Write promotion intents on condition, and promote no target of an intent without comparing logs

Cause: an intent was written without a condition, so the store could write the intent of a given-up attempt over that of a later one; and an open intent was requested again without comparing any logs, whatever its age and term.

Change: a write of an intent names the revisions of the intent that it replaces and of the lease, so a late one fails. The target of an open intent goes through stopping, comparing and verifying; while a request of an earlier holder may take effect, no other database is promoted and the replicas stay stopped. A holder knows its own requests, so its own intents cost no wait. Attempts and late requests are remembered when the lease is lost and taken again.

--- a/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
@@ -45,4 +45,9 @@
         primary.ifPresent(replicas::remove);
         return replicas;
     }
+
+    /** Returns whether a database may be running. */
+    boolean mayRun(BackendServerName database) {
+        return databases.containsKey(database) || suspected.containsKey(database);
+    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -33,9 +33,13 @@
      *
      * @param snapshot state of the group
      * @param stopped status of each replica that has stopped receiving; a subset of the replicas of the snapshot
+     * @param pendingTarget database that an earlier request may still promote
      * @return the database with the highest position, or the missing evidence
      */
-    static PromotionChoice of(GroupSnapshot snapshot, Map<BackendServerName, DatabaseStatus> stopped) {
+    static PromotionChoice of(
+            GroupSnapshot snapshot,
+            Map<BackendServerName, DatabaseStatus> stopped,
+            Optional<BackendServerName> pendingTarget) {
         long provenCount = stopped.keySet().stream()
                 .filter(database -> !snapshot.recentlyRestarted().contains(database))
                 .count();
@@ -55,6 +59,9 @@
             return new Insufficient("highest position " + text(highest) + " lacks acknowledged commits up to "
                     + snapshot.acknowledged().map(PromotionChoice::text).orElseThrow());
         }
+        if (pendingTarget.isPresent()) {
+            return choosePending(pendingTarget.get(), highest, stopped);
+        }
         return stopped.keySet().stream()
                 .filter(database -> stopped.get(database).received().equals(highest))
                 .filter(database -> isEligible(snapshot, database))
@@ -64,6 +71,16 @@
                 .orElseGet(() -> new Insufficient("no database that stays has the highest position " + text(highest)));
     }
 
+    /** Chooses the database that an earlier request may promote anyway, if its log is as long as any other. */
+    private static PromotionChoice choosePending(
+            BackendServerName pending, LogPosition highest, Map<BackendServerName, DatabaseStatus> stopped) {
+        DatabaseStatus status = stopped.get(pending);
+        return status != null && status.received().equals(highest)
+                ? new Chosen(pending)
+                : new Insufficient("an earlier request may still promote " + pending
+                        + ", which does not have the highest position " + text(highest));
+    }
+
     /**
      * Returns whether the stopped replicas lack acknowledged commits. Only the primary then holds them, so the
      * promotion waits for it.
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEffect.java
@@ -19,7 +19,7 @@
             implements PromotionEffect {}
 
     /**
-     * Writes a promotion intent to the store and replaces the previous one.
+     * Replaces the promotion intent in the store, unless it has changed or this VM no longer holds the lease.
      *
      * @param intent intent of the group
      */
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEvent.java
@@ -26,11 +26,11 @@
             implements PromotionEvent {}
 
     /**
-     * The write of the promotion intent finished.
+     * The write of an open promotion intent finished.
      *
-     * @param written whether the intent is in the store
+     * @param result whether the intent is in the store
      */
-    record IntentRecorded(boolean written) implements PromotionEvent {}
+    record IntentRecorded(IntentWriteResult result) implements PromotionEvent {}
 
     /**
      * The renewal of the fencing token finished.
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
@@ -7,7 +7,8 @@
 
 /**
  * A promotion that is recorded in the store before the platform is asked for it. A request without an answer may still
- * take effect, so the next lease holder retries it before it chooses a database itself.
+ * take effect, so until it can't the next lease holder promotes no other database, and this one only after it has
+ * compared the logs itself.
  *
  * @param target database to promote
  * @param term term with which the replicas were stopped
@@ -19,7 +20,7 @@
         BackendServerName target, long term, Progress progress, Optional<AttemptId> attempt, Instant learnedAt) {
     /** Outcome of a promotion request. */
     public enum Progress {
-        /** The request has no answer yet and is retried. */
+        /** The request may be sent from now on and has no answer yet. */
         OPEN,
         /** The platform accepted the request; the promotion takes effect some hundred milliseconds later. */
         TAKEN,
@@ -37,6 +38,15 @@
         return term == other.term ? progress.compareTo(other.progress) > 0 : term > other.term;
     }
 
+    /**
+     * Returns whether the group shows that this promotion has taken effect, so that its request changes nothing any
+     * more.
+     */
+    boolean hasTakenEffect(GroupSnapshot snapshot) {
+        boolean leads = snapshot.primary().equals(Optional.of(target));
+        return leads ? snapshot.newestTerm() >= term : snapshot.newestTerm() > term;
+    }
+
     /** Returns whether the promotion may be in progress, so that another attempt would interfere with it. */
     boolean isSettling(Instant now) {
         return progress != Progress.REFUSED && now.isBefore(learnedAt.plus(PromotionState.SETTLING_TIME));
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -90,7 +90,14 @@
      * @param id identifies the attempt
      * @param term term with which the replicas are stopped
      * @param snapshot state of the group when the attempt began
+     * @param pendingTarget database that a request of an earlier lease holder may still promote; no other one may be
+     *     chosen, and the replicas stay stopped
      * @param startedAt start of the attempt
      */
-    record Attempt(AttemptId id, long term, GroupSnapshot snapshot, Instant startedAt) {}
+    record Attempt(
+            AttemptId id,
+            long term,
+            GroupSnapshot snapshot,
+            Optional<BackendServerName> pendingTarget,
+            Instant startedAt) {}
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -18,16 +18,21 @@
 /**
  * Supervision of a group by the lease holder. An attempt stops the replicas, chooses a log that holds every
  * acknowledged commit, verifies that the replicas are still stopped, records the intent in the store and sends the
- * promotion request until it is answered. The attempt resumes the replicas only if no request was sent: a request may
- * take effect some hundred milliseconds after its answer, or without one, and the promotion itself resumes the
- * replicas. Once a primary serves again, replicas that are still stopped are resumed.
+ * promotion request until it is answered. An intent of an earlier holder is no evidence for its target: it may have
+ * reached the store late, or the replicas may have received since, so its target goes through the same steps. The
+ * attempt resumes the replicas only if no request was sent: a request may take effect some hundred milliseconds after
+ * its answer, or without one, and the promotion itself resumes the replicas. Once a primary serves again, replicas that
+ * are still stopped are resumed.
  *
  * @param holder process that holds the lease
  * @param attempts number of attempts begun so far
+ * @param earlierAttempts number of attempts begun before this VM last took the lease; whether their requests were sent
+ *     is no longer known
  * @param phase current phase
  * @param lateRequestUntil time until which an unanswered request of this lease holder may still take effect
  */
-public record PromotionState(String holder, long attempts, PromotionPhase phase, Instant lateRequestUntil) {
+public record PromotionState(
+        String holder, long attempts, long earlierAttempts, PromotionPhase phase, Instant lateRequestUntil) {
     /**
      * Time limit of a command, after which the connection is closed and the command can't arrive any more. Covers
      * opening a connection and several round trips between regions.
@@ -65,6 +70,7 @@
         return new PromotionState(
                 holder,
                 0,
+                0,
                 new PromotionPhase.Watching(Instant.MIN, Optional.empty(), Resumption.ALL_REPLICAS),
                 Instant.MIN);
     }
@@ -72,10 +78,10 @@
     /**
      * Returns the state after the loss of the promotion lease.
      *
-     * @return a state without an attempt; attempts are numbered on
+     * @return a state without an attempt; attempts are numbered on, and requests of this VM may still take effect
      */
     public PromotionState released() {
-        return new PromotionState(holder, attempts, initial(holder).phase(), Instant.MIN);
+        return new PromotionState(holder, attempts, attempts, initial(holder).phase(), lateRequestUntil);
     }
 
     /**
@@ -90,7 +96,7 @@
         PromotionPhase next = switch (event) {
             case PromotionEvent.TimePassed passed -> timePassed(passed.snapshot(), now, effects);
             case PromotionEvent.CommandCompleted completed -> completed(completed, now, effects);
-            case PromotionEvent.IntentRecorded recorded -> intentRecorded(recorded.written(), now, effects);
+            case PromotionEvent.IntentRecorded recorded -> intentRecorded(recorded.result(), now, effects);
             case PromotionEvent.FencingTokenRenewed renewed -> tokenRenewed(renewed.renewed(), now, effects);
             case PromotionEvent.RequestAccepted _ -> accepted(now, effects);
             case PromotionEvent.RequestRefused _ -> refused(now, effects);
@@ -102,6 +108,7 @@
                 new PromotionState(
                         holder,
                         begun ? attempts + 1 : attempts,
+                        earlierAttempts,
                         next,
                         unanswered ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil),
                 effects);
@@ -166,18 +173,12 @@
     }
 
     private PromotionPhase begin(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
-        Optional<PromotionIntent> open =
-                snapshot.intent().filter(intent -> intent.progress() == PromotionIntent.Progress.OPEN);
-        if (open.isPresent() && snapshot.databases().containsKey(open.get().target())) {
-            Attempt attempt = new Attempt(nextAttempt(), open.get().term(), snapshot, now);
-            effects.add(new PromotionEffect.Log(
-                    "open intent repeated",
-                    "attempt=" + attempt.id() + " intent=" + open.get().describe(now)));
-            return requestPromotion(attempt, open.get().target(), Optional.empty(), now, effects);
-        }
         Set<BackendServerName> replicas = snapshot.replicas();
         long term = snapshot.newestTerm() + 1;
-        Attempt attempt = new Attempt(nextAttempt(), term, snapshot, now);
+        Optional<BackendServerName> pendingTarget = snapshot.intent()
+                .filter(intent -> isPending(intent, snapshot, now))
+                .map(PromotionIntent::target);
+        Attempt attempt = new Attempt(new AttemptId(holder, attempts + 1), term, snapshot, pendingTarget, now);
         replicas.forEach(replica -> effects.add(new PromotionEffect.SendCommand(
                 replica, new BackendCommand.StopReceiving(term), Optional.of(attempt.id()))));
         effects.add(new PromotionEffect.Log(
@@ -189,8 +190,22 @@
         return new PromotionPhase.Stopping(attempt, replicas, Map.of());
     }
 
-    private AttemptId nextAttempt() {
-        return new AttemptId(holder, attempts + 1);
+    /**
+     * Returns whether a request of an earlier lease holder may still promote the target of an intent. This holder knows
+     * the answers to its own requests, and that a request whose intent it could not record was not sent.
+     */
+    private boolean isPending(PromotionIntent intent, GroupSnapshot snapshot, Instant now) {
+        return intent.progress() == PromotionIntent.Progress.OPEN
+                && intent.mayTakeEffect(now)
+                && !isOwn(intent)
+                && !intent.hasTakenEffect(snapshot)
+                && snapshot.mayRun(intent.target());
+    }
+
+    private boolean isOwn(PromotionIntent intent) {
+        return intent.attempt()
+                .filter(attempt -> attempt.holder().equals(holder) && attempt.number() > earlierAttempts)
+                .isPresent();
     }
 
     private PromotionPhase completed(
@@ -255,7 +270,7 @@
 
     private static PromotionPhase decide(PromotionPhase.Stopping stopping, Instant now, List<PromotionEffect> effects) {
         Attempt attempt = stopping.attempt();
-        PromotionChoice choice = PromotionChoice.of(attempt.snapshot(), stopping.stopped());
+        PromotionChoice choice = PromotionChoice.of(attempt.snapshot(), stopping.stopped(), attempt.pendingTarget());
         return switch (choice) {
             case PromotionChoice.Chosen chosen -> {
                 stopping.stopped()
@@ -324,18 +339,41 @@
         return new PromotionPhase.RecordingIntent(attempt, target);
     }
 
-    private PromotionPhase intentRecorded(boolean written, Instant now, List<PromotionEffect> effects) {
+    private PromotionPhase intentRecorded(IntentWriteResult result, Instant now, List<PromotionEffect> effects) {
         if (!(phase instanceof PromotionPhase.RecordingIntent recording)) {
             return phase;
         }
-        return written
-                ? requestPromotion(recording.attempt(), recording.target(), Optional.empty(), now, effects)
-                : abandon(
-                        recording.attempt(),
-                        recording.attempt().snapshot().replicas(),
+        Attempt attempt = recording.attempt();
+        return switch (result) {
+            case IntentWriteResult.Recorded _ ->
+                requestPromotion(attempt, recording.target(), Optional.empty(), now, effects);
+            case IntentWriteResult.Superseded superseded -> superseded(recording, superseded.current(), now, effects);
+            case IntentWriteResult.Unconfirmed _ ->
+                abandon(
+                        attempt,
+                        attempt.snapshot().replicas(),
                         "the promotion intent could not be recorded",
                         now,
                         effects);
+        };
+    }
+
+    /**
+     * Handles an intent that reached the store before the one of this attempt. The request of an earlier holder may
+     * take effect and relies on the stopped replicas; any other intent is replaced.
+     */
+    private PromotionPhase superseded(
+            PromotionPhase.RecordingIntent recording,
+            Optional<PromotionIntent> current,
+            Instant now,
+            List<PromotionEffect> effects) {
+        Attempt attempt = recording.attempt();
+        boolean pending = current.filter(intent -> isPending(intent, attempt.snapshot(), now))
+                .isPresent();
+        if (pending) {
+            return abandon(attempt, Set.of(), "an earlier holder recorded an intent", now, effects);
+        }
+        return recordIntent(attempt, recording.target(), now, effects);
     }
 
     private static PromotionPhase requestPromotion(
@@ -402,7 +440,7 @@
 
     /**
      * Ends an attempt. Replicas known to be stopped are resumed at once, others when their status shows that they are
-     * stopped.
+     * stopped. None is resumed while an earlier request relies on them.
      */
     private static PromotionPhase abandon(
             Attempt attempt,
@@ -412,7 +450,8 @@
             List<PromotionEffect> effects) {
         effects.add(new PromotionEffect.Log(
                 "replacement postponed", "attempt=" + attempt.id() + " reason=\"" + reason + "\""));
-        for (BackendServerName replica : stopped) {
+        Set<BackendServerName> resumed = attempt.pendingTarget().isPresent() ? Set.of() : stopped;
+        for (BackendServerName replica : resumed) {
             effects.add(new PromotionEffect.SendCommand(
                     replica, new BackendCommand.ResumeReceiving(), Optional.of(attempt.id())));
         }
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionPlatform.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionPlatform.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.promotion.IntentWriteResult;
 import org.geraniumproxy.core.promotion.PromotionIntent;
 
 /** Platform operations that the {@link PromotionSupervisor} uses. All methods are called on the control thread. */
@@ -32,13 +33,14 @@
     Optional<PromotionIntent> promotionIntent(GroupName group);
 
     /**
-     * Records a promotion intent in the store, where a later lease holder finds it.
+     * Records a promotion intent in the store, where a later lease holder finds it. The store executes a call late only
+     * if neither the intent nor the lease has changed since.
      *
      * @param group the group
      * @param intent replaces the previous intent of the group
-     * @return completes when the intent is stored
+     * @return whether the intent is stored; fails if the store gives no answer
      */
-    CompletableFuture<Void> recordIntent(GroupName group, PromotionIntent intent);
+    CompletableFuture<IntentWriteResult> recordIntent(GroupName group, PromotionIntent intent);
 
     /**
      * Obtains a greater fencing token for this VM, which must hold the lease.
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -22,6 +22,7 @@
 import org.geraniumproxy.core.promotion.CommandResult;
 import org.geraniumproxy.core.promotion.DatabaseStatus;
 import org.geraniumproxy.core.promotion.GroupSnapshot;
+import org.geraniumproxy.core.promotion.IntentWriteResult;
 import org.geraniumproxy.core.promotion.PromotionEffect;
 import org.geraniumproxy.core.promotion.PromotionEvent;
 import org.geraniumproxy.core.promotion.PromotionIntent;
@@ -206,15 +207,17 @@
     private void recordIntent(GroupName group, PromotionEffect.RecordIntent effect) {
         var unused = platform.recordIntent(group, effect.intent())
                 .whenCompleteAsync(
-                        (_, failure) -> {
+                        (written, failure) -> {
+                            IntentWriteResult result = failure == null ? written : new IntentWriteResult.Unconfirmed();
                             log(
                                     group,
-                                    failure == null ? "promotion intent recorded" : "promotion intent not recorded",
+                                    "promotion intent written",
                                     "attempt=" + effect.intent().attempt().orElseThrow() + " database="
                                             + effect.intent().target() + " progress="
-                                            + effect.intent().progress() + " error=\"" + failure + "\"");
+                                            + effect.intent().progress() + " result=" + result + " error=\"" + failure
+                                            + "\"");
                             if (effect.intent().progress() == PromotionIntent.Progress.OPEN) {
-                                apply(group, new PromotionEvent.IntentRecorded(failure == null));
+                                apply(group, new PromotionEvent.IntentRecorded(result));
                             }
                         },
                         control::execute);
