--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -1,8 +1,11 @@
 package org.geraniumproxy.core.promotion;
 
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.LogPosition;
@@ -18,8 +21,9 @@
      * The database can become primary.
      *
      * @param target database to promote
+     * @param stepDown what the old primary must have answered before the promotion is requested
      */
-    record Chosen(BackendServerName target) implements PromotionChoice {}
+    record Chosen(BackendServerName target, StepDownRequirement stepDown) implements PromotionChoice {}
 
     /**
      * No database is proven to hold all acknowledged commits.
@@ -33,23 +37,24 @@
      *
      * @param snapshot state of the group
      * @param stopped status of each replica that has stopped receiving; a subset of the replicas of the snapshot
+     * @param resumable replicas that an unanswered command may still resume
      * @param pendingTarget database that an earlier request may still promote
      * @return the database with the highest position, or the missing evidence
      */
     static PromotionChoice of(
             GroupSnapshot snapshot,
             Map<BackendServerName, DatabaseStatus> stopped,
+            Set<BackendServerName> resumable,
             Optional<BackendServerName> pendingTarget) {
-        long provenCount = stopped.keySet().stream()
-                .filter(database -> !snapshot.recentlyRestarted().contains(database))
-                .count();
+        Set<BackendServerName> proven = new HashSet<>(stopped.keySet());
+        proven.removeAll(snapshot.recentlyRestarted());
         long replicas = snapshot.replicas().stream()
                 .filter(database -> snapshot.databases().containsKey(database) || stopped.containsKey(database))
                 .count();
         int confirming = Math.max(1, snapshot.synchronousReplicas());
         long needed = Math.max(1, replicas - confirming + 1L);
-        if (provenCount < needed) {
-            return new Insufficient("stopped " + provenCount + " of " + replicas + " replicas, needed " + needed);
+        if (proven.size() < needed) {
+            return new Insufficient("stopped " + proven.size() + " of " + replicas + " replicas, needed " + needed);
         }
         LogPosition highest = stopped.values().stream()
                 .map(DatabaseStatus::received)
@@ -59,26 +64,58 @@
             return new Insufficient("highest position " + text(highest) + " lacks acknowledged commits up to "
                     + snapshot.acknowledged().map(PromotionChoice::text).orElseThrow());
         }
-        if (pendingTarget.isPresent()) {
-            return choosePending(pendingTarget.get(), highest, stopped);
-        }
+        Predicate<BackendServerName> steady = target -> countSteady(proven, resumable, target) >= needed;
+        return target(snapshot, stopped, highest, steady, pendingTarget)
+                .map(target -> confirm(snapshot, stopped, target, steady.test(target)))
+                .orElseGet(() -> new Insufficient(pendingTarget
+                        .map(pending -> "an earlier request may still promote " + pending
+                                + ", which does not have the highest position " + text(highest))
+                        .orElse("no database that stays has the highest position " + text(highest))));
+    }
+
+    private static Optional<BackendServerName> target(
+            GroupSnapshot snapshot,
+            Map<BackendServerName, DatabaseStatus> stopped,
+            LogPosition highest,
+            Predicate<BackendServerName> steady,
+            Optional<BackendServerName> pendingTarget) {
         return stopped.keySet().stream()
                 .filter(database -> stopped.get(database).received().equals(highest))
-                .filter(database -> isEligible(snapshot, database))
+                .filter(database -> pendingTarget.map(database::equals).orElseGet(() -> isEligible(snapshot, database)))
                 .max(Comparator.comparing((BackendServerName database) -> isRemaining(snapshot, database))
-                        .thenComparing(BackendServerName::value))
-                .<PromotionChoice>map(Chosen::new)
-                .orElseGet(() -> new Insufficient("no database that stays has the highest position " + text(highest)));
+                        .thenComparing(steady::test)
+                        .thenComparing(BackendServerName::value));
     }
 
-    /** Chooses the database that an earlier request may promote anyway, if its log is as long as any other. */
-    private static PromotionChoice choosePending(
-            BackendServerName pending, LogPosition highest, Map<BackendServerName, DatabaseStatus> stopped) {
-        DatabaseStatus status = stopped.get(pending);
-        return status != null && status.received().equals(highest)
-                ? new Chosen(pending)
-                : new Insufficient("an earlier request may still promote " + pending
-                        + ", which does not have the highest position " + text(highest));
+    /**
+     * Counts the replicas that stay stopped until the promotion. Commits that the target itself confirms are in its
+     * log, so it may be resumed.
+     */
+    private static long countSteady(
+            Set<BackendServerName> proven, Set<BackendServerName> resumable, BackendServerName target) {
+        return proven.stream()
+                .filter(database -> database.equals(target) || !resumable.contains(database))
+                .count();
+    }
+
+    /**
+     * Requires the old primary to step down if replicas may be resumed before the promotion takes effect, unless no
+     * database of the group leads. One that serves steps down in any case, because a replica that restarts receives.
+     */
+    private static PromotionChoice confirm(
+            GroupSnapshot snapshot,
+            Map<BackendServerName, DatabaseStatus> stopped,
+            BackendServerName target,
+            boolean steady) {
+        if (snapshot.primary().isPresent()) {
+            StepDownRequirement whenSteady =
+                    primaryServes(snapshot) ? StepDownRequirement.UNLESS_UNREACHABLE : StepDownRequirement.NONE;
+            return new Chosen(target, steady ? whenSteady : StepDownRequirement.ALWAYS);
+        }
+        return steady || stopped.keySet().containsAll(snapshot.replicas())
+                ? new Chosen(target, StepDownRequirement.NONE)
+                : new Insufficient(
+                        "an unanswered command may resume a replica, and a database that did not answer may lead");
     }
 
     /**
@@ -95,8 +132,11 @@
      * promoted or its commits are lost.
      */
     private static boolean isEligible(GroupSnapshot snapshot, BackendServerName database) {
-        boolean primaryServes = snapshot.reason().equals(Optional.of(PromotionReason.LEAVING));
-        return isRemaining(snapshot, database) || !primaryServes;
+        return isRemaining(snapshot, database) || !primaryServes(snapshot);
+    }
+
+    private static boolean primaryServes(GroupSnapshot snapshot) {
+        return snapshot.reason().equals(Optional.of(PromotionReason.LEAVING));
     }
 
     private static boolean isRemaining(GroupSnapshot snapshot, BackendServerName database) {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -18,6 +18,20 @@
     record Watching(Instant notBefore, Optional<Instant> noPrimarySince, Resumption resumption)
             implements PromotionPhase {}
 
+    /**
+     * Replicas are asked whether they receive before they are told to stop, because an earlier holder may have sent
+     * them a resume command that they did not answer.
+     *
+     * @param attempt current attempt
+     * @param pending replicas that have not answered
+     */
+    record Inspecting(Attempt attempt, Set<BackendServerName> pending) implements PromotionPhase {
+        /** Copies the collection. */
+        public Inspecting {
+            pending = Set.copyOf(pending);
+        }
+    }
+
     /**
      * Replicas are told to stop receiving.
      *
@@ -34,6 +48,27 @@
         }
     }
 
+    /**
+     * The old primary is told to step down. The replicas are queried after that, because one that restarts before may
+     * confirm another commit.
+     *
+     * @param attempt current attempt
+     * @param stopped status of each replica when it stopped
+     * @param target chosen database
+     * @param requirement what the primary must answer
+     */
+    record SteppingDown(
+            Attempt attempt,
+            Map<BackendServerName, DatabaseStatus> stopped,
+            BackendServerName target,
+            StepDownRequirement requirement)
+            implements PromotionPhase {
+        /** Copies the map. */
+        public SteppingDown {
+            stopped = Map.copyOf(stopped);
+        }
+    }
+
     /**
      * Stopped replicas are queried again just before the request, because a restarted one receives again.
      *
@@ -82,7 +117,11 @@
      */
     record Requesting(
             Attempt attempt, BackendServerName target, Optional<Instant> retryAt, Optional<Instant> unansweredAt)
-            implements PromotionPhase {}
+            implements PromotionPhase {
+        Requesting retriedAt(Instant time, Optional<Instant> lastUnansweredAt) {
+            return new Requesting(attempt, target, Optional.of(time), lastUnansweredAt);
+        }
+    }
 
     /**
      * An attempt to replace a primary.
@@ -99,5 +138,10 @@
             long term,
             GroupSnapshot snapshot,
             Optional<BackendServerName> pendingTarget,
-            Instant startedAt) {}
+            Instant startedAt) {
+        /** Returns whether a replica reports that this attempt has stopped it. */
+        boolean isStopped(DatabaseStatus status) {
+            return !status.primary() && status.stoppedTerm() == term;
+        }
+    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.control.Transition;
-import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.promotion.PromotionPhase.Attempt;
 
@@ -30,9 +29,15 @@
  *     is no longer known
  * @param phase current phase
  * @param lateRequestUntil time until which an unanswered request of this lease holder may still take effect
+ * @param commands commands that databases may still carry out
  */
 public record PromotionState(
-        String holder, long attempts, long earlierAttempts, PromotionPhase phase, Instant lateRequestUntil) {
+        String holder,
+        long attempts,
+        long earlierAttempts,
+        PromotionPhase phase,
+        Instant lateRequestUntil,
+        OutstandingCommands commands) {
     /**
      * Time limit of a command, after which the connection is closed and the command can't arrive any more. Covers
      * opening a connection and several round trips between regions.
@@ -72,16 +77,26 @@
                 0,
                 0,
                 new PromotionPhase.Watching(Instant.MIN, Optional.empty(), Resumption.ALL_REPLICAS),
-                Instant.MIN);
+                Instant.MIN,
+                OutstandingCommands.NONE);
     }
 
     /**
      * Returns the state after the loss of the promotion lease.
      *
-     * @return a state without an attempt; attempts are numbered on, and requests of this VM may still take effect
+     * @param now current time
+     * @return a state without an attempt; attempts are numbered on, and requests and commands of this VM may still take
+     *     effect
      */
-    public PromotionState released() {
-        return new PromotionState(holder, attempts, attempts, initial(holder).phase(), lateRequestUntil);
+    public PromotionState released(Instant now) {
+        boolean requested = phase instanceof PromotionPhase.Requesting;
+        return new PromotionState(
+                holder,
+                attempts,
+                attempts,
+                initial(holder).phase(),
+                requested ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil,
+                commands.released());
     }
 
     /**
@@ -92,6 +107,10 @@
      * @return next state and its effects
      */
     public Transition<PromotionState, PromotionEffect> on(PromotionEvent event, Instant now) {
+        return with(commands.on(event, now)).apply(event, now);
+    }
+
+    private Transition<PromotionState, PromotionEffect> apply(PromotionEvent event, Instant now) {
         List<PromotionEffect> effects = new ArrayList<>();
         PromotionPhase next = switch (event) {
             case PromotionEvent.TimePassed passed -> timePassed(passed.snapshot(), now, effects);
@@ -110,33 +129,31 @@
                         begun ? attempts + 1 : attempts,
                         earlierAttempts,
                         next,
-                        unanswered ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil),
+                        unanswered ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil,
+                        commands.sent(effects, now)),
                 effects);
     }
 
+    private PromotionState with(OutstandingCommands next) {
+        return new PromotionState(holder, attempts, earlierAttempts, phase, lateRequestUntil, next);
+    }
+
     private PromotionPhase timePassed(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         return switch (phase) {
             case PromotionPhase.Watching watching -> watch(watching, snapshot, now, effects);
-            case PromotionPhase.Stopping stopping ->
-                hasTimedOut(stopping.attempt(), now) ? decide(stopping, now, effects) : stopping;
-            case PromotionPhase.Verifying verifying ->
-                hasTimedOut(verifying.attempt(), now)
-                        ? abandon(
-                                verifying.attempt(),
-                                verifying.stopped().keySet(),
-                                "verification took too long",
-                                now,
-                                effects)
-                        : verifying;
-            case PromotionPhase.RecordingIntent recording -> recording;
-            case PromotionPhase.RenewingToken renewing -> renewing;
-            case PromotionPhase.Requesting requesting -> {
-                boolean due = requesting.retryAt().map(at -> !now.isBefore(at)).orElse(false);
-                yield due
-                        ? requestPromotion(
-                                requesting.attempt(), requesting.target(), requesting.unansweredAt(), now, effects)
-                        : requesting;
-            }
+            case PromotionPhase.Inspecting inspecting
+            when hasTimedOut(inspecting.attempt(), now) -> new AttemptSteps(inspecting.attempt(), now, effects).stop();
+            case PromotionPhase.Stopping stopping
+            when hasTimedOut(stopping.attempt(), now) -> decide(stopping, now, effects);
+            case PromotionPhase.Verifying verifying
+            when hasTimedOut(verifying.attempt(), now) ->
+                new AttemptSteps(verifying.attempt(), now, effects)
+                        .abandon(verifying.stopped().keySet(), "verification took too long");
+            case PromotionPhase.Requesting requesting
+            when requesting.retryAt().filter(at -> !now.isBefore(at)).isPresent() ->
+                new AttemptSteps(requesting.attempt(), now, effects)
+                        .request(requesting.target(), requesting.unansweredAt());
+            default -> phase;
         };
     }
 
@@ -144,8 +161,7 @@
             PromotionPhase.Watching watching, GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         boolean settling =
                 snapshot.intent().map(intent -> intent.isSettling(now)).orElse(false);
-        boolean tooEarly =
-                settling || watching.resumption().isCommandInFlight(now) || now.isBefore(watching.notBefore());
+        boolean tooEarly = settling || commands.awaitsResumption(now) || now.isBefore(watching.notBefore());
         if (snapshot.reason().isEmpty()) {
             boolean mayTakeEffect =
                     snapshot.intent().map(intent -> intent.mayTakeEffect(now)).orElse(false);
@@ -174,20 +190,21 @@
 
     private PromotionPhase begin(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         Set<BackendServerName> replicas = snapshot.replicas();
-        long term = snapshot.newestTerm() + 1;
         Optional<BackendServerName> pendingTarget = snapshot.intent()
                 .filter(intent -> isPending(intent, snapshot, now))
                 .map(PromotionIntent::target);
-        Attempt attempt = new Attempt(new AttemptId(holder, attempts + 1), term, snapshot, pendingTarget, now);
-        replicas.forEach(replica -> effects.add(new PromotionEffect.SendCommand(
-                replica, new BackendCommand.StopReceiving(term), Optional.of(attempt.id()))));
+        Attempt attempt = new Attempt(
+                new AttemptId(holder, attempts + 1), snapshot.newestTerm() + 1, snapshot, pendingTarget, now);
         effects.add(new PromotionEffect.Log(
                 "replacement started",
-                "attempt=" + attempt.id() + " reason=" + snapshot.reason().get() + " term=" + term + " primary="
+                "attempt=" + attempt.id() + " reason=" + snapshot.reason().get() + " term=" + attempt.term()
+                        + " primary="
                         + snapshot.primary().map(BackendServerName::value).orElse("none") + " asked=" + replicas
                         + " intent="
                         + snapshot.intent().map(intent -> intent.describe(now)).orElse("none")));
-        return new PromotionPhase.Stopping(attempt, replicas, Map.of());
+        AttemptSteps steps = new AttemptSteps(attempt, now, effects);
+        Set<BackendServerName> unknown = commands.unknown(replicas, now);
+        return unknown.isEmpty() ? steps.stop() : steps.inspect(unknown);
     }
 
     /**
@@ -211,31 +228,38 @@
     private PromotionPhase completed(
             PromotionEvent.CommandCompleted completed, Instant now, List<PromotionEffect> effects) {
         return switch (phase) {
+            case PromotionPhase.Watching watching
+            when completed.attempt().isEmpty() -> resumed(watching, completed, now, effects);
+            case PromotionPhase.Inspecting inspecting
+            when isAnswer(completed, inspecting.attempt(), BackendCommand.ReadStatus.class) ->
+                new AttemptSteps(inspecting.attempt(), now, effects).inspected(inspecting, completed.database());
             case PromotionPhase.Stopping stopping
-            when belongsTo(stopping.attempt(), completed)
-                    && completed.command() instanceof BackendCommand.StopReceiving ->
+            when isAnswer(completed, stopping.attempt(), BackendCommand.StopReceiving.class) ->
                 stopped(stopping, completed, now, effects);
+            case PromotionPhase.SteppingDown steppingDown
+            when isAnswer(completed, steppingDown.attempt(), BackendCommand.StepDown.class) ->
+                new AttemptSteps(steppingDown.attempt(), now, effects).steppedDown(steppingDown, completed.result());
             case PromotionPhase.Verifying verifying
-            when belongsTo(verifying.attempt(), completed)
-                    && completed.command() instanceof BackendCommand.ReadStatus ->
-                verified(verifying, completed, now, effects);
-            case PromotionPhase.Watching watching
-            when completed.attempt().isEmpty() -> resumed(watching, completed, effects);
+            when isAnswer(completed, verifying.attempt(), BackendCommand.ReadStatus.class) ->
+                new AttemptSteps(verifying.attempt(), now, effects)
+                        .verified(verifying, completed.database(), completed.result(), now.isBefore(lateRequestUntil));
             default -> phase;
         };
     }
 
-    private static boolean belongsTo(Attempt attempt, PromotionEvent.CommandCompleted completed) {
-        return completed.attempt().equals(Optional.of(attempt.id()));
+    private static boolean isAnswer(
+            PromotionEvent.CommandCompleted completed, Attempt attempt, Class<? extends BackendCommand> command) {
+        return completed.attempt().equals(Optional.of(attempt.id())) && command.isInstance(completed.command());
     }
 
     /**
      * Resumes a replica only if it is stopped. A resume command that is carried out late could interfere with a later
-     * attempt.
+     * attempt. A replica that an unanswered command may still stop is queried again.
      */
-    private static PromotionPhase resumed(
+    private PromotionPhase resumed(
             PromotionPhase.Watching watching,
             PromotionEvent.CommandCompleted completed,
+            Instant now,
             List<PromotionEffect> effects) {
         if (!(completed.result() instanceof CommandResult.Answered answered)) {
             return watching;
@@ -246,97 +270,50 @@
                     completed.database(), new BackendCommand.ResumeReceiving(), Optional.empty()));
             return watching;
         }
+        if (commands.isStoppable(completed.database(), now)) {
+            return watching;
+        }
         return new PromotionPhase.Watching(
                 watching.notBefore(),
                 watching.noPrimarySince(),
                 watching.resumption().without(completed.database()));
     }
 
-    private static PromotionPhase stopped(
+    private PromotionPhase stopped(
             PromotionPhase.Stopping stopping,
             PromotionEvent.CommandCompleted completed,
             Instant now,
             List<PromotionEffect> effects) {
+        Attempt attempt = stopping.attempt();
         Set<BackendServerName> pending = new HashSet<>(stopping.pending());
         pending.remove(completed.database());
         Map<BackendServerName, DatabaseStatus> stopped = new HashMap<>(stopping.stopped());
-        Attempt attempt = stopping.attempt();
-        if (completed.result() instanceof CommandResult.Answered answered && isStopped(attempt, answered.status())) {
+        if (completed.result() instanceof CommandResult.Answered answered && attempt.isStopped(answered.status())) {
             stopped.put(completed.database(), answered.status());
         }
         PromotionPhase.Stopping next = new PromotionPhase.Stopping(attempt, pending, stopped);
         return pending.isEmpty() ? decide(next, now, effects) : next;
     }
 
-    private static PromotionPhase decide(PromotionPhase.Stopping stopping, Instant now, List<PromotionEffect> effects) {
+    private PromotionPhase decide(PromotionPhase.Stopping stopping, Instant now, List<PromotionEffect> effects) {
         Attempt attempt = stopping.attempt();
-        PromotionChoice choice = PromotionChoice.of(attempt.snapshot(), stopping.stopped(), attempt.pendingTarget());
-        return switch (choice) {
-            case PromotionChoice.Chosen chosen -> {
-                stopping.stopped()
-                        .keySet()
-                        .forEach(database -> effects.add(new PromotionEffect.SendCommand(
-                                database, new BackendCommand.ReadStatus(), Optional.of(attempt.id()))));
-                // A replica that restarts from now on receives again, so the primary steps down and acknowledges no
-                // further commits.
-                attempt.snapshot()
-                        .primary()
-                        .ifPresent(primary -> effects.add(new PromotionEffect.SendCommand(
-                                primary, new BackendCommand.StepDown(attempt.term()), Optional.of(attempt.id()))));
-                effects.add(new PromotionEffect.Log(
-                        "database chosen", "attempt=" + attempt.id() + " database=" + chosen.target()));
-                yield new PromotionPhase.Verifying(
-                        attempt, stopping.stopped().keySet(), stopping.stopped(), chosen.target());
-            }
-            case PromotionChoice.Insufficient insufficient ->
-                abandon(attempt, stopping.stopped().keySet(), insufficient.reason(), now, effects);
-        };
-    }
-
-    private PromotionPhase verified(
-            PromotionPhase.Verifying verifying,
-            PromotionEvent.CommandCompleted completed,
-            Instant now,
-            List<PromotionEffect> effects) {
-        Attempt attempt = verifying.attempt();
-        DatabaseStatus before = verifying.stopped().get(completed.database());
-        boolean unchanged = completed.result() instanceof CommandResult.Answered answered
-                && isStopped(attempt, answered.status())
-                && answered.status().received().equals(before.received());
-        if (!unchanged) {
-            String reason = "database " + completed.database() + " is no longer stopped";
-            return abandon(attempt, verifying.stopped().keySet(), reason, now, effects);
-        }
-        Set<BackendServerName> pending = new HashSet<>(verifying.pending());
-        pending.remove(completed.database());
-        if (!pending.isEmpty()) {
-            return new PromotionPhase.Verifying(attempt, pending, verifying.stopped(), verifying.target());
-        }
-        if (now.isBefore(lateRequestUntil)) {
-            effects.add(new PromotionEffect.RenewFencingToken());
-            return new PromotionPhase.RenewingToken(attempt, verifying.target());
-        }
-        return recordIntent(attempt, verifying.target(), now, effects);
+        PromotionChoice choice = PromotionChoice.of(
+                attempt.snapshot(),
+                stopping.stopped(),
+                commands.resumable(stopping.stopped().keySet(), now),
+                attempt.pendingTarget());
+        return new AttemptSteps(attempt, now, effects).choose(choice, stopping.stopped());
     }
 
     private PromotionPhase tokenRenewed(boolean renewed, Instant now, List<PromotionEffect> effects) {
         if (!(phase instanceof PromotionPhase.RenewingToken renewing)) {
             return phase;
         }
+        Attempt attempt = renewing.attempt();
+        AttemptSteps steps = new AttemptSteps(attempt, now, effects);
         return renewed
-                ? recordIntent(renewing.attempt(), renewing.target(), now, effects)
-                : abandon(
-                        renewing.attempt(),
-                        renewing.attempt().snapshot().replicas(),
-                        "the fencing token could not be renewed",
-                        now,
-                        effects);
-    }
-
-    private static PromotionPhase recordIntent(
-            Attempt attempt, BackendServerName target, Instant now, List<PromotionEffect> effects) {
-        effects.add(intentEffect(target, attempt, PromotionIntent.Progress.OPEN, now));
-        return new PromotionPhase.RecordingIntent(attempt, target);
+                ? steps.recordIntent(renewing.target())
+                : steps.abandon(attempt.snapshot().replicas(), "the fencing token could not be renewed");
     }
 
     private PromotionPhase intentRecorded(IntentWriteResult result, Instant now, List<PromotionEffect> effects) {
@@ -344,124 +321,46 @@
             return phase;
         }
         Attempt attempt = recording.attempt();
+        AttemptSteps steps = new AttemptSteps(attempt, now, effects);
         return switch (result) {
-            case IntentWriteResult.Recorded _ ->
-                requestPromotion(attempt, recording.target(), Optional.empty(), now, effects);
-            case IntentWriteResult.Superseded superseded -> superseded(recording, superseded.current(), now, effects);
+            case IntentWriteResult.Recorded _ -> steps.request(recording.target(), Optional.empty());
+            // The request of an earlier holder may take effect and relies on the stopped replicas.
+            case IntentWriteResult.Superseded superseded
+            when superseded
+                    .current()
+                    .filter(intent -> isPending(intent, attempt.snapshot(), now))
+                    .isPresent() -> steps.abandon(Set.of(), "an earlier holder recorded an intent");
+            case IntentWriteResult.Superseded _ -> steps.recordIntent(recording.target());
             case IntentWriteResult.Unconfirmed _ ->
-                abandon(
-                        attempt,
-                        attempt.snapshot().replicas(),
-                        "the promotion intent could not be recorded",
-                        now,
-                        effects);
+                steps.abandon(attempt.snapshot().replicas(), "the promotion intent could not be recorded");
         };
     }
 
-    /**
-     * Handles an intent that reached the store before the one of this attempt. The request of an earlier holder may
-     * take effect and relies on the stopped replicas; any other intent is replaced.
-     */
-    private PromotionPhase superseded(
-            PromotionPhase.RecordingIntent recording,
-            Optional<PromotionIntent> current,
-            Instant now,
-            List<PromotionEffect> effects) {
-        Attempt attempt = recording.attempt();
-        boolean pending = current.filter(intent -> isPending(intent, attempt.snapshot(), now))
-                .isPresent();
-        if (pending) {
-            return abandon(attempt, Set.of(), "an earlier holder recorded an intent", now, effects);
-        }
-        return recordIntent(attempt, recording.target(), now, effects);
-    }
-
-    private static PromotionPhase requestPromotion(
-            Attempt attempt,
-            BackendServerName target,
-            Optional<Instant> unansweredAt,
-            Instant now,
-            List<PromotionEffect> effects) {
-        effects.add(new PromotionEffect.RequestPromotion(
-                target, attempt.id(), Duration.between(attempt.startedAt(), now), unansweredAt.isPresent()));
-        return new PromotionPhase.Requesting(attempt, target, Optional.empty(), unansweredAt);
-    }
-
-    private static PromotionEffect intentEffect(
-            BackendServerName target, Attempt attempt, PromotionIntent.Progress progress, Instant now) {
-        return new PromotionEffect.RecordIntent(
-                new PromotionIntent(target, attempt.term(), progress, Optional.of(attempt.id()), now));
-    }
-
     private PromotionPhase accepted(Instant now, List<PromotionEffect> effects) {
-        if (!(phase instanceof PromotionPhase.Requesting requesting)) {
-            return phase;
-        }
-        Attempt attempt = requesting.attempt();
-        Duration duration = Duration.between(attempt.startedAt(), now);
-        effects.add(new PromotionEffect.Log(
-                "promotion accepted",
-                "attempt=" + attempt.id() + " database=" + requesting.target() + " took=" + duration.toMillis()
-                        + "ms"));
-        effects.add(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(requesting.target(), attempt.term())));
-        effects.add(intentEffect(requesting.target(), attempt, PromotionIntent.Progress.TAKEN, now));
-        return new PromotionPhase.Watching(now.plus(SETTLING_TIME), Optional.empty(), Resumption.ALL_REPLICAS);
+        return phase instanceof PromotionPhase.Requesting requesting
+                ? new AttemptSteps(requesting.attempt(), now, effects).accepted(requesting.target())
+                : phase;
     }
 
     private PromotionPhase refused(Instant now, List<PromotionEffect> effects) {
         if (!(phase instanceof PromotionPhase.Requesting requesting)) {
             return phase;
         }
-        Attempt attempt = requesting.attempt();
         boolean mayStillTakeEffect = requesting
                 .unansweredAt()
                 .map(at -> now.isBefore(at.plus(LATE_REQUEST_TIMEOUT)))
                 .orElse(false);
-        if (mayStillTakeEffect) {
-            return new PromotionPhase.Requesting(
-                    attempt,
-                    requesting.target(),
-                    Optional.of(now.plus(REQUEST_RETRY_DELAY)),
-                    requesting.unansweredAt());
-        }
-        effects.add(intentEffect(requesting.target(), attempt, PromotionIntent.Progress.REFUSED, now));
-        return abandon(attempt, attempt.snapshot().replicas(), "the promotion request was refused", now, effects);
+        return mayStillTakeEffect
+                ? requesting.retriedAt(now.plus(REQUEST_RETRY_DELAY), requesting.unansweredAt())
+                : new AttemptSteps(requesting.attempt(), now, effects).refused(requesting.target());
     }
 
     private PromotionPhase unanswered(Instant now) {
         return phase instanceof PromotionPhase.Requesting requesting
-                ? new PromotionPhase.Requesting(
-                        requesting.attempt(),
-                        requesting.target(),
-                        Optional.of(now.plus(REQUEST_RETRY_DELAY)),
-                        Optional.of(now))
+                ? requesting.retriedAt(now.plus(REQUEST_RETRY_DELAY), Optional.of(now))
                 : phase;
     }
 
-    /**
-     * Ends an attempt. Replicas known to be stopped are resumed at once, others when their status shows that they are
-     * stopped. None is resumed while an earlier request relies on them.
-     */
-    private static PromotionPhase abandon(
-            Attempt attempt,
-            Set<BackendServerName> stopped,
-            String reason,
-            Instant now,
-            List<PromotionEffect> effects) {
-        effects.add(new PromotionEffect.Log(
-                "replacement postponed", "attempt=" + attempt.id() + " reason=\"" + reason + "\""));
-        Set<BackendServerName> resumed = attempt.pendingTarget().isPresent() ? Set.of() : stopped;
-        for (BackendServerName replica : resumed) {
-            effects.add(new PromotionEffect.SendCommand(
-                    replica, new BackendCommand.ResumeReceiving(), Optional.of(attempt.id())));
-        }
-        return new PromotionPhase.Watching(now.plus(ATTEMPT_RETRY_DELAY), Optional.empty(), Resumption.ALL_REPLICAS);
-    }
-
-    private static boolean isStopped(Attempt attempt, DatabaseStatus status) {
-        return !status.primary() && status.stoppedTerm() == attempt.term();
-    }
-
     private static boolean hasTimedOut(Attempt attempt, Instant now) {
         return Duration.between(attempt.startedAt(), now).compareTo(ATTEMPT_TIMEOUT) > 0;
     }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/Resumption.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/Resumption.java
@@ -15,10 +15,7 @@
  * @param retryAt time at which they are queried again
  */
 record Resumption(Optional<Set<BackendServerName>> pending, Instant retryAt) {
-    /**
-     * Delay before a replica that did not answer is queried again. A replacement attempt waits while a command is in
-     * flight, so a replica that is down must be queried rarely.
-     */
+    /** Delay before a replica is queried again. */
     static final Duration RETRY_DELAY = Duration.ofSeconds(5);
 
     /** Any replica of the group may be stopped. */
@@ -38,12 +35,6 @@
         return due;
     }
 
-    /** Returns whether a resume command may still arrive at a replica. */
-    boolean isCommandInFlight(Instant now) {
-        boolean unanswered = pending.map(replicas -> !replicas.isEmpty()).orElse(false);
-        return unanswered && now.isBefore(retryAt.minus(RETRY_DELAY).plus(PromotionState.COMMAND_TIMEOUT));
-    }
-
     Resumption queried(Set<BackendServerName> replicas, Instant now) {
         return new Resumption(Optional.of(replicas), now.plus(RETRY_DELAY));
     }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,10 +24,10 @@
 /**
  * Explores every order of events in a small group: three databases with one confirming replica, two commits, one crash
  * that keeps the log, one lost answer and two successive lease holders, which decide by {@link PromotionState}. A
- * request without an answer may take effect at any later time unless the platform has seen a greater token. The
- * commands of an attempt have ended when the same holder begins the next one. The model assumes that a running primary
- * receives the step-down command at once and that the platform sees a renewed token at once; docs/proofs.md lists the
- * cases in which this does not hold.
+ * command, a request or a write of an intent whose answer is lost is carried out at any later time, also after newer
+ * ones; a request only unless the platform has seen a greater token, a write only if its condition still holds. All
+ * times lie within the 12 s in which that may happen. The model assumes that a holder sees the present intent and that
+ * the platform sees a renewed token at once. A primary that crashed is failing, any other one is leaving.
  */
 final class PromotionModel {
     /** Rule that the model omits to show that it is needed. */
@@ -38,22 +39,33 @@
         STOPPING,
         /** Replicas are not queried again before the request. */
         VERIFICATION,
-        /** The old primary is not told to step down. */
+        /** The old primary answers that it has stepped down, and goes on. */
         STEP_DOWN,
         /** A drained database that still confirms commits is not stopped. */
         DRAINED_DATABASE,
         /** The next lease holder does not see the promotion intent. */
         INTENT,
         /** A request reuses the token of an earlier one that may still take effect. */
-        TOKEN
+        TOKEN,
+        /** The store does a write of an intent late although the intent has changed. */
+        INTENT_CONDITION,
+        /** The target of an open intent passes as the one with the longest log. */
+        INTENT_COMPARISON,
+        /** A resume command without an answer counts as one that is never carried out. */
+        LATE_RESUMPTION,
+        /** A step-down command without an answer counts as carried out. */
+        STEP_DOWN_ANSWER
     }
 
     private static final String HOLDER = "vm-1";
+    private static final String NEXT_HOLDER = "vm-2";
+    private static final String EARLIER_HOLDER = "vm-0";
     private static final int DATABASES = 3;
     private static final int MAXIMUM_COMMITS = 2;
     private static final int NO_PRIMARY = -1;
     private static final int MAXIMUM_ATTEMPTS = 3;
     private static final int MAXIMUM_STATES = 150_000;
+    private static final Store NO_INTENT = new Store(Optional.empty(), 0, Optional.empty());
     private static final Instant EARLY = Instant.EPOCH;
 
     /** After every delay before an attempt, and before the time at which an unanswered request can't take effect. */
@@ -68,7 +80,8 @@
         }
     }
 
-    private record Command(int holder, int database, BackendCommand command, Optional<AttemptId> attempt) {}
+    private record Command(
+            int holder, int database, BackendCommand command, Optional<AttemptId> attempt, boolean awaited) {}
 
     private record Request(int holder, int target, long token, boolean awaited) {}
 
@@ -98,6 +111,19 @@
         }
     }
 
+    /** A write of an intent that the store has not answered and may do late. */
+    private record IntentWrite(PromotionIntent intent, long expectedRevision, long token) {}
+
+    private record Store(Optional<PromotionIntent> intent, long revision, Optional<IntentWrite> lateWrite) {
+        Store with(PromotionIntent written) {
+            return new Store(Optional.of(written), revision + 1, lateWrite);
+        }
+
+        Store withLate(Optional<IntentWrite> write) {
+            return new Store(intent, revision, write);
+        }
+    }
+
     private record Network(Set<Command> commands, Set<Request> requests, long highestToken) {
         Network without(Command command) {
             Set<Command> rest = new HashSet<>(commands);
@@ -105,30 +131,46 @@
             return new Network(rest, requests, highestToken);
         }
 
+        Network withUnanswered(Command command) {
+            Set<Command> next = new HashSet<>(commands);
+            next.remove(command);
+            next.add(new Command(command.holder(), command.database(), command.command(), command.attempt(), false));
+            return new Network(next, requests, highestToken);
+        }
+
         Network withRequests(Set<Request> next, long token) {
             return new Network(commands, next, token);
         }
     }
 
-    private record LeaseHolder(int holder, long token, PromotionState state, Optional<PromotionIntent> intent) {}
+    private record LeaseHolder(int holder, long token, PromotionState state) {}
 
-    private record FaultCounts(int attempts, int crashes, int lostAnswers) {}
+    private record FaultCounts(int attempts, int crashes, int lostAnswers) {
+        FaultCounts withLostAnswer() {
+            return new FaultCounts(attempts, crashes, lostAnswers + 1);
+        }
+    }
 
-    private record ModelState(Group group, Network network, LeaseHolder leaseHolder, FaultCounts faultCounts) {
+    private record ModelState(
+            Group group, Network network, Store store, LeaseHolder leaseHolder, FaultCounts faultCounts) {
         ModelState with(Group next) {
-            return new ModelState(next, network, leaseHolder, faultCounts);
+            return new ModelState(next, network, store, leaseHolder, faultCounts);
         }
 
         ModelState with(Network next) {
-            return new ModelState(group, next, leaseHolder, faultCounts);
+            return new ModelState(group, next, store, leaseHolder, faultCounts);
+        }
+
+        ModelState with(Store next) {
+            return new ModelState(group, network, next, leaseHolder, faultCounts);
         }
 
         ModelState with(LeaseHolder next) {
-            return new ModelState(group, network, next, faultCounts);
+            return new ModelState(group, network, store, next, faultCounts);
         }
 
         ModelState with(FaultCounts next) {
-            return new ModelState(group, network, leaseHolder, next);
+            return new ModelState(group, network, store, leaseHolder, next);
         }
     }
 
@@ -149,7 +191,7 @@
      * Explores all orders of events of an idle group until a commit is lost or the maximum number of states is reached.
      */
     boolean losesCommit() {
-        return losesCommitFrom(0, Set.of(), new LeaseHolder(1, 1, PromotionState.initial(HOLDER), Optional.empty()));
+        return explore(start(idle(), Set.of(), NO_INTENT, newHolder(1)));
     }
 
     /**
@@ -157,41 +199,128 @@
      * the primary has stepped down.
      */
     boolean losesCommitAfterOpenIntent() {
-        Set<Request> requests = Set.of(new Request(1, 1, 1, false));
-        PromotionIntent open = new PromotionIntent(name(1), 2, PromotionIntent.Progress.OPEN, Optional.empty(), EARLY);
-        return losesCommitFrom(
-                NO_PRIMARY, requests, new LeaseHolder(2, 2, PromotionState.initial(HOLDER), Optional.of(open)));
+        Store store = new Store(Optional.of(openIntent(1, HOLDER)), 1, Optional.empty());
+        return explore(start(stopped(NO_PRIMARY), Set.of(new Request(1, 1, 1, false)), store, newHolder(2)));
+    }
+
+    /** As {@link #losesCommitAfterOpenIntent}, while a write of a still earlier holder is not done yet. */
+    boolean losesCommitAfterLateWriteOfEarlierHolder() {
+        IntentWrite late = new IntentWrite(openIntent(2, EARLIER_HOLDER), 0, 0);
+        Store store = new Store(Optional.of(openIntent(1, HOLDER)), 1, Optional.of(late));
+        return explore(start(stopped(NO_PRIMARY), Set.of(new Request(1, 1, 1, false)), store, newHolder(2)));
+    }
+
+    /**
+     * As {@link #losesCommit}, from the time at which a holder has lost the lease after it recorded an intent and
+     * before it sent the request, while the primary leads.
+     */
+    boolean losesCommitAfterIntentWithoutRequest() {
+        Store store = new Store(Optional.of(openIntent(1, HOLDER)), 1, Optional.empty());
+        return explore(start(stopped(0), Set.of(), store, newHolder(2)));
     }
 
     /**
      * As {@link #losesCommit}, from the time at which the promoted database fails while a copy of its promotion request
-     * may still take effect. The holder keeps the lease; docs/proofs.md describes a copy that takes effect between the
-     * choice of the next holder and the arrival of its request.
+     * may still take effect.
      */
     boolean losesCommitAfterLateRequest() {
-        Set<Request> requests = Set.of(new Request(1, 1, 1, false));
+        presumedPrimary = 1;
+        holderChanges = false;
+        PromotionState calm = calmState(0);
         PromotionState state = new PromotionState(
-                HOLDER, 0, 0, PromotionState.initial(HOLDER).phase(), LATE.plus(PromotionState.LATE_REQUEST_TIMEOUT));
+                HOLDER, 1, 0, calm.phase(), LATE.plus(PromotionState.LATE_REQUEST_TIMEOUT), calm.commands());
+        PromotionIntent taken = new PromotionIntent(name(1), 2, PromotionIntent.Progress.TAKEN, attempt(HOLDER), EARLY);
+        Group group = new Group(idle().databases(), 1, 2, 0, "");
+        Store store = new Store(Optional.of(taken), 2, Optional.empty());
+        return explore(start(group, Set.of(new Request(1, 1, 1, false)), store, new LeaseHolder(1, 1, state)));
+    }
+
+    /**
+     * As {@link #losesCommit}, from the time at which an attempt was given up because the store didn't answer, the next
+     * one promoted the old primary again, and the store has not done the first write yet.
+     */
+    boolean losesCommitAfterUnansweredIntent() {
         holderChanges = false;
-        PromotionIntent accepted =
-                new PromotionIntent(name(1), 2, PromotionIntent.Progress.TAKEN, Optional.empty(), EARLY);
-        return losesCommitFrom(1, requests, new LeaseHolder(1, 1, state, Optional.of(accepted)));
+        PromotionIntent taken = new PromotionIntent(name(0), 2, PromotionIntent.Progress.TAKEN, attempt(HOLDER), EARLY);
+        IntentWrite late = new IntentWrite(openIntent(1, HOLDER), 0, 1);
+        Store store = new Store(Optional.of(taken), 2, Optional.of(late));
+        Group group = new Group(idle().databases(), 0, 2, 0, "");
+        return explore(start(group, Set.of(), store, new LeaseHolder(1, 1, calmState(2))));
     }
 
-    private boolean losesCommitFrom(int primary, Set<Request> requests, LeaseHolder leaseHolder) {
-        List<Database> databases = new ArrayList<>();
-        for (int index = 0; index < DATABASES; index++) {
-            databases.add(new Database("", true, index > 0 && primary == NO_PRIMARY ? 2 : 0));
-        }
-        presumedPrimary = Math.max(0, primary);
-        add(new ModelState(
-                new Group(databases, primary, primary == 1 ? 2 : 1, 0, ""),
-                new Network(Set.of(), requests, 1),
-                leaseHolder,
-                new FaultCounts(0, 0, 0)));
+    /**
+     * As {@link #losesCommit}, from the time at which an attempt was abandoned because a replica didn't answer, and the
+     * other one doesn't answer the command to resume.
+     */
+    boolean losesCommitAfterUnansweredResumption() {
+        holderChanges = false;
+        PromotionState state = calmState(0);
+        state = state.on(new PromotionEvent.TimePassed(snapshot(idle(), NO_INTENT)), EARLY)
+                .state();
+        state = complete(state, 1, new BackendCommand.StopReceiving(2), Optional.of(stoppedStatus()));
+        state = complete(state, 2, new BackendCommand.StopReceiving(2), Optional.empty());
+        state = complete(state, 1, new BackendCommand.ResumeReceiving(), Optional.empty());
+        Set<Command> late = Set.of(
+                new Command(1, 1, new BackendCommand.ResumeReceiving(), attempt(HOLDER), false),
+                new Command(1, 2, new BackendCommand.StopReceiving(2), attempt(HOLDER), false));
+        List<Database> databases =
+                List.of(new Database("", true, 0), new Database("", true, 2), new Database("", true, 0));
+        ModelState start = start(new Group(databases, 0, 1, 0, ""), Set.of(), NO_INTENT, new LeaseHolder(1, 1, state));
+        return explore(start.with(new Network(late, Set.of(), 1)));
+    }
+
+    private PromotionState complete(
+            PromotionState state, int database, BackendCommand command, Optional<DatabaseStatus> status) {
+        return state.on(
+                        new PromotionEvent.CommandCompleted(
+                                name(database), command, attempt(HOLDER), result(command, status)),
+                        EARLY)
+                .state();
+    }
+
+    private static DatabaseStatus stoppedStatus() {
+        return new DatabaseStatus(false, 1, LogPosition.START, 2);
+    }
+
+    private static Group idle() {
+        return new Group(Collections.nCopies(DATABASES, new Database("", true, 0)), 0, 1, 0, "");
+    }
+
+    /** A group whose replicas were stopped by an attempt. */
+    private static Group stopped(int primary) {
+        Database replica = new Database("", true, 2);
+        return new Group(List.of(new Database("", true, 0), replica, replica), primary, 1, 0, "");
+    }
+
+    private static LeaseHolder newHolder(int number) {
+        return new LeaseHolder(number, number, PromotionState.initial(number == 1 ? HOLDER : NEXT_HOLDER));
+    }
+
+    /** State of a holder that has seen all databases receive. */
+    private static PromotionState calmState(long attempts) {
+        OutstandingCommands commands =
+                new OutstandingCommands(Set.of(), Set.of(name(0), name(1), name(2)), Optional.of(EARLY));
+        return new PromotionState(
+                HOLDER, attempts, 0, PromotionState.initial(HOLDER).phase(), Instant.MIN, commands);
+    }
+
+    private static PromotionIntent openIntent(int target, String holder) {
+        return new PromotionIntent(name(target), 2, PromotionIntent.Progress.OPEN, attempt(holder), EARLY);
+    }
+
+    private static Optional<AttemptId> attempt(String holder) {
+        return Optional.of(new AttemptId(holder, 1));
+    }
+
+    private static ModelState start(Group group, Set<Request> requests, Store store, LeaseHolder leaseHolder) {
+        return new ModelState(group, new Network(Set.of(), requests, 1), store, leaseHolder, new FaultCounts(0, 0, 0));
+    }
+
+    private boolean explore(ModelState start) {
+        add(start);
         while (!frontier.isEmpty() && !lost && parents.size() < MAXIMUM_STATES) {
             current = frontier.remove();
-            explore(current);
+            exploreNext(current);
         }
         return lost;
     }
@@ -221,7 +350,7 @@
         }
     }
 
-    private void explore(ModelState state) {
+    private void exploreNext(ModelState state) {
         commit(state);
         for (int index = 0; index < DATABASES; index++) {
             replicate(state, index);
@@ -229,12 +358,14 @@
         }
         for (Command command : state.network().commands()) {
             deliver(state, command);
+            loseAnswer(state, command);
         }
+        doLateWrite(state);
         for (Request request : state.network().requests()) {
             carryOutRequest(state, request);
         }
         if (state.faultCounts().attempts() < MAXIMUM_ATTEMPTS) {
-            apply(state, new PromotionEvent.TimePassed(snapshot(state)), LATE);
+            apply(state, new PromotionEvent.TimePassed(snapshot(state.group(), state.store())), LATE);
         }
         changeHolder(state);
     }
@@ -296,31 +427,75 @@
         } else if (command.command() instanceof BackendCommand.ResumeReceiving) {
             next = new Database(database.log(), true, 0);
         }
-        ModelState after = delivered.with(group.with(command.database(), next));
+        Group changed = group.with(command.database(), next);
+        if (command.command() instanceof BackendCommand.StepDown stepDown) {
+            changed = stepDown(changed, command.database(), stepDown.term());
+            replica = omittedRule == OmittedRule.STEP_DOWN || command.database() != changed.primary();
+        }
+        ModelState after = delivered.with(changed);
         boolean claimsStopped = omittedRule == OmittedRule.STOPPING
                 || (omittedRule == OmittedRule.VERIFICATION && command.command() instanceof BackendCommand.ReadStatus);
         long stoppedTerm = claimsStopped ? group.term() + 1 : next.stoppedTerm();
-        LogPosition position = next.position();
-        if (claimsStopped && state.leaseHolder().state().phase() instanceof PromotionPhase.Verifying verifying) {
+        LogPosition position = omittedRule == OmittedRule.INTENT_COMPARISON ? LogPosition.START : next.position();
+        if (claimsStopped
+                && state.leaseHolder().state().phase() instanceof PromotionPhase.Verifying verifying
+                && verifying.stopped().containsKey(name(command.database()))) {
             position = verifying.stopped().get(name(command.database())).received();
         }
         answer(after, command, Optional.of(new DatabaseStatus(!replica, group.term(), position, stoppedTerm)));
     }
 
     private void answer(ModelState state, Command command, Optional<DatabaseStatus> status) {
-        if (command.holder() != state.leaseHolder().holder()) {
+        if (!command.awaited() || command.holder() != state.leaseHolder().holder()) {
             add(state);
             return;
         }
-        CommandResult result = status.<CommandResult>map(CommandResult.Answered::new)
-                .orElseGet(() -> new CommandResult.Unanswered("not running"));
         apply(
                 state,
                 new PromotionEvent.CommandCompleted(
-                        name(command.database()), command.command(), command.attempt(), result),
+                        name(command.database()),
+                        command.command(),
+                        command.attempt(),
+                        result(command.command(), status)),
                 EARLY);
     }
 
+    private CommandResult result(BackendCommand command, Optional<DatabaseStatus> status) {
+        boolean resumes = command instanceof BackendCommand.ResumeReceiving;
+        if (status.isEmpty() && resumes && omittedRule == OmittedRule.LATE_RESUMPTION) {
+            return new CommandResult.Failed("never carried out");
+        }
+        boolean stepsDown = command instanceof BackendCommand.StepDown;
+        if (status.isEmpty() && stepsDown && omittedRule == OmittedRule.STEP_DOWN_ANSWER) {
+            return new CommandResult.Answered(new DatabaseStatus(false, 1, LogPosition.START, 0));
+        }
+        return status.<CommandResult>map(CommandResult.Answered::new)
+                .orElseGet(() -> new CommandResult.Unanswered("no answer"));
+    }
+
+    /** Leaves a command unanswered. It is carried out at any later time, or when it arrives at a crashed database. */
+    private void loseAnswer(ModelState state, Command command) {
+        boolean awaited =
+                command.awaited() && command.holder() == state.leaseHolder().holder();
+        if (awaited && state.faultCounts().lostAnswers() < 1) {
+            ModelState unanswered = state.with(state.network().withUnanswered(command))
+                    .with(state.faultCounts().withLostAnswer());
+            answer(unanswered, command, Optional.empty());
+        }
+    }
+
+    private void doLateWrite(ModelState state) {
+        Store store = state.store();
+        if (store.lateWrite().isEmpty()) {
+            return;
+        }
+        IntentWrite write = store.lateWrite().get();
+        Store rest = store.withLate(Optional.empty());
+        boolean holds = write.expectedRevision() == store.revision()
+                && write.token() == state.leaseHolder().token();
+        add(state.with(holds || omittedRule == OmittedRule.INTENT_CONDITION ? rest.with(write.intent()) : rest));
+    }
+
     private void carryOutRequest(ModelState state, Request request) {
         Network network = state.network();
         Set<Request> rest = new HashSet<>(network.requests());
@@ -332,7 +507,7 @@
             late.add(new Request(request.holder(), request.target(), request.token(), false));
             FaultCounts counts = state.faultCounts();
             ModelState unanswered = state.with(network.withRequests(late, network.highestToken()))
-                    .with(new FaultCounts(counts.attempts(), counts.crashes(), counts.lostAnswers() + 1));
+                    .with(counts.withLostAnswer());
             apply(unanswered, new PromotionEvent.RequestUnanswered(), EARLY);
         }
         boolean refused = request.token() < network.highestToken()
@@ -363,11 +538,8 @@
 
     private void changeHolder(ModelState state) {
         if (holderChanges && state.leaseHolder().holder() == 1) {
-            add(state.with(new LeaseHolder(
-                    2,
-                    state.leaseHolder().token() + 1,
-                    PromotionState.initial(HOLDER),
-                    state.leaseHolder().intent())));
+            LeaseHolder next = newHolder(2);
+            add(state.with(new LeaseHolder(2, state.leaseHolder().token() + 1, next.state())));
         }
     }
 
@@ -378,26 +550,19 @@
         boolean begins = leaseHolder.state().phase() instanceof PromotionPhase.Watching
                 && !(transition.state().phase() instanceof PromotionPhase.Watching);
         Set<Command> commands = new HashSet<>(state.network().commands());
-        if (begins) {
-            commands.removeIf(command -> command.holder() == leaseHolder.holder());
-        }
         Set<Request> requests = new HashSet<>(state.network().requests());
-        Optional<PromotionIntent> intent = leaseHolder.intent();
-        boolean recordsIntent = false;
+        Store store = state.store();
+        Optional<PromotionIntent> opened = Optional.empty();
         boolean renewsToken = false;
-        Group group = state.group();
         for (PromotionEffect effect : transition.effects()) {
             switch (effect) {
-                case PromotionEffect.SendCommand send
-                when send.command() instanceof BackendCommand.StepDown stepDown ->
-                    group = stepDown(group, index(send.database()), stepDown.term());
                 case PromotionEffect.SendCommand send ->
-                    commands.add(
-                            new Command(leaseHolder.holder(), index(send.database()), send.command(), send.attempt()));
-                case PromotionEffect.RecordIntent record -> {
-                    intent = Optional.of(record.intent());
-                    recordsIntent = record.intent().progress() == PromotionIntent.Progress.OPEN;
-                }
+                    commands.add(new Command(
+                            leaseHolder.holder(), index(send.database()), send.command(), send.attempt(), true));
+                case PromotionEffect.RecordIntent record
+                when record.intent().progress() == PromotionIntent.Progress.OPEN ->
+                    opened = Optional.of(record.intent());
+                case PromotionEffect.RecordIntent record -> store = store.with(record.intent());
                 case PromotionEffect.RequestPromotion request ->
                     requests.add(new Request(leaseHolder.holder(), index(request.target()), leaseHolder.token(), true));
                 case PromotionEffect.RenewFencingToken _ -> renewsToken = true;
@@ -408,12 +573,13 @@
         long token = renewsToken && omittedRule != OmittedRule.TOKEN ? leaseHolder.token() + 1 : leaseHolder.token();
         long highestToken = Math.max(state.network().highestToken(), renewsToken ? token : 0);
         ModelState next = new ModelState(
-                group,
+                state.group(),
                 new Network(Set.copyOf(commands), Set.copyOf(requests), highestToken),
-                new LeaseHolder(leaseHolder.holder(), token, transition.state(), intent),
+                store,
+                new LeaseHolder(leaseHolder.holder(), token, transition.state()),
                 new FaultCounts(counts.attempts() + (begins ? 1 : 0), counts.crashes(), counts.lostAnswers()));
-        if (recordsIntent) {
-            apply(next, new PromotionEvent.IntentRecorded(new IntentWriteResult.Recorded()), EARLY);
+        if (opened.isPresent()) {
+            writeIntent(next, opened.get());
         } else if (renewsToken) {
             apply(next, new PromotionEvent.FencingTokenRenewed(true), EARLY);
         } else {
@@ -421,6 +587,23 @@
         }
     }
 
+    private void writeIntent(ModelState state, PromotionIntent intent) {
+        Store store = state.store();
+        apply(
+                state.with(store.with(intent)),
+                new PromotionEvent.IntentRecorded(new IntentWriteResult.Recorded()),
+                EARLY);
+        if (state.faultCounts().lostAnswers() < 1) {
+            IntentWrite late = new IntentWrite(
+                    intent, store.revision(), state.leaseHolder().token());
+            apply(
+                    state.with(store.withLate(Optional.of(late)))
+                            .with(state.faultCounts().withLostAnswer()),
+                    new PromotionEvent.IntentRecorded(new IntentWriteResult.Unconfirmed()),
+                    EARLY);
+        }
+    }
+
     private Group stepDown(Group group, int target, long term) {
         boolean isPrimary = group.primary() == target && group.primaryDatabase().running();
         return isPrimary && term > group.term() && omittedRule != OmittedRule.STEP_DOWN
@@ -439,7 +622,7 @@
     /**
      * The lease holder takes the first primary for the current one until it learns otherwise, which is the worst case.
      */
-    private GroupSnapshot snapshot(ModelState state) {
+    private GroupSnapshot snapshot(Group group, Store store) {
         Map<BackendServerName, DatabaseEntry> databases = new HashMap<>();
         for (int index = 0; index < DATABASES; index++) {
             databases.put(
@@ -463,14 +646,15 @@
                 databases,
                 Map.of(),
                 Optional.of(name(presumedPrimary)),
-                Optional.of(PromotionReason.FAILING),
-                state.group().term(),
+                Optional.of(
+                        group.databases().get(presumedPrimary).running()
+                                ? PromotionReason.LEAVING
+                                : PromotionReason.FAILING),
+                group.term(),
                 Set.of(),
                 omittedRule == OmittedRule.ALL_REPLICAS ? 2 : 1,
                 Optional.empty(),
-                omittedRule == OmittedRule.INTENT
-                        ? Optional.empty()
-                        : state.leaseHolder().intent());
+                omittedRule == OmittedRule.INTENT ? Optional.empty() : store.intent());
     }
 
     private static BackendServerName name(int index) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
@@ -3,50 +3,77 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
-import org.junit.jupiter.api.Test;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.geraniumproxy.core.promotion.PromotionModel.OmittedRule;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against losing an acknowledged commit in any order of events that the model reaches. */
 class PromotionModel_explore_Test {
-    @Test
-    void should_lose_no_acknowledged_commit() {
-        PromotionModel model = new PromotionModel(PromotionModel.OmittedRule.NONE);
-        boolean lost = model.losesCommit();
-        assertThat("lost after " + model.states() + " states: " + model.trace(), lost, is(false));
-    }
+    private static final Beginning IDLE = new Beginning("an idle group", PromotionModel::losesCommit);
+    private static final Beginning OPEN_INTENT =
+            new Beginning("an open intent", PromotionModel::losesCommitAfterOpenIntent);
+    private static final Beginning LATE_WRITE = new Beginning(
+            "a late write of an earlier holder", PromotionModel::losesCommitAfterLateWriteOfEarlierHolder);
+    private static final Beginning NO_REQUEST =
+            new Beginning("an intent without a request", PromotionModel::losesCommitAfterIntentWithoutRequest);
+    private static final Beginning LATE_REQUEST =
+            new Beginning("a late request", PromotionModel::losesCommitAfterLateRequest);
+    private static final Beginning UNANSWERED_INTENT =
+            new Beginning("an unanswered intent", PromotionModel::losesCommitAfterUnansweredIntent);
+    private static final Beginning UNANSWERED_RESUMPTION =
+            new Beginning("an unanswered resumption", PromotionModel::losesCommitAfterUnansweredResumption);
 
-    @Test
-    void should_lose_no_acknowledged_commit_while_an_earlier_request_is_in_flight() {
-        PromotionModel model = new PromotionModel(PromotionModel.OmittedRule.NONE);
-        boolean lost = model.losesCommitAfterOpenIntent();
-        assertThat("lost after " + model.states() + " states: " + model.trace(), lost, is(false));
+    /** Beginning from which the model explores. */
+    private record Beginning(String description, Predicate<PromotionModel> losesCommit) {
+        @Override
+        public String toString() {
+            return description;
+        }
     }
 
-    @ParameterizedTest
-    @EnumSource(
-            names = {"NONE", "INTENT", "TOKEN"},
-            mode = EnumSource.Mode.EXCLUDE)
-    void should_lose_a_commit_when_a_rule_is_omitted(PromotionModel.OmittedRule omittedRule) {
-        assertThat(new PromotionModel(omittedRule).losesCommit(), is(true));
+    static Stream<Arguments> beginnings() {
+        return Stream.of(
+                        IDLE,
+                        OPEN_INTENT,
+                        LATE_WRITE,
+                        NO_REQUEST,
+                        LATE_REQUEST,
+                        UNANSWERED_INTENT,
+                        UNANSWERED_RESUMPTION)
+                .map(Arguments::of);
     }
 
-    @Test
-    void should_lose_a_commit_when_the_next_holder_does_not_see_the_intent() {
-        PromotionModel model = new PromotionModel(PromotionModel.OmittedRule.INTENT);
-        assertThat("states " + model.states(), model.losesCommitAfterOpenIntent(), is(true));
+    static Stream<Arguments> omittedRules() {
+        return Stream.of(
+                Arguments.of(OmittedRule.ALL_REPLICAS, IDLE),
+                Arguments.of(OmittedRule.STOPPING, IDLE),
+                Arguments.of(OmittedRule.VERIFICATION, IDLE),
+                Arguments.of(OmittedRule.STEP_DOWN, UNANSWERED_RESUMPTION),
+                Arguments.of(OmittedRule.DRAINED_DATABASE, IDLE),
+                Arguments.of(OmittedRule.INTENT, OPEN_INTENT),
+                Arguments.of(OmittedRule.TOKEN, LATE_REQUEST),
+                Arguments.of(OmittedRule.INTENT_CONDITION, LATE_WRITE),
+                Arguments.of(OmittedRule.INTENT_COMPARISON, NO_REQUEST),
+                Arguments.of(OmittedRule.LATE_RESUMPTION, UNANSWERED_RESUMPTION),
+                Arguments.of(OmittedRule.STEP_DOWN_ANSWER, UNANSWERED_RESUMPTION));
     }
 
-    @Test
-    void should_lose_no_acknowledged_commit_while_a_copy_of_the_last_request_is_in_flight() {
-        PromotionModel model = new PromotionModel(PromotionModel.OmittedRule.NONE);
-        boolean lost = model.losesCommitAfterLateRequest();
+    @ParameterizedTest
+    @MethodSource("beginnings")
+    void should_lose_no_acknowledged_commit(Beginning beginning) {
+        PromotionModel model = new PromotionModel(OmittedRule.NONE);
+        boolean lost = beginning.losesCommit().test(model);
         assertThat("lost after " + model.states() + " states: " + model.trace(), lost, is(false));
     }
 
-    @Test
-    void should_lose_a_commit_when_a_request_reuses_the_token_of_one_in_flight() {
-        PromotionModel model = new PromotionModel(PromotionModel.OmittedRule.TOKEN);
-        assertThat("states " + model.states(), model.losesCommitAfterLateRequest(), is(true));
+    @ParameterizedTest
+    @MethodSource("omittedRules")
+    void should_lose_a_commit_when_a_rule_is_omitted(OmittedRule omittedRule, Beginning beginning) {
+        PromotionModel model = new PromotionModel(omittedRule);
+        boolean lost = beginning.losesCommit().test(model);
+        assertThat("states " + model.states(), lost, is(true));
     }
 }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -33,7 +33,7 @@
     private static final Instant LONG_AGO = Instant.EPOCH.minus(Duration.ofMinutes(1));
 
     private Instant now = Instant.EPOCH;
-    private PromotionState state = PromotionState.initial("vm-1");
+    private PromotionState state = stateOfHolderThatSawReplicasReceive();
     private List<PromotionEffect> effects = List.of();
     private Set<BackendServerName> draining = Set.of();
     private Set<BackendServerName> recentlyRestarted = Set.of();
@@ -176,6 +176,123 @@
         assertThat(requestedPromotions(), containsInAnyOrder(SECOND));
     }
 
+    /** Guards against commits confirmed by a replica that resumes between the request and the promotion. */
+    @Test
+    void should_prefer_the_replica_that_an_unanswered_command_may_resume() {
+        abandonWithUnansweredResumptionOfSecond();
+        requestAt(12, 12);
+        assertThat(requestedPromotions(), containsInAnyOrder(SECOND));
+    }
+
+    @Test
+    void should_wait_for_the_primary_to_step_down_when_another_replica_may_be_resumed() {
+        abandonWithUnansweredResumptionOfSecond();
+        stopAt(12, 14);
+        assertThat(sent(BackendCommand.StepDown.class), containsInAnyOrder(PRIMARY));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
+        answerStepDown(new CommandResult.Answered(receiving(14)));
+        answerStopped(12, 14);
+        on(new PromotionEvent.IntentRecorded(new IntentWriteResult.Recorded()));
+        assertThat(requestedPromotions(), containsInAnyOrder(THIRD));
+    }
+
+    @Test
+    void should_not_promote_while_a_replica_may_be_resumed_and_the_primary_does_not_answer() {
+        abandonWithUnansweredResumptionOfSecond();
+        stopAt(12, 14);
+        answerStepDown(new CommandResult.Unanswered("no answer in time"));
+        assertThat(state.phase() instanceof PromotionPhase.Watching, is(true));
+        assertThat(requestedPromotions(), is(empty()));
+    }
+
+    /** Guards against forgetting an unanswered command when a later one of the same kind is answered. */
+    @Test
+    void should_remember_an_unanswered_resume_command_when_the_next_one_is_answered() {
+        abandonWithUnansweredResumptionOfSecond();
+        begin();
+        answer(SECOND, stopped(12));
+        answer(THIRD, Optional.empty());
+        AttemptId second = new AttemptId("vm-1", 2);
+        complete(SECOND, new BackendCommand.ResumeReceiving(), Optional.of(second), Optional.of(receiving(12)));
+        now = now.plus(PromotionState.ATTEMPT_RETRY_DELAY);
+        stopAt(12, 14);
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
+    }
+
+    @Test
+    void should_promote_without_the_primary_when_no_command_can_be_carried_out_late_any_more() {
+        abandonWithUnansweredResumptionOfSecond();
+        now = now.plus(OutstandingCommands.LATE_COMMAND_TIMEOUT);
+        requestAt(12, 14);
+        assertThat(requestedPromotions(), containsInAnyOrder(THIRD));
+    }
+
+    @Test
+    void should_remember_an_unanswered_resume_command_after_the_loss_of_the_lease() {
+        abandonWithUnansweredResumptionOfSecond();
+        state = state.released(now);
+        begin();
+        answer(SECOND, Optional.of(receiving(12)));
+        answer(THIRD, Optional.of(receiving(14)));
+        answerStopped(12, 14);
+        assertThat(sent(BackendCommand.StepDown.class), containsInAnyOrder(PRIMARY));
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
+    }
+
+    /** Guards against a resume command of an earlier holder that is carried out during the attempt of the next one. */
+    @Test
+    void should_ask_replicas_whether_they_receive_before_the_first_attempt() {
+        state = PromotionState.initial("vm-1");
+        begin();
+        assertThat(sent(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.StopReceiving.class), is(empty()));
+        answer(SECOND, stopped(12));
+        answer(THIRD, Optional.of(receiving(14)));
+        assertThat(sent(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
+        answerStopped(12, 14);
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
+        answerStepDown(new CommandResult.Answered(receiving(14)));
+        answerStopped(12, 14);
+        on(new PromotionEvent.IntentRecorded(new IntentWriteResult.Recorded()));
+        assertThat(requestedPromotions(), containsInAnyOrder(THIRD));
+    }
+
+    @Test
+    void should_not_promote_before_a_primary_that_serves_has_stepped_down() {
+        reason = Optional.of(PromotionReason.LEAVING);
+        stopAt(12, 10);
+        assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
+        answerStepDown(new CommandResult.Unanswered("no answer in time"));
+        assertThat(requestedPromotions(), is(empty()));
+        assertThat(sent(BackendCommand.ResumeReceiving.class), containsInAnyOrder(SECOND, THIRD));
+    }
+
+    @Test
+    void should_promote_when_a_draining_primary_cannot_be_reached() {
+        reason = Optional.of(PromotionReason.LEAVING);
+        stopAt(12, 10);
+        answerStepDown(new CommandResult.Failed("no connection to the database"));
+        answerStopped(12, 10);
+        on(new PromotionEvent.IntentRecorded(new IntentWriteResult.Recorded()));
+        assertThat(requestedPromotions(), containsInAnyOrder(SECOND));
+    }
+
+    /** Guards against a replica that stays stopped because a command to stop is carried out after the attempt. */
+    @Test
+    void should_query_a_replica_again_that_an_unanswered_command_may_stop() {
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, Optional.empty());
+        reason = Optional.empty();
+        now = now.plus(PromotionState.ATTEMPT_RETRY_DELAY);
+        begin();
+        resumed(SECOND, Optional.of(receiving(10)));
+        resumed(THIRD, Optional.of(receiving(10)));
+        now = now.plus(Resumption.RETRY_DELAY);
+        begin();
+        assertThat(sent(BackendCommand.ReadStatus.class), containsInAnyOrder(THIRD));
+    }
+
     @Test
     void should_choose_freely_when_the_request_of_an_open_intent_has_taken_effect() {
         intent = Optional.of(
@@ -191,6 +308,8 @@
         stopAt(12, 10);
         answerStopped(12, 10);
         on(new PromotionEvent.IntentRecorded(new IntentWriteResult.Unconfirmed()));
+        answerResumption(SECOND);
+        answerResumption(THIRD);
         intent = Optional.of(openIntent(SECOND, Optional.of(new AttemptId("vm-1", 1))));
         now = now.plus(PromotionState.SETTLING_TIME);
         requestAt(12, 14);
@@ -201,10 +320,12 @@
     @Test
     void should_not_choose_freely_when_its_own_intent_is_open_since_it_lost_the_lease() {
         requestAt(12, 10);
-        state = state.released();
+        state = state.released(now);
         intent = Optional.of(openIntent(SECOND, Optional.of(new AttemptId("vm-1", 1))));
         now = now.plus(PromotionState.SETTLING_TIME);
-        stopAt(12, 14);
+        begin();
+        answerStopped(12, 14);
+        answerStopped(12, 14);
         assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
         assertThat(sent(BackendCommand.ResumeReceiving.class), is(empty()));
     }
@@ -406,6 +527,40 @@
         complete(database, command, Optional.of(new AttemptId("vm-1", state.attempts())), status);
     }
 
+    private void answerResumption(BackendServerName replica) {
+        Optional<AttemptId> attempt = Optional.of(new AttemptId("vm-1", state.attempts()));
+        complete(replica, new BackendCommand.ResumeReceiving(), attempt, Optional.of(receiving(12)));
+    }
+
+    private void answerStepDown(CommandResult result) {
+        on(new PromotionEvent.CommandCompleted(
+                PRIMARY,
+                new BackendCommand.StepDown(TERM),
+                Optional.of(new AttemptId("vm-1", state.attempts())),
+                result));
+    }
+
+    /** Abandons an attempt because the third replica didn't answer; the second one doesn't answer when resumed. */
+    private void abandonWithUnansweredResumptionOfSecond() {
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, Optional.empty());
+        Optional<AttemptId> attempt = Optional.of(new AttemptId("vm-1", state.attempts()));
+        complete(SECOND, new BackendCommand.ResumeReceiving(), attempt, Optional.empty());
+        now = now.plus(PromotionState.ATTEMPT_RETRY_DELAY);
+    }
+
+    private static PromotionState stateOfHolderThatSawReplicasReceive() {
+        PromotionState initial = PromotionState.initial("vm-1");
+        return new PromotionState(
+                initial.holder(),
+                0,
+                0,
+                initial.phase(),
+                Instant.MIN,
+                new OutstandingCommands(Set.of(), Set.of(SECOND, THIRD), Optional.of(Instant.EPOCH)));
+    }
+
     private void resumed(BackendServerName database, Optional<DatabaseStatus> status) {
         complete(database, new BackendCommand.ReadStatus(), Optional.empty(), status);
     }
@@ -476,6 +631,10 @@
         return new PromotionIntent(target, TERM, PromotionIntent.Progress.OPEN, attempt, learnedAt);
     }
 
+    private static DatabaseStatus receiving(long position) {
+        return new DatabaseStatus(false, TERM, LogPosition.of(3, position), 0);
+    }
+
     private static Optional<DatabaseStatus> stopped(long position) {
         return Optional.of(new DatabaseStatus(false, TERM, LogPosition.of(3, position), TERM));
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -99,7 +99,7 @@
     public void start() {
         control.schedule(CHECK_INTERVAL, this::start);
         if (platform.fencingToken().isEmpty()) {
-            states.replaceAll((_, state) -> state.released());
+            states.replaceAll((_, state) -> state.released(clock.instant()));
             return;
         }
         FleetState state = control.state();
@@ -126,7 +126,7 @@
     private void apply(GroupName group, PromotionEvent event) {
         OptionalLong fencingToken = platform.fencingToken();
         if (fencingToken.isEmpty()) {
-            states.replaceAll((_, state) -> state.released());
+            states.replaceAll((_, state) -> state.released(clock.instant()));
             return;
         }
         Transition<PromotionState, PromotionEffect> transition = states.computeIfAbsent(
