Begin the next attempt at once when the primary stepped down in the last one

Cause: an attempt that was abandoned after its step-down command left a group without a primary, and the next attempt waited 1.5 s for the entry of a new primary that nobody had promoted. Since a primary that serves must confirm the command, an unanswered one costs an attempt, so the wait came on top.

Change: such an attempt counts the time without a primary as over. The comments on the time limit of a command say what it now means.

Test: should_begin_the_next_attempt_at_once_when_the_primary_has_stepped_down_late, which failed before.

--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -51,7 +51,8 @@
                         ? verify(stopped, chosen.target())
                         : new PromotionPhase.SteppingDown(attempt, stopped, chosen.target(), chosen.stepDown());
             }
-            case PromotionChoice.Insufficient insufficient -> abandon(stopped.keySet(), insufficient.reason());
+            case PromotionChoice.Insufficient insufficient ->
+                abandon(stopped.keySet(), insufficient.reason(), Optional.empty());
         };
     }
 
@@ -123,17 +124,25 @@
         return abandon(attempt.snapshot().replicas(), "the promotion request was refused");
     }
 
+    /**
+     * Ends an attempt after a database was chosen. If the primary has stepped down, no entry of a new one is on its
+     * way, so the next attempt need not wait for one.
+     */
+    PromotionPhase abandon(Set<BackendServerName> stopped, String reason) {
+        return abandon(stopped, reason, Optional.of(now.minus(PromotionState.NO_PRIMARY_TIMEOUT)));
+    }
+
     /**
      * Ends an attempt. Replicas known to be stopped are resumed at once, others when their status shows that they are
      * stopped. None is resumed while an earlier request relies on them.
      */
-    PromotionPhase abandon(Set<BackendServerName> stopped, String reason) {
+    private PromotionPhase abandon(Set<BackendServerName> stopped, String reason, Optional<Instant> noPrimarySince) {
         log("replacement postponed", "reason=\"" + reason + "\"");
         if (attempt.pendingTarget().isEmpty()) {
             send(stopped, new BackendCommand.ResumeReceiving());
         }
         return new PromotionPhase.Watching(
-                now.plus(PromotionState.ATTEMPT_RETRY_DELAY), Optional.empty(), Resumption.ALL_REPLICAS);
+                now.plus(PromotionState.ATTEMPT_RETRY_DELAY), noPrimarySince, Resumption.ALL_REPLICAS);
     }
 
     private void addIntent(BackendServerName target, PromotionIntent.Progress progress) {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -12,7 +12,7 @@
      * No attempt is in progress.
      *
      * @param notBefore earliest time of the next attempt
-     * @param noPrimarySince time since which the group has had no primary
+     * @param noPrimarySince time since which the group has had no primary, or from which that counts
      * @param resumption replicas that may still be stopped and must be resumed
      */
     record Watching(Instant notBefore, Optional<Instant> noPrimarySince, Resumption resumption)
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -39,15 +39,12 @@
         Instant lateRequestUntil,
         OutstandingCommands commands) {
     /**
-     * Time limit of a command, after which the connection is closed and the command can't arrive any more. Covers
-     * opening a connection and several round trips between regions.
+     * Time limit of a command, after which it counts as unanswered. Covers opening a connection and several round trips
+     * between regions.
      */
     public static final Duration COMMAND_TIMEOUT = Duration.ofMillis(500);
 
-    /**
-     * Delay after an abandoned attempt. It lets every resume command of that attempt arrive or time out before the
-     * replicas are stopped for the next one.
-     */
+    /** Delay after an abandoned attempt. It lets the resume commands of that attempt be answered or time out. */
     static final Duration ATTEMPT_RETRY_DELAY = COMMAND_TIMEOUT;
 
     /** Time within which the entry of a new primary reaches the store after its promotion. */
@@ -175,7 +172,9 @@
         boolean confirmed = !noPrimary || Duration.between(since, now).compareTo(NO_PRIMARY_TIMEOUT) >= 0;
         if (!confirmed || tooEarly) {
             return new PromotionPhase.Watching(
-                    watching.notBefore(), noPrimary ? Optional.of(since) : Optional.empty(), watching.resumption());
+                    watching.notBefore(),
+                    noPrimary ? Optional.of(since) : watching.noPrimarySince(),
+                    watching.resumption());
         }
         return begin(snapshot, now, effects);
     }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -267,6 +267,19 @@
         assertThat(sent(BackendCommand.ResumeReceiving.class), containsInAnyOrder(SECOND, THIRD));
     }
 
+    /** Guards against a wait for the entry of a new primary that nobody has promoted. */
+    @Test
+    void should_begin_the_next_attempt_at_once_when_the_primary_has_stepped_down_late() {
+        reason = Optional.of(PromotionReason.LEAVING);
+        stopAt(12, 10);
+        answerStepDown(new CommandResult.Unanswered("no answer in time"));
+        begin();
+        reason = Optional.of(PromotionReason.NONE_LEADS);
+        now = now.plus(PromotionState.ATTEMPT_RETRY_DELAY);
+        begin();
+        assertThat(sent(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
+    }
+
     @Test
     void should_promote_when_a_draining_primary_cannot_be_reached() {
         reason = Optional.of(PromotionReason.LEAVING);
