Test which administrative commands count as never sent

A command to a replica that a database may have received must not count as never carried out: it may be carried out late.

--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -132,6 +132,21 @@
         return this;
     }
 
+    /** Sends an administrative command that gets no reply and returns why it failed. */
+    Throwable failureOfCommand(String name, BackendCommand command, Duration timeout) throws Exception {
+        return startCommand(name, command, timeout).get(REPLY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends an administrative command. The result completes with the reason why it failed. */
+    CompletableFuture<Throwable> startCommand(String name, BackendCommand command, Duration timeout) throws Exception {
+        CompletableFuture<Throwable> failed = new CompletableFuture<>();
+        runOnLoop(() -> {
+            var unused = engine.sendCommand(BackendServerName.of(name), command, timeout)
+                    .whenComplete((_, failure) -> failed.complete(failure));
+        });
+        return failed;
+    }
+
     /** Applies a configuration with one route of the given consistency to a VM that owns all rates. */
     EngineFixture configure(Consistency consistency) throws Exception {
         return configure(consistency, RateOwnership.alone(VmName.of("vm-1")));
