--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -20,6 +20,15 @@
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.StoreRevision;
+import org.geraniumproxy.core.promotion.PromotionModelState.Command;
+import org.geraniumproxy.core.promotion.PromotionModelState.Database;
+import org.geraniumproxy.core.promotion.PromotionModelState.FaultCounts;
+import org.geraniumproxy.core.promotion.PromotionModelState.Group;
+import org.geraniumproxy.core.promotion.PromotionModelState.IntentWrite;
+import org.geraniumproxy.core.promotion.PromotionModelState.LeaseHolder;
+import org.geraniumproxy.core.promotion.PromotionModelState.Network;
+import org.geraniumproxy.core.promotion.PromotionModelState.Request;
+import org.geraniumproxy.core.promotion.PromotionModelState.Store;
 
 /**
  * Explores every order of events in a small group: three databases with one confirming replica, two commits, one crash
@@ -62,7 +71,7 @@
     private static final String EARLIER_HOLDER = "vm-0";
     private static final int DATABASES = 3;
     private static final int MAXIMUM_COMMITS = 2;
-    private static final int NO_PRIMARY = -1;
+    static final int NO_PRIMARY = -1;
     private static final int MAXIMUM_ATTEMPTS = 3;
     private static final int MAXIMUM_STATES = 150_000;
     private static final Store NO_INTENT = new Store(Optional.empty(), 0, Optional.empty());
@@ -71,114 +80,11 @@
     /** After every delay before an attempt, and before the time at which an unanswered request can't take effect. */
     private static final Instant LATE = Instant.EPOCH.plus(Duration.ofSeconds(10));
 
-    /** A database whose log is a text of entries, each of a letter for the commit and a digit for the term. */
-    private record Database(String log, boolean running, long stoppedTerm) {
-        LogPosition position() {
-            return log.isEmpty()
-                    ? LogPosition.START
-                    : LogPosition.of(log.charAt(log.length() - 1) - '0', log.length() / 2);
-        }
-    }
-
-    private record Command(
-            int holder, int database, BackendCommand command, Optional<AttemptId> attempt, boolean awaited) {}
-
-    private record Request(int holder, int target, long token, boolean awaited) {}
-
-    private record Group(List<Database> databases, int primary, long term, int commits, String acknowledged) {
-        Database primaryDatabase() {
-            return databases.get(primary);
-        }
-
-        Group with(int index, Database database) {
-            List<Database> changed = new ArrayList<>(databases);
-            changed.set(index, database);
-            return new Group(changed, primary, term, commits, acknowledged);
-        }
-
-        Group withPrimary(int next) {
-            return new Group(databases, next, term, commits, acknowledged);
-        }
-
-        Group withCommit() {
-            String log = primaryDatabase().log() + (char) ('a' + commits) + term;
-            Group written = with(primary, new Database(log, true, 0));
-            return new Group(written.databases, primary, term, commits + 1, acknowledged);
-        }
-
-        Group withAcknowledged(String next) {
-            return new Group(databases, primary, term, commits, next);
-        }
-    }
-
-    /** A write of an intent that the store has not answered and may do late. */
-    private record IntentWrite(PromotionIntent intent, long expectedRevision, long token) {}
-
-    private record Store(Optional<PromotionIntent> intent, long revision, Optional<IntentWrite> lateWrite) {
-        Store with(PromotionIntent written) {
-            return new Store(Optional.of(written), revision + 1, lateWrite);
-        }
-
-        Store withLate(Optional<IntentWrite> write) {
-            return new Store(intent, revision, write);
-        }
-    }
-
-    private record Network(Set<Command> commands, Set<Request> requests, long highestToken) {
-        Network without(Command command) {
-            Set<Command> rest = new HashSet<>(commands);
-            rest.remove(command);
-            return new Network(rest, requests, highestToken);
-        }
-
-        Network withUnanswered(Command command) {
-            Set<Command> next = new HashSet<>(commands);
-            next.remove(command);
-            next.add(new Command(command.holder(), command.database(), command.command(), command.attempt(), false));
-            return new Network(next, requests, highestToken);
-        }
-
-        Network withRequests(Set<Request> next, long token) {
-            return new Network(commands, next, token);
-        }
-    }
-
-    private record LeaseHolder(int holder, long token, PromotionState state) {}
-
-    private record FaultCounts(int attempts, int crashes, int lostAnswers) {
-        FaultCounts withLostAnswer() {
-            return new FaultCounts(attempts, crashes, lostAnswers + 1);
-        }
-    }
-
-    private record ModelState(
-            Group group, Network network, Store store, LeaseHolder leaseHolder, FaultCounts faultCounts) {
-        ModelState with(Group next) {
-            return new ModelState(next, network, store, leaseHolder, faultCounts);
-        }
-
-        ModelState with(Network next) {
-            return new ModelState(group, next, store, leaseHolder, faultCounts);
-        }
-
-        ModelState with(Store next) {
-            return new ModelState(group, network, next, leaseHolder, faultCounts);
-        }
-
-        ModelState with(LeaseHolder next) {
-            return new ModelState(group, network, store, next, faultCounts);
-        }
-
-        ModelState with(FaultCounts next) {
-            return new ModelState(group, network, store, leaseHolder, next);
-        }
-    }
-
     private final OmittedRule omittedRule;
-    private final Map<ModelState, ModelState> parents = new HashMap<>();
-    private ModelState current;
-    private ModelState stateBeforeLoss;
-    private final Deque<ModelState> frontier = new ArrayDeque<>();
+    private final Map<PromotionModelState, PromotionModelState> parents = new HashMap<>();
+    private PromotionModelState current;
+    private PromotionModelState stateBeforeLoss;
+    private final Deque<PromotionModelState> frontier = new ArrayDeque<>();
     private int presumedPrimary;
     private boolean holderChanges = true;
     private boolean lost;
@@ -265,7 +171,8 @@
                 new Command(1, 2, new BackendCommand.StopReceiving(2), attempt(HOLDER), false));
         List<Database> databases =
                 List.of(new Database("", true, 0), new Database("", true, 2), new Database("", true, 0));
-        ModelState start = start(new Group(databases, 0, 1, 0, ""), Set.of(), NO_INTENT, new LeaseHolder(1, 1, state));
+        PromotionModelState start =
+                start(new Group(databases, 0, 1, 0, ""), Set.of(), NO_INTENT, new LeaseHolder(1, 1, state));
         return explore(start.with(new Network(late, Set.of(), 1)));
     }
 
@@ -312,11 +219,12 @@
         return Optional.of(new AttemptId(holder, 1));
     }
 
-    private static ModelState start(Group group, Set<Request> requests, Store store, LeaseHolder leaseHolder) {
-        return new ModelState(group, new Network(Set.of(), requests, 1), store, leaseHolder, new FaultCounts(0, 0, 0));
+    private static PromotionModelState start(Group group, Set<Request> requests, Store store, LeaseHolder leaseHolder) {
+        return new PromotionModelState(
+                group, new Network(Set.of(), requests, 1), store, leaseHolder, new FaultCounts(0, 0, 0));
     }
 
-    private boolean explore(ModelState start) {
+    private boolean explore(PromotionModelState start) {
         add(start);
         while (!frontier.isEmpty() && !lost && parents.size() < MAXIMUM_STATES) {
             current = frontier.remove();
@@ -332,7 +240,7 @@
     /** Returns the states that lead to the loss, for the message of a failed test. */
     String trace() {
         StringBuilder text = new StringBuilder();
-        for (ModelState state = stateBeforeLoss; state != null; state = parents.get(state)) {
+        for (PromotionModelState state = stateBeforeLoss; state != null; state = parents.get(state)) {
             text.insert(
                     0,
                     "\n" + state.group() + " " + state.network() + " holder="
@@ -343,14 +251,14 @@
         return text.toString();
     }
 
-    private void add(ModelState state) {
+    private void add(PromotionModelState state) {
         if (!parents.containsKey(state)) {
             parents.put(state, current);
             frontier.add(state);
         }
     }
 
-    private void exploreNext(ModelState state) {
+    private void exploreNext(PromotionModelState state) {
         commit(state);
         for (int index = 0; index < DATABASES; index++) {
             replicate(state, index);
@@ -370,7 +278,7 @@
         changeHolder(state);
     }
 
-    private void commit(ModelState state) {
+    private void commit(PromotionModelState state) {
         Group group = state.group();
         boolean possible =
                 group.primary() != NO_PRIMARY && group.primaryDatabase().running();
@@ -380,7 +288,7 @@
     }
 
     /** Replicates the whole log of the primary, which then acknowledges all entries that both hold. */
-    private void replicate(ModelState state, int index) {
+    private void replicate(PromotionModelState state, int index) {
         Group group = state.group();
         if (group.primary() == NO_PRIMARY || index == group.primary()) {
             return;
@@ -400,22 +308,22 @@
         }
     }
 
-    private void crashOrRestart(ModelState state, int index) {
+    private void crashOrRestart(PromotionModelState state, int index) {
         Group group = state.group();
         FaultCounts counts = state.faultCounts();
         Database database = group.databases().get(index);
         if (!database.running()) {
             add(state.with(group.with(index, new Database(database.log(), true, 0))));
         } else if (counts.crashes() < 1) {
-            ModelState crashed = state.with(group.with(index, new Database(database.log(), false, 0)));
+            PromotionModelState crashed = state.with(group.with(index, new Database(database.log(), false, 0)));
             add(crashed.with(new FaultCounts(counts.attempts(), counts.crashes() + 1, counts.lostAnswers())));
         }
     }
 
-    private void deliver(ModelState state, Command command) {
+    private void deliver(PromotionModelState state, Command command) {
         Group group = state.group();
         Database database = group.databases().get(command.database());
-        ModelState delivered = state.with(state.network().without(command));
+        PromotionModelState delivered = state.with(state.network().without(command));
         if (!database.running()) {
             answer(delivered, command, Optional.empty());
             return;
@@ -432,7 +340,7 @@
             changed = stepDown(changed, command.database(), stepDown.term());
             replica = omittedRule == OmittedRule.STEP_DOWN || command.database() != changed.primary();
         }
-        ModelState after = delivered.with(changed);
+        PromotionModelState after = delivered.with(changed);
         boolean claimsStopped = omittedRule == OmittedRule.STOPPING
                 || (omittedRule == OmittedRule.VERIFICATION && command.command() instanceof BackendCommand.ReadStatus);
         long stoppedTerm = claimsStopped ? group.term() + 1 : next.stoppedTerm();
@@ -445,7 +353,7 @@
         answer(after, command, Optional.of(new DatabaseStatus(!replica, group.term(), position, stoppedTerm)));
     }
 
-    private void answer(ModelState state, Command command, Optional<DatabaseStatus> status) {
+    private void answer(PromotionModelState state, Command command, Optional<DatabaseStatus> status) {
         if (!command.awaited() || command.holder() != state.leaseHolder().holder()) {
             add(state);
             return;
@@ -474,17 +382,17 @@
     }
 
     /** Leaves a command unanswered. It is carried out at any later time, or when it arrives at a crashed database. */
-    private void loseAnswer(ModelState state, Command command) {
+    private void loseAnswer(PromotionModelState state, Command command) {
         boolean awaited =
                 command.awaited() && command.holder() == state.leaseHolder().holder();
         if (awaited && state.faultCounts().lostAnswers() < 1) {
-            ModelState unanswered = state.with(state.network().withUnanswered(command))
+            PromotionModelState unanswered = state.with(state.network().withUnanswered(command))
                     .with(state.faultCounts().withLostAnswer());
             answer(unanswered, command, Optional.empty());
         }
     }
 
-    private void doLateWrite(ModelState state) {
+    private void doLateWrite(PromotionModelState state) {
         Store store = state.store();
         if (store.lateWrite().isEmpty()) {
             return;
@@ -496,7 +404,7 @@
         add(state.with(holds || omittedRule == OmittedRule.INTENT_CONDITION ? rest.with(write.intent()) : rest));
     }
 
-    private void carryOutRequest(ModelState state, Request request) {
+    private void carryOutRequest(PromotionModelState state, Request request) {
         Network network = state.network();
         Set<Request> rest = new HashSet<>(network.requests());
         rest.remove(request);
@@ -506,13 +414,14 @@
             Set<Request> late = new HashSet<>(rest);
             late.add(new Request(request.holder(), request.target(), request.token(), false));
             FaultCounts counts = state.faultCounts();
-            ModelState unanswered = state.with(network.withRequests(late, network.highestToken()))
+            PromotionModelState unanswered = state.with(network.withRequests(late, network.highestToken()))
                     .with(counts.withLostAnswer());
             apply(unanswered, new PromotionEvent.RequestUnanswered(), EARLY);
         }
         boolean refused = request.token() < network.highestToken()
                 || !state.group().databases().get(request.target()).running();
-        ModelState after = state.with(network.withRequests(rest, Math.max(network.highestToken(), request.token())));
+        PromotionModelState after =
+                state.with(network.withRequests(rest, Math.max(network.highestToken(), request.token())));
         if (!refused && request.target() != state.group().primary()) {
             after = after.with(promote(after.group(), request.target()));
         }
@@ -536,14 +445,14 @@
         return new Group(databases, target, group.term() + 1, group.commits(), group.acknowledged());
     }
 
-    private void changeHolder(ModelState state) {
+    private void changeHolder(PromotionModelState state) {
         if (holderChanges && state.leaseHolder().holder() == 1) {
             LeaseHolder next = newHolder(2);
             add(state.with(new LeaseHolder(2, state.leaseHolder().token() + 1, next.state())));
         }
     }
 
-    private void apply(ModelState state, PromotionEvent event, Instant now) {
+    private void apply(PromotionModelState state, PromotionEvent event, Instant now) {
         LeaseHolder leaseHolder = state.leaseHolder();
         Transition<PromotionState, PromotionEffect> transition =
                 leaseHolder.state().on(event, now);
@@ -572,7 +481,7 @@
         FaultCounts counts = state.faultCounts();
         long token = renewsToken && omittedRule != OmittedRule.TOKEN ? leaseHolder.token() + 1 : leaseHolder.token();
         long highestToken = Math.max(state.network().highestToken(), renewsToken ? token : 0);
-        ModelState next = new ModelState(
+        PromotionModelState next = new PromotionModelState(
                 state.group(),
                 new Network(Set.copyOf(commands), Set.copyOf(requests), highestToken),
                 store,
@@ -587,7 +496,7 @@
         }
     }
 
-    private void writeIntent(ModelState state, PromotionIntent intent) {
+    private void writeIntent(PromotionModelState state, PromotionIntent intent) {
         Store store = state.store();
         apply(
                 state.with(store.with(intent)),
