Say of an administrative command that it was not sent, instead of not answered

The log line of a command that got no slot in time said that it wasn't answered, which leaves open whether it may be carried out late. Only the text changes.

--- a/core/src/main/java/org/geraniumproxy/core/promotion/IntentWriteResult.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/IntentWriteResult.java
@@ -14,6 +14,9 @@
      */
     record Superseded(Optional<PromotionIntent> current) implements IntentWriteResult {}
 
-    /** The store gave no answer, or this VM no longer holds the lease. The write may be done late, in its order. */
+    /**
+     * The store gave no answer, or this VM no longer holds the lease. The store may still do the write, if neither the
+     * intent nor the lease has changed by then.
+     */
     record Unconfirmed() implements IntentWriteResult {}
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCommands.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCommands.java
@@ -110,10 +110,11 @@
             slotRequestIdsByConnection.remove(connection);
             connectionPool.releaseSlot(slotRequestId);
             connectionPool.closeConnection(connection);
+            fail(slotRequestId, "no answer in time");
         } else {
             connectionPool.cancelRequest(slotRequestId);
+            fail(slotRequestId, "not sent in time");
         }
-        fail(slotRequestId, "no answer in time");
     }
 
     private void fail(long slotRequestId, String reason) {
