Log the sessions and statements that are open when the process ends

At a stop, callers saw connections closed without an answer, and no line of the node named them: the log had only the number of sessions that the traffic thread had last reported.

The traffic thread now logs, as its last step, the number of its sessions, each open session (time since it was accepted, output that is still pending, queued messages) and each statement in progress (request id, progress, database, age). No decision changes.

--- a/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
@@ -97,6 +97,7 @@
             case SessionEvent.RepliesReceived replied -> ReplyHandler.handle(this, replied, context, effects);
             case SessionEvent.ConnectionLost lost ->
                 StatementInterruption.connectionLost(this, lost.connectionId(), context, effects);
+            case SessionEvent.ProcessEnding _ -> StatementInterruption.processEnding(this, context, effects);
             case SessionEvent.TimePassed _ -> StatementInterruption.timePassed(this, context, effects);
         };
         return Transition.to(next, effects);
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionEvent.java
@@ -76,6 +76,9 @@
      */
     record ConnectionLost(long connectionId) implements SessionEvent {}
 
+    /** The process is about to end. A statement in progress gets no answer. */
+    record ProcessEnding() implements SessionEvent {}
+
     /** A scheduled time was reached, or the view changed. */
     record TimePassed() implements SessionEvent {}
 }
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionProgress.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionProgress.java
@@ -6,6 +6,21 @@
 
 /** Progress of the current statement of a session. */
 sealed interface SessionProgress {
+    /** Returns the name of the progress in log lines. */
+    default String name() {
+        return switch (this) {
+            case Idle _ -> "idle";
+            case AwaitingRateToken _ -> "awaiting-rate-token";
+            case AwaitingRetry _ -> "awaiting-retry";
+            case AwaitingSlot waiting ->
+                "awaiting-slot database=" + waiting.placement().database();
+            case PreparingConnection preparing ->
+                "preparing-connection database=" + preparing.slot().placement().database();
+            case RunningStatement running ->
+                "running database=" + running.slot().placement().database();
+        };
+    }
+
     /** No statement is in progress. */
     record Idle() implements SessionProgress {}
 
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementInterruption.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementInterruption.java
@@ -89,6 +89,19 @@
         return session.withoutTransaction().withoutCurrentStatement();
     }
 
+    /** Logs the statement in progress: without a line that names it, an unanswered request can't be traced. */
+    static CallerSession processEnding(CallerSession session, SessionContext context, List<SessionEffect> effects) {
+        session.currentStatement().ifPresent(current -> {
+            Duration age = Duration.between(current.arrivedAt(), context.now());
+            effects.add(new SessionEffect.Log(
+                    current.requestId(),
+                    "not answered before the exit",
+                    "progress=" + session.progress().name() + " tries=" + current.tries() + " transaction="
+                            + session.transactionState() + " age=" + age.toMillis() + "ms"));
+        });
+        return session;
+    }
+
     static CallerSession timePassed(CallerSession session, SessionContext context, List<SessionEffect> effects) {
         Instant now = context.now();
         if (session.currentStatement().isPresent()) {
--- a/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
@@ -90,6 +90,15 @@
         return closed;
     }
 
+    /**
+     * Returns the output that the operating system has not accepted yet.
+     *
+     * @return number of bytes
+     */
+    public int pendingBytes() {
+        return pendingBytes;
+    }
+
     void attachKey(SelectionKey selectionKey) {
         key = selectionKey;
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerConnection.java
@@ -1,6 +1,8 @@
 package org.geraniumproxy.engine.traffic;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.geraniumproxy.core.caller.CallerSession;
@@ -20,6 +22,7 @@
     private final CallerProtocol.Decoder decoder;
     private final StreamConnection[] stream;
     private final Deque<CallerMessage> queuedMessages = new ArrayDeque<>();
+    private final Instant acceptedAt;
     private CallerSession session;
     private boolean disconnected;
 
@@ -27,6 +30,7 @@
         this.engine = engine;
         this.decoder = engine.callerProtocol().decoder();
         this.stream = stream;
+        this.acceptedAt = engine.now();
         this.session = CallerSession.create(sessionId);
     }
 
@@ -86,6 +90,18 @@
         }
     }
 
+    /** Logs what the caller is still owed when the process ends. */
+    void logUnfinished() {
+        apply(new SessionEvent.ProcessEnding());
+        engine.log(
+                "-",
+                "session open at the exit",
+                "session=" + session.id() + " accepted="
+                        + Duration.between(acceptedAt, engine.now()).toMillis() + "ms ago connected="
+                        + session.isConnected() + " outstanding=" + session.hasOutstandingStatement() + " queued="
+                        + queuedMessages.size() + " pendingBytes=" + stream().pendingBytes());
+    }
+
     private void handleMessage(CallerMessage message) {
         switch (message) {
             case CallerMessage.Connect connect
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -52,6 +52,9 @@
 
     private static final int PRIORITY_COUNT = 4;
 
+    /** Bounds the log lines of a stop; a node may hold thousands of sessions. */
+    private static final int MAXIMUM_LOGGED_SESSIONS = 200;
+
     private final EventLoop loop;
     private final Clock clock;
     private final ClockJumpDetector clockJumpDetector;
@@ -201,6 +204,12 @@
         return result;
     }
 
+    /** Logs the sessions that are still open, and their statements. Called on the loop's thread before the exit. */
+    public void logUnfinishedSessions() {
+        log("-", "exit", "sessions=" + sessions.size());
+        sessions.values().stream().limit(MAXIMUM_LOGGED_SESSIONS).forEach(CallerConnection::logUnfinished);
+    }
+
     private DatabaseConnectionPool connectionPoolFor(DatabaseEntry entry) {
         return connectionPools.computeIfAbsent(entry.name(), _ -> new DatabaseConnectionPool(this, entry));
     }
