End a stopping process only when the traffic thread has no session left

Callers that connected in the last tenth of a second before the listener closed, 2.1 to 2.2 s after SIGTERM, had their connection closed 0.3 s later without an answer, while the database ran their statement to its end.

Cause: the control thread decided to exit from the number of sessions in the traffic thread's last report, up to 0.1 s old, right after it had only queued the close of the listener. Sessions that were accepted in between were not seen. The class of the fault is an irreversible step that is decided from another thread's state as it was.

The traffic thread, which owns the sessions and closes the listener, now tells when no session is left: TrafficEngine.whenSessionsEnd completes on that thread after the listener is closed, so no session can follow. The report no longer has the number. A session leaves only when its connection is closed, which follows the flush of its last answer.

Evidence: logged before the fix, reportedSessions=0 and sessions=1 with a session accepted 66 ms ago and a statement running for 37 ms. Ruled out: output that is pending at the exit (pendingBytes=0).

--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
@@ -75,6 +76,7 @@
     private long lastSessionId;
     private long lastConnectionId;
     private boolean draining;
+    private Optional<CompletableFuture<Void>> sessionsEnded = Optional.empty();
 
     /**
      * Creates an engine without a configuration.
@@ -204,6 +206,26 @@
         return result;
     }
 
+    /**
+     * Returns when the last session has ended and its answers have been passed to the operating system. Must be called
+     * on the loop's thread, after the listener was closed.
+     *
+     * @return completes on the loop's thread
+     */
+    public CompletableFuture<Void> whenSessionsEnd() {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        log("-", "waiting for sessions", "sessions=" + sessions.size());
+        sessionsEnded = Optional.of(ended);
+        completeIfNoSessions(ended);
+        return ended;
+    }
+
+    private void completeIfNoSessions(CompletableFuture<Void> ended) {
+        if (sessions.isEmpty()) {
+            ended.complete(null);
+        }
+    }
+
     /** Logs the sessions that are still open, and their statements. Called on the loop's thread before the exit. */
     public void logUnfinishedSessions() {
         log("-", "exit", "sessions=" + sessions.size());
@@ -325,6 +347,7 @@
 
     void removeSession(long session) {
         sessions.remove(session);
+        sessionsEnded.ifPresent(this::completeIfNoSessions);
     }
 
     void replyToInvalid(CallerConnection caller, String reason) {
@@ -472,6 +495,6 @@
             newestTerms.put(group, known.highestTerm());
             known.acknowledgedCommit().ifPresent(position -> acknowledged.put(group, position));
         });
-        return new TrafficReport(health, newestTerms, acknowledged, sessions.size());
+        return new TrafficReport(health, newestTerms, acknowledged);
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficReport.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficReport.java
@@ -12,13 +12,11 @@
  * @param health health of each database as observed by this VM
  * @param newestTerms newest term of each group that a primary has reported
  * @param acknowledged position of each group up to which commits have been acknowledged
- * @param sessions number of connected callers
  */
 public record TrafficReport(
         Map<BackendServerName, DatabaseHealth> health,
         Map<GroupName, Long> newestTerms,
-        Map<GroupName, LogPosition> acknowledged,
-        int sessions) {
+        Map<GroupName, LogPosition> acknowledged) {
     /** Makes immutable copies of the maps. */
     public TrafficReport {
         health = Map.copyOf(health);
