Answer every statement that a stopping node has accepted

Callers that kept their connection, and sent their next statement within a tenth of a second of each answer, were served until the process ended 5.9 s after SIGTERM; the statement in progress was cut without an answer. So was any statement whose database did not answer within the grace period.

Cause: nothing bounded what was accepted by what could still be answered. The traffic thread closed a session only when a check each 0.1 s found it idle, and the end of the grace period had no step for the statements in progress.

From the time at which the load balancer has removed the VM: - A session is closed with the answer after which its caller is owed nothing, outside a transaction. The caller sees the close with the answer, so its next statement does not cross it. - A session without a statement is kept for 0.3 s after its connection, in which its caller is about to send the first one.

--- a/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.core.caller;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -28,6 +29,7 @@
  * @param progress progress of the current statement
  * @param lastCommit log position of the last commit of the session, or empty if none is known
  * @param slotRequestCount number of slot requests made so far
+ * @param unusedSince time at which the caller connected, or empty after its first operation
  */
 public record CallerSession(
         long id,
@@ -38,7 +40,8 @@
         Optional<CurrentStatement> currentStatement,
         SessionProgress progress,
         Optional<LogPosition> lastCommit,
-        long slotRequestCount) {
+        long slotRequestCount,
+        Optional<Instant> unusedSince) {
     /** Customer of callers without a known key on routes that allow anonymous access. */
     public static final CustomerName ANONYMOUS = CustomerName.of("-");
 
@@ -51,9 +54,10 @@
      * Creates a session whose caller has not connected yet.
      *
      * @param id number of the session on this VM
+     * @param acceptedAt time at which the connection was accepted
      * @return the new session
      */
-    public static CallerSession create(long id) {
+    public static CallerSession create(long id, Instant acceptedAt) {
         return new CallerSession(
                 id,
                 Optional.empty(),
@@ -63,7 +67,8 @@
                 Optional.empty(),
                 IDLE,
                 Optional.empty(),
-                0);
+                0,
+                Optional.of(acceptedAt));
     }
 
     /**
@@ -100,7 +105,15 @@
             case SessionEvent.ProcessEnding _ -> StatementInterruption.processEnding(this, context, effects);
             case SessionEvent.TimePassed _ -> StatementInterruption.timePassed(this, context, effects);
         };
-        return Transition.to(next, effects);
+        return Transition.to(afterEvent(next, event, context, effects), effects);
+    }
+
+    private static CallerSession afterEvent(
+            CallerSession session, SessionEvent event, SessionContext context, List<SessionEffect> effects) {
+        return switch (event) {
+            case SessionEvent.CallerDisconnected _, SessionEvent.ProcessEnding _ -> session;
+            default -> SessionDrain.afterEvent(session, context, effects);
+        };
     }
 
     /**
@@ -154,7 +167,7 @@
         return (id << SLOT_REQUEST_BITS) + slotRequestCount + 1;
     }
 
-    CallerSession withConnection(String databaseName, KeyDigest keyDigest) {
+    CallerSession withConnection(String databaseName, KeyDigest keyDigest, Instant now) {
         return new CallerSession(
                 id,
                 Optional.of(databaseName),
@@ -164,17 +177,50 @@
                 currentStatement,
                 progress,
                 lastCommit,
-                0);
+                0,
+                Optional.of(now));
+    }
+
+    CallerSession withOperation() {
+        return new CallerSession(
+                id,
+                database,
+                key,
+                sessionState,
+                transaction,
+                currentStatement,
+                progress,
+                lastCommit,
+                slotRequestCount,
+                Optional.empty());
     }
 
     CallerSession with(SessionState next) {
         return new CallerSession(
-                id, database, key, next, transaction, currentStatement, progress, lastCommit, slotRequestCount);
+                id,
+                database,
+                key,
+                next,
+                transaction,
+                currentStatement,
+                progress,
+                lastCommit,
+                slotRequestCount,
+                unusedSince);
     }
 
     CallerSession with(SessionProgress next) {
         return new CallerSession(
-                id, database, key, sessionState, transaction, currentStatement, next, lastCommit, slotRequestCount);
+                id,
+                database,
+                key,
+                sessionState,
+                transaction,
+                currentStatement,
+                next,
+                lastCommit,
+                slotRequestCount,
+                unusedSince);
     }
 
     CallerSession with(CurrentStatement next) {
@@ -187,7 +233,8 @@
                 Optional.of(next),
                 progress,
                 lastCommit,
-                slotRequestCount);
+                slotRequestCount,
+                unusedSince);
     }
 
     CallerSession with(OpenTransaction next) {
@@ -200,7 +247,8 @@
                 currentStatement,
                 progress,
                 lastCommit,
-                slotRequestCount);
+                slotRequestCount,
+                unusedSince);
     }
 
     CallerSession withoutTransaction() {
@@ -213,18 +261,37 @@
                 currentStatement,
                 progress,
                 lastCommit,
-                slotRequestCount);
+                slotRequestCount,
+                unusedSince);
     }
 
     CallerSession withoutCurrentStatement() {
         return new CallerSession(
-                id, database, key, sessionState, transaction, Optional.empty(), IDLE, lastCommit, slotRequestCount);
+                id,
+                database,
+                key,
+                sessionState,
+                transaction,
+                Optional.empty(),
+                IDLE,
+                lastCommit,
+                slotRequestCount,
+                unusedSince);
     }
 
     CallerSession withLastCommit(Optional<LogPosition> position) {
         Optional<LogPosition> latest = position.isPresent() ? position : lastCommit;
         return new CallerSession(
-                id, database, key, sessionState, transaction, currentStatement, progress, latest, slotRequestCount);
+                id,
+                database,
+                key,
+                sessionState,
+                transaction,
+                currentStatement,
+                progress,
+                latest,
+                slotRequestCount,
+                unusedSince);
     }
 
     CallerSession withSlotRequest(Placement placement) {
@@ -238,6 +305,7 @@
                 currentStatement,
                 awaitingSlot,
                 lastCommit,
-                slotRequestCount + 1);
+                slotRequestCount + 1,
+                unusedSince);
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
@@ -15,7 +16,7 @@
  * @param configuration the latest configuration
  * @param groups databases that accept statements, by group
  * @param formerDatabases databases that no longer accept statements but can be queried for their status
- * @param draining whether this VM closes idle callers before it stops
+ * @param drain times by which sessions must have ended because this VM stops, or empty while it doesn't stop
  * @param vmCount number of VMs that share the connections of a database, at least 1
  * @param watchedGroups groups whose primaries this VM probes
  * @param positionSources VMs that tell the positions of the other primaries
@@ -24,13 +25,13 @@
         ServiceConfiguration configuration,
         Map<GroupName, GroupDirectory> groups,
         Map<BackendServerName, DatabaseEntry> formerDatabases,
-        boolean draining,
+        Optional<CallerDrain> drain,
         int vmCount,
         Set<GroupName> watchedGroups,
         List<PositionSource> positionSources) {
     /** The view before any configuration is known. */
     public static final TrafficView NONE =
-            new TrafficView(ServiceConfiguration.NONE, Map.of(), Map.of(), false, 1, Set.of(), List.of());
+            new TrafficView(ServiceConfiguration.NONE, Map.of(), Map.of(), Optional.empty(), 1, Set.of(), List.of());
 
     /** Makes unmodifiable copies of the collections. */
     public TrafficView {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
+import org.geraniumproxy.core.caller.CallerDrain;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.PrimaryClaim;
@@ -119,6 +120,10 @@
      */
     record PrimaryClaimed(GroupName group, PrimaryClaim claim) implements FleetEvent {}
 
-    /** This process is stopping and the load balancer has been informed, so callers are asked to disconnect. */
-    record CallerDrainStarted() implements FleetEvent {}
+    /**
+     * This process is stopping and the load balancer has removed it, so the sessions are ended.
+     *
+     * @param drain times by which they must have ended
+     */
+    record CallerDrainStarted(CallerDrain drain) implements FleetEvent {}
 }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.geraniumproxy.core.caller.CallerDrain;
 import org.geraniumproxy.core.caller.TrafficView;
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.directory.DatabaseAvailability;
@@ -34,7 +35,7 @@
  * @param lastReport last report of the traffic thread
  * @param exchange last messages to the other VMs
  * @param ownership last published owners of the customers' rates
- * @param drainingCallers whether callers are asked to disconnect
+ * @param drain times by which sessions must have ended because this VM stops, or empty while it doesn't stop
  */
 public record FleetState(
         VmName self,
@@ -45,7 +46,7 @@
         FleetEvent.TrafficReported lastReport,
         PeerExchange exchange,
         RateOwnership ownership,
-        boolean drainingCallers) {
+        Optional<CallerDrain> drain) {
     /**
      * Time for which a promotion requires a database that holds the last acknowledged commits. A crashed primary
      * usually returns with its log within seconds; after this time the group continues without it.
@@ -74,7 +75,7 @@
                 new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of()),
                 PeerExchange.initial(self),
                 RateOwnership.alone(self),
-                false);
+                Optional.empty());
     }
 
     /**
@@ -250,9 +251,17 @@
             case FleetEvent.WriteRefusedByReplica refused -> with(databases.markDemoted(refused, effects));
             case FleetEvent.PrimaryClaimed claimed ->
                 with(databases.addClaim(claimed.group(), claimed.claim(), effects));
-            case FleetEvent.CallerDrainStarted _ ->
+            case FleetEvent.CallerDrainStarted started ->
                 new FleetState(
-                        self, configuration, databases, peers, acknowledged, lastReport, exchange, ownership, true);
+                        self,
+                        configuration,
+                        databases,
+                        peers,
+                        acknowledged,
+                        lastReport,
+                        exchange,
+                        ownership,
+                        Optional.of(started.drain()));
         };
     }
 
@@ -262,8 +271,7 @@
         }
         effects.add(new FleetEffect.Log(
                 "configuration in force", "version=" + newest.version() + " previous=" + configuration.version()));
-        return new FleetState(
-                self, newest, databases, peers, acknowledged, lastReport, exchange, ownership, drainingCallers);
+        return new FleetState(self, newest, databases, peers, acknowledged, lastReport, exchange, ownership, drain);
     }
 
     private FleetState receive(PeerMessage message, Instant now, List<FleetEffect> effects) {
@@ -282,33 +290,28 @@
         Map<GroupName, AcknowledgedPosition> next = new HashMap<>(acknowledged);
         positions.forEach((group, position) ->
                 next.merge(group, new AcknowledgedPosition(position, now), AcknowledgedPosition::laterOf));
-        return new FleetState(
-                self, configuration, databases, peers, next, lastReport, exchange, ownership, drainingCallers);
+        return new FleetState(self, configuration, databases, peers, next, lastReport, exchange, ownership, drain);
     }
 
     private FleetState with(FleetEvent.TrafficReported next) {
-        return new FleetState(
-                self, configuration, databases, peers, acknowledged, next, exchange, ownership, drainingCallers);
+        return new FleetState(self, configuration, databases, peers, acknowledged, next, exchange, ownership, drain);
     }
 
     private FleetState with(RateOwnership next) {
-        return new FleetState(
-                self, configuration, databases, peers, acknowledged, lastReport, exchange, next, drainingCallers);
+        return new FleetState(self, configuration, databases, peers, acknowledged, lastReport, exchange, next, drain);
     }
 
     private FleetState with(TrackedDatabases next) {
-        return new FleetState(
-                self, configuration, next, peers, acknowledged, lastReport, exchange, ownership, drainingCallers);
+        return new FleetState(self, configuration, next, peers, acknowledged, lastReport, exchange, ownership, drain);
     }
 
     private FleetState with(TrackedPeers next) {
         return new FleetState(
-                self, configuration, databases, next, acknowledged, lastReport, exchange, ownership, drainingCallers);
+                self, configuration, databases, next, acknowledged, lastReport, exchange, ownership, drain);
     }
 
     private FleetState with(PeerExchange next) {
-        return new FleetState(
-                self, configuration, databases, peers, acknowledged, lastReport, next, ownership, drainingCallers);
+        return new FleetState(self, configuration, databases, peers, acknowledged, lastReport, next, ownership, drain);
     }
 
     /**
@@ -319,7 +322,7 @@
                 && databases.equals(other.databases)
                 && peers.addresses().equals(other.peers.addresses())
                 && peers.regions().equals(other.peers.regions())
-                && drainingCallers == other.drainingCallers;
+                && drain.equals(other.drain);
     }
 
     private TrafficView view() {
@@ -328,7 +331,7 @@
                 configuration,
                 groups(),
                 databases.unavailable(),
-                drainingCallers,
+                drain,
                 peers.addresses().size() + 1,
                 watchers().watchedBySelf(names),
                 watchers().sources(names));
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerConnection.java
@@ -25,13 +25,14 @@
     private final Instant acceptedAt;
     private CallerSession session;
     private boolean disconnected;
+    private boolean closing;
 
     CallerConnection(TrafficEngine engine, long sessionId, StreamConnection[] stream) {
         this.engine = engine;
         this.decoder = engine.callerProtocol().decoder();
         this.stream = stream;
         this.acceptedAt = engine.now();
-        this.session = CallerSession.create(sessionId);
+        this.session = CallerSession.create(sessionId, acceptedAt);
     }
 
     CallerSession session() {
@@ -75,17 +76,26 @@
             engine.execute(this, effect);
         }
         handleQueuedMessages();
+        if (closing && queuedMessages.isEmpty()) {
+            stream().closeAfterFlush();
+        }
+    }
+
+    /** Closes the connection, unless the caller has already sent another message, which is answered first. */
+    void closeAfterQueuedMessages() {
+        closing = true;
     }
 
     /**
      * Handles queued messages while the session is idle. Messages stay queued until the first configuration is known,
-     * which a starting node receives within moments.
+     * which a starting node receives within moments, or until the node stops.
      */
     void handleQueuedMessages() {
-        while (engine.isConfigured()
+        while ((engine.isConfigured() || engine.isDraining())
                 && !disconnected
                 && !session.hasOutstandingStatement()
                 && !queuedMessages.isEmpty()) {
+            closing = false;
             handleMessage(queuedMessages.remove());
         }
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -75,7 +75,6 @@
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
     private long lastConnectionId;
-    private boolean draining;
     private Optional<CompletableFuture<Void>> sessionsEnded = Optional.empty();
 
     /**
@@ -142,6 +141,7 @@
      */
     public void update(TrafficView next, RateOwnership ownership) {
         boolean firstConfiguration = !isConfigured();
+        boolean beginsDraining = !isDraining() && next.drain().isPresent();
         view = next;
         peerRequests.update(next, ownership);
         Map<BackendServerName, DatabaseEntry> currentDatabases = new HashMap<>();
@@ -164,11 +164,13 @@
                                 && !next.formerDatabases()
                                         .containsKey(connectionPool.entry().name())
                                 && connectionPool.isUnused());
-        draining = next.draining();
         if (firstConfiguration && isConfigured()) {
             List.copyOf(sessions.values()).forEach(CallerConnection::handleQueuedMessages);
         }
         runPendingSteps();
+        if (beginsDraining) {
+            endDrainedSessions();
+        }
     }
 
     /**
@@ -240,6 +242,10 @@
         return view.configuration().isKnown();
     }
 
+    boolean isDraining() {
+        return view.drain().isPresent();
+    }
+
     EventLoop loop() {
         return loop;
     }
@@ -345,6 +351,10 @@
         }
     }
 
+    int sessionCount() {
+        return sessions.size();
+    }
+
     void removeSession(long session) {
         sessions.remove(session);
         sessionsEnded.ifPresent(this::completeIfNoSessions);
@@ -372,7 +382,7 @@
                 caller.stream().closeAfterFlush();
             }
             case SessionEffect.Reply reply -> sendReply(caller, reply);
-            case SessionEffect.CloseCallerConnection _ -> caller.stream().closeAfterFlush();
+            case SessionEffect.CloseCallerConnection _ -> caller.closeAfterQueuedMessages();
             case SessionEffect.RequestRateToken tokenRequest ->
                 peerRequests.admit(caller.session().id(), tokenRequest.customer(), tokenRequest.maximumWait());
             case SessionEffect.RequestSlot request -> requestSlot(request);
@@ -474,17 +484,23 @@
         connectionPools.values().forEach(DatabaseConnectionPool::onTick);
         view.groups().forEach(this::probePrimary);
         peerRequests.onTick();
-        if (draining) {
-            for (CallerConnection caller : List.copyOf(sessions.values())) {
-                caller.apply(new SessionEvent.TimePassed());
-            }
-        }
         runPendingSteps();
-        metrics.updateState(sessions.size(), view.configuration().version());
+        if (isDraining()) {
+            endDrainedSessions();
+        }
+        metrics.updateState(sessionCount(), view.configuration().version());
         observer.onReport(report());
         loop.schedule(now().plus(TICK_INTERVAL), this::tick);
     }
 
+    /** Ends the sessions whose time has come. */
+    private void endDrainedSessions() {
+        for (CallerConnection caller : List.copyOf(sessions.values())) {
+            caller.apply(new SessionEvent.TimePassed());
+        }
+        runPendingSteps();
+    }
+
     private TrafficReport report() {
         Map<BackendServerName, DatabaseHealth> health = new HashMap<>();
         connectionPools.forEach((name, connectionPool) ->
