Handle the input that has arrived before a session is closed at a stop

A caller whose statement had just reached the VM when its idle session was closed saw a reset connection instead of an answer.

Cause: the check that closes idle sessions runs as a timer of the event loop, before the loop looks at its sockets, so it decided from what had been read so far. The close of a socket with unread input resets the connection.

The traffic thread now receives what has arrived at a connection before it decides. What is still on its way when the connection is closed can't be seen; the protocol has no message for that.

Evidence: TrafficEngine_drain_Test.should_answer_a_statement_that_arrived_just_before_the_session_ would_be_closed read the end of the connection instead of the answer without the change.

--- a/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
@@ -137,6 +137,10 @@
         }
     }
 
+    void receive(StreamConnection connection) {
+        connection.read(readBuffer);
+    }
+
     void scheduleFlush(StreamConnection connection) {
         pendingFlushes.add(connection);
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
@@ -99,6 +99,13 @@
         return pendingBytes;
     }
 
+    /** Receives the input that has arrived, as if the loop had found the connection readable. */
+    public void receiveAvailable() {
+        if (!closed && !closeAfterFlush && key != null && channel.isConnected()) {
+            loop.receive(this);
+        }
+    }
+
     void attachKey(SelectionKey selectionKey) {
         key = selectionKey;
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -493,10 +493,16 @@
         loop.schedule(now().plus(TICK_INTERVAL), this::tick);
     }
 
-    /** Ends the sessions whose time has come. */
+    /**
+     * Ends the sessions whose time has come. A statement that has arrived is handled first: a connection that is closed
+     * with unread input is reset, and the statement would get no answer.
+     */
     private void endDrainedSessions() {
         for (CallerConnection caller : List.copyOf(sessions.values())) {
-            caller.apply(new SessionEvent.TimePassed());
+            caller.stream().receiveAvailable();
+            if (!caller.isDisconnected()) {
+                caller.apply(new SessionEvent.TimePassed());
+            }
         }
         runPendingSteps();
     }
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_drain_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_drain_Test.java
@@ -4,6 +4,8 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +43,23 @@
         }
     }
 
+    @Test
+    void should_answer_a_statement_that_arrived_just_before_the_session_would_be_closed() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture fixture =
+                        new EngineFixture().withDatabase("db-1", primary, true).configure(Consistency.PRIMARY);
+                EngineFixture.TestCaller caller = fixture.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            assertThat(caller.send("write r1").readLine(), is("completed signed"));
+            fixture.runOnLoop(() -> {
+                sendAndWaitForArrival(caller, "write r2");
+                fixture.startDraining();
+            });
+            assertThat(caller.readLine(), is("completed signed"));
+            assertThat(caller.readLine(), is(nullValue()));
+        }
+    }
+
     private static Optional<String> replyAfter(CountDownLatch released, String line) {
         try {
             if (line.equals("run r1")
@@ -52,4 +71,15 @@
             throw new IllegalStateException(e);
         }
     }
+
+    private static void sendAndWaitForArrival(EngineFixture.TestCaller caller, String line) {
+        try {
+            caller.send(line);
+            TimeUnit.MILLISECONDS.sleep(50);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
