Receive nothing from a connection that is about to be closed

A statement that arrived after the close of its connection was decided, while earlier output was still pending, was sent to a database, and the connection was closed before its answer.

Cause: closeAfterFlush only marked the connection; the loop went on reading from it until the output was written.

Evidence: EventLoop_run_Test.should_not_receive_after_the_close_was_requested_while_output_is_pending received the byte before the change. Only callers that send before they have read the previous answer can meet this.

--- a/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
@@ -51,7 +51,10 @@
         scheduleFlush();
     }
 
-    /** Closes the connection after all pending output has been written. */
+    /**
+     * Closes the connection after all pending output has been written. From now on no input is received, because it
+     * could not be answered.
+     */
     public void closeAfterFlush() {
         closeAfterFlush = true;
         scheduleFlush();
@@ -163,7 +166,8 @@
     }
 
     private void updateInterestOps() {
-        int interestOps = pendingBytes < MAXIMUM_PENDING_BYTES ? SelectionKey.OP_READ : 0;
+        boolean reads = pendingBytes < MAXIMUM_PENDING_BYTES && !closeAfterFlush;
+        int interestOps = reads ? SelectionKey.OP_READ : 0;
         if (!pendingOutput.isEmpty()) {
             interestOps |= SelectionKey.OP_WRITE;
         }
--- a/engine/src/test/java/org/geraniumproxy/engine/loop/EventLoop_run_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/loop/EventLoop_run_Test.java
@@ -1,5 +1,7 @@
 package org.geraniumproxy.engine.loop;
 
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetAddress;
@@ -10,12 +12,15 @@
 import java.time.Clock;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.geraniumproxy.engine.telemetry.DecisionLog;
 import org.junit.jupiter.api.Test;
 
 /** Guards against one unexpected error that ends the thread which serves all callers. */
 class EventLoop_run_Test {
     private static final long TIMEOUT_SECONDS = 5;
+    private static final int SMALL_BUFFER_BYTES = 64 * 1024;
+    private static final int CHUNK_BYTES = 512 * 1024;
 
     private final EventLoop loop = startLoop();
 
@@ -46,6 +51,26 @@
         closed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** Guards against accepting a message whose answer would be cut off by the close that was already decided. */
+    @Test
+    void should_not_receive_after_the_close_was_requested_while_output_is_pending() throws Exception {
+        CompletableFuture<Void> received = new CompletableFuture<>();
+        int port = freePort();
+        loop.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                stream -> new ReplyingHandler(stream, received));
+        startAfterListening();
+        try (Socket caller = new Socket()) {
+            caller.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+            caller.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            for (int count = 0; count < ReplyingHandler.REPLY_BYTES / 4; count += CHUNK_BYTES) {
+                caller.getOutputStream().write(1);
+                caller.getInputStream().readNBytes(CHUNK_BYTES);
+            }
+            assertThrows(TimeoutException.class, () -> received.get(200, TimeUnit.MILLISECONDS));
+        }
+    }
+
     private void startAfterListening() {
         loop.start("loop");
     }
@@ -89,6 +114,33 @@
         }
     }
 
+    /** Sends more than the operating system buffers and requests the close of the connection. */
+    private static final class ReplyingHandler implements StreamHandler {
+        static final int REPLY_BYTES = 8 * 1024 * 1024;
+
+        private final StreamConnection[] stream;
+        private final CompletableFuture<Void> received;
+
+        ReplyingHandler(StreamConnection[] stream, CompletableFuture<Void> received) {
+            this.stream = stream;
+            this.received = received;
+        }
+
+        @Override
+        public void onConnected() {
+            stream[0].send(new byte[REPLY_BYTES]);
+            stream[0].closeAfterFlush();
+        }
+
+        @Override
+        public void onReceived(ByteBuffer bytes) {
+            received.complete(null);
+        }
+
+        @Override
+        public void onClosed(String reason) {}
+    }
+
     private record ClosingHandler(CompletableFuture<Void> closed) implements StreamHandler {
         @Override
         public void onConnected() {}
