Accept the waiting connections before the listener is closed

Callers whose connections the operating system had accepted, but the event loop had not, saw a reset connection when a stopping node closed its listener.

Cause: the close runs as a task, before the loop looks at its sockets. The accept queue of a closed listener is reset.

Evidence: EventLoop_run_Test.should_accept_the_waiting_connections_before_the_listener_is_closed timed out before the change.

--- a/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
@@ -105,8 +105,9 @@
         server.configureBlocking(false);
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         server.bind(address, ACCEPT_BACKLOG);
-        server.register(selector, SelectionKey.OP_ACCEPT, new Listener(server, handlerFactory));
-        return () -> closeListener(server);
+        Listener listener = new Listener(server, handlerFactory);
+        server.register(selector, SelectionKey.OP_ACCEPT, listener);
+        return () -> closeListener(listener);
     }
 
     /**
@@ -227,9 +228,11 @@
         }
     }
 
-    private void closeListener(ServerSocketChannel server) {
+    /** Closes a listener. Connections that wait to be accepted would be reset by the close. */
+    private void closeListener(Listener listener) {
+        accept(listener);
         try {
-            server.close();
+            listener.channel().close();
         } catch (IOException e) {
             logFailure("closing a listener failed", e);
         }
--- a/engine/src/test/java/org/geraniumproxy/engine/loop/EventLoop_run_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/loop/EventLoop_run_Test.java
@@ -1,5 +1,7 @@
 package org.geraniumproxy.engine.loop;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
@@ -51,6 +53,21 @@
         closed.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** Guards against resetting connections that the operating system has accepted but the loop has not. */
+    @Test
+    void should_accept_the_waiting_connections_before_the_listener_is_closed() throws Exception {
+        CompletableFuture<Void> accepted = new CompletableFuture<>();
+        int port = freePort();
+        Runnable closeListener = loop.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port), _ -> new AcceptedHandler(accepted));
+        try (Socket waiting = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            loop.execute(closeListener);
+            startAfterListening();
+            accepted.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertThat(waiting.isConnected(), is(true));
+        }
+    }
+
     /** Guards against accepting a message whose answer would be cut off by the close that was already decided. */
     @Test
     void should_not_receive_after_the_close_was_requested_while_output_is_pending() throws Exception {
@@ -114,6 +131,19 @@
         }
     }
 
+    private record AcceptedHandler(CompletableFuture<Void> accepted) implements StreamHandler {
+        @Override
+        public void onConnected() {
+            accepted.complete(null);
+        }
+
+        @Override
+        public void onReceived(ByteBuffer bytes) {}
+
+        @Override
+        public void onClosed(String reason) {}
+    }
+
     /** Sends more than the operating system buffers and requests the close of the connection. */
     private static final class ReplyingHandler implements StreamHandler {
         static final int REPLY_BYTES = 8 * 1024 * 1024;
