--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/StoreStandIn.java
@@ -0,0 +1,265 @@
+package org.geraniumproxy.measure.stop;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** Stand-in of the platform's store with leases that expire, and of the cloud API, which accepts every failover. */
+final class StoreStandIn implements AutoCloseable {
+    private static final Duration ANSWER_TIME = Duration.ofMillis(4);
+
+    /** Longest time between two checks for expired leases while a watch waits. */
+    private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(50);
+
+    private record Lease(long ttlMillis, Instant expiry) {}
+
+    private record Response(int status, JsonObject body) {}
+
+    private final Clock clock;
+    private final HttpServer server;
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final TreeMap<String, JsonObject> items = new TreeMap<>();
+    private final List<JsonObject> events = new ArrayList<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private long revision = 100;
+    private long lastLease = 7000;
+
+    StoreStandIn(Clock clock, int port) throws IOException {
+        // The JDK's server answers up to 40 ms late without this property.
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+        this.clock = clock;
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
+        server.setExecutor(executor);
+        server.createContext("/", this::respond);
+        server.start();
+    }
+
+    synchronized void put(String key, String text) {
+        put(key, Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)), 0);
+    }
+
+    private void put(String key, String value, long lease) {
+        revision++;
+        JsonObject item = new JsonObject();
+        item.addProperty("key", key);
+        item.addProperty("value", value);
+        item.addProperty("revision", revision);
+        item.addProperty(
+                "createdRev",
+                items.containsKey(key) ? items.get(key).get("createdRev").getAsLong() : revision);
+        item.addProperty("leaseId", lease);
+        items.put(key, item);
+        events.add(item);
+        notifyAll();
+    }
+
+    private void delete(String key) {
+        if (items.remove(key) != null) {
+            revision++;
+            JsonObject event = new JsonObject();
+            event.addProperty("key", key);
+            event.addProperty("revision", revision);
+            event.addProperty("compacted", true);
+            events.add(event);
+            notifyAll();
+        }
+    }
+
+    private void respond(HttpExchange exchange) throws IOException {
+        try (exchange) {
+            String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+            Thread.sleep(ANSWER_TIME);
+            String path = exchange.getRequestURI().getPath();
+            Response response = path.equals("/failover")
+                    ? new Response(200, new JsonObject())
+                    : answer(path.replaceFirst("^/geraniumproxy/", ""), query(exchange), body);
+            byte[] bytes = response.body().toString().getBytes(StandardCharsets.UTF_8);
+            exchange.getResponseHeaders().add("Content-Type", "application/json");
+            exchange.sendResponseHeaders(response.status(), bytes.length);
+            exchange.getResponseBody().write(bytes);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized Response answer(String call, Map<String, String> query, String body)
+            throws InterruptedException {
+        expireLeases();
+        String[] parts = call.split("/", -1);
+        return switch (parts[0]) {
+            case "kv-key" -> item(query.get("key"));
+            case "kv-range" -> range(query.getOrDefault("prefix", ""), query.getOrDefault("after", ""));
+            case "kv-watch" ->
+                watch(
+                        query.get("prefix"),
+                        Long.parseLong(query.get("after")),
+                        Duration.ofMillis(Long.parseLong(query.get("waitMs"))));
+            case "kv-txn" -> write(JsonParser.parseString(body).getAsJsonObject());
+            case "kv-lease" ->
+                grant(
+                        ++lastLease,
+                        JsonParser.parseString(body)
+                                .getAsJsonObject()
+                                .get("ttlMs")
+                                .getAsLong());
+            case "kv-keep" -> {
+                Lease lease = leases.get(Long.parseLong(parts[1]));
+                yield lease == null ? notFound() : grant(Long.parseLong(parts[1]), lease.ttlMillis());
+            }
+            case "kv-lease-end" ->
+                endLease(Long.parseLong(parts[1])) ? new Response(200, new JsonObject()) : notFound();
+            default -> notFound();
+        };
+    }
+
+    private static Response notFound() {
+        return new Response(404, new JsonObject());
+    }
+
+    private Response item(String key) {
+        if (!items.containsKey(key)) {
+            return new Response(404, atRevision(new JsonObject()));
+        }
+        return new Response(200, atRevision(items.get(key).deepCopy()));
+    }
+
+    private Response range(String prefix, String after) {
+        JsonArray found = new JsonArray();
+        items.forEach((key, item) -> {
+            if (key.startsWith(prefix) && key.compareTo(after) > 0) {
+                found.add(item);
+            }
+        });
+        JsonObject answer = new JsonObject();
+        answer.add("items", found);
+        answer.addProperty("hasMore", false);
+        return new Response(200, atRevision(answer));
+    }
+
+    private Response watch(String prefix, long after, Duration wait) throws InterruptedException {
+        Instant end = clock.instant().plus(wait);
+        while (true) {
+            JsonArray found = new JsonArray();
+            events.stream()
+                    .filter(event -> event.get("revision").getAsLong() > after)
+                    .filter(event -> event.get("key").getAsString().startsWith(prefix))
+                    .forEach(found::add);
+            if (!found.isEmpty() || !clock.instant().isBefore(end)) {
+                JsonObject answer = new JsonObject();
+                answer.add("events", found);
+                return new Response(200, atRevision(answer));
+            }
+            wait(EXPIRY_INTERVAL.toMillis());
+            expireLeases();
+        }
+    }
+
+    private Response write(JsonObject body) {
+        JsonArray present = new JsonArray();
+        boolean holds = true;
+        for (JsonElement row : list(body, "expect")) {
+            JsonObject item = items.get(row.getAsJsonObject().get("key").getAsString());
+            long actual = item == null ? 0 : item.get("revision").getAsLong();
+            holds &= actual == row.getAsJsonObject().get("revision").getAsLong();
+            if (item != null) {
+                present.add(item);
+            }
+        }
+        if (!holds) {
+            JsonObject answer = new JsonObject();
+            answer.add("items", present);
+            return new Response(412, answer);
+        }
+        for (JsonElement put : list(body, "puts")) {
+            long lease = lease(put.getAsJsonObject());
+            if (lease != 0 && !leases.containsKey(lease)) {
+                return notFound();
+            }
+        }
+        for (JsonElement element : list(body, "puts")) {
+            JsonObject put = element.getAsJsonObject();
+            put(put.get("key").getAsString(), put.get("value").getAsString(), lease(put));
+        }
+        list(body, "deletes").forEach(key -> delete(key.getAsString()));
+        JsonObject answer = new JsonObject();
+        answer.addProperty("revision", revision);
+        return new Response(200, answer);
+    }
+
+    private Response grant(long id, long ttlMillis) {
+        leases.put(id, new Lease(ttlMillis, clock.instant().plusMillis(ttlMillis)));
+        JsonObject answer = new JsonObject();
+        answer.addProperty("leaseId", id);
+        answer.addProperty("ttlMs", ttlMillis);
+        return new Response(200, answer);
+    }
+
+    private void expireLeases() {
+        Instant now = clock.instant();
+        List<Long> expired = leases.entrySet().stream()
+                .filter(lease -> !lease.getValue().expiry().isAfter(now))
+                .map(Map.Entry::getKey)
+                .toList();
+        expired.forEach(this::endLease);
+    }
+
+    private boolean endLease(long id) {
+        if (leases.remove(id) == null) {
+            return false;
+        }
+        List<String> bound = items.values().stream()
+                .filter(item -> lease(item) == id)
+                .map(item -> item.get("key").getAsString())
+                .toList();
+        bound.forEach(this::delete);
+        return true;
+    }
+
+    private JsonObject atRevision(JsonObject answer) {
+        answer.addProperty("atRev", revision);
+        return answer;
+    }
+
+    private static long lease(JsonObject item) {
+        return item.has("leaseId") ? item.get("leaseId").getAsLong() : 0;
+    }
+
+    private static JsonArray list(JsonObject body, String name) {
+        return body.has(name) ? body.getAsJsonArray(name) : new JsonArray();
+    }
+
+    private static Map<String, String> query(HttpExchange exchange) {
+        Map<String, String> query = new HashMap<>();
+        String text = exchange.getRequestURI().getRawQuery();
+        for (String field : text == null ? new String[0] : text.split("&", -1)) {
+            String[] parts = field.split("=", 2);
+            query.put(parts[0], URLDecoder.decode(parts[1], StandardCharsets.UTF_8));
+        }
+        return query;
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        executor.shutdownNow();
+    }
+}
