--- a/measure/src/main/java/org/geraniumproxy/measure/stop/FaultInjector.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/FaultInjector.java
@@ -1,7 +1,6 @@
 package org.geraniumproxy.measure.stop;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
@@ -91,7 +90,7 @@
             try {
                 action.perform(node);
             } catch (IOException e) {
-                throw new UncheckedIOException(e);
+                journal.addNodeFailure("node=" + node.name() + " fault not carried out: " + e.getMessage());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } finally {
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/NodeProcess.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/NodeProcess.java
@@ -30,6 +30,7 @@
         this.settings = folder.resolve(name + ".json");
         this.log = folder.resolve(name + ".log");
         int peerPort = ports.allocate();
+        Files.deleteIfExists(log);
         Files.writeString(settings, """
                 {"nodeName": "%s", "role": "node", "machineClass": "edge", "serves": ["edge"], "ip": "127.0.0.1",
                  "zone": "lima-a", "region": "lima", "zones": {"lima-a": "lima"}, "portRange": [%d, %d],
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/StopChecks.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/StopChecks.java
@@ -86,7 +86,7 @@
     }
 
     private boolean isAtWork(String id, Instant from, Instant to) {
-        return at(id, Step.RECEIVED).filter(received -> received.isBefore(to)).isPresent()
+        return at(id, Step.BEGUN).filter(begun -> begun.isBefore(to)).isPresent()
                 && at(id, Step.ENDED).filter(ended -> ended.isBefore(from)).isEmpty();
     }
 
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/StopRun.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/StopRun.java
@@ -75,7 +75,8 @@
             }
             for (NodeProcess node : nodes) {
                 if (!node.awaitStart(clock, true, FaultInjector.START_TIMEOUT)) {
-                    throw new IOException(node.name() + " is not ready; its log is in " + folder);
+                    journal.addNodeFailure("node=" + node.name() + " was not ready " + FaultInjector.START_TIMEOUT
+                            + " after the first start");
                 }
             }
             disturb(nodes, store);
