Write the lines that the log's writer thread has taken before the process ends

Operators could miss the last lines of a stopped node, which name the sessions and statements that were open, and the number of lines that were dropped since the last batch.

The writer thread takes lines from the queue and writes them afterwards. DecisionLog.flush() took an empty queue for "everything is written", so the process could end with lines in the writer thread's batch. flush() also wrote no count of dropped lines.

One lock now covers taking a batch and writing it, on the writer thread and in flush(). The writer thread waits for a semaphore and takes its first line under the lock, so a line is either in the queue, or being written by the holder of the lock that flush() waits for. Callers of write() only offer to the queue and release a permit; they never acquire the lock.

DecisionLog_flush_Test failed before: with the writer thread paused between taking and writing, flush() returned while the line was missing ("no item was a string containing decision="stopped""), and after 4099 lines on a full queue it wrote 4096 without the count. Its third test, that callers aren't blocked while the output is, passed before and guards the new lock.

The PrintStream's own lock doesn't close the gap: it is acquired only when the batch is written. As before, flush() waits as long as the output itself blocks.

--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/DecisionLog.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/DecisionLog.java
@@ -2,9 +2,12 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Queue;
 import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
 import java.util.regex.Pattern;
 
 /**
@@ -24,8 +27,15 @@
 
     private static final Pattern CONTROL_CHARACTERS = Pattern.compile("\\p{Cntrl}");
 
-    private final BlockingQueue<String> queuedLines = new ArrayBlockingQueue<>(MAXIMUM_QUEUED_LINES);
+    private final Queue<String> queuedLines = new ArrayBlockingQueue<>(MAXIMUM_QUEUED_LINES);
     private final AtomicLong droppedLines = new AtomicLong();
+
+    /** Wakes the writer thread, which must not take a line before it has {@link #batchLock}. */
+    private final Semaphore unseenLines = new Semaphore(0);
+
+    /** Held while lines are taken from the queue and written. Callers that log never acquire it. */
+    private final Lock batchLock = new ReentrantLock();
+
     private final PrintStream output;
 
     /**
@@ -52,7 +62,9 @@
      */
     public void write(String component, String request, String decision, String detail) {
         String line = component + ": request=" + request + " decision=\"" + decision + "\" " + detail;
-        if (!queuedLines.offer(toSingleLine(line))) {
+        if (queuedLines.offer(toSingleLine(line))) {
+            unseenLines.release();
+        } else {
             droppedLines.incrementAndGet();
         }
     }
@@ -78,38 +90,47 @@
         write(component, "-", decision, detail);
     }
 
-    /** Writes the queued lines on the calling thread. Called when the process stops. */
+    /**
+     * Writes the queued lines and the number of dropped ones on the calling thread. Lines that the writer thread has
+     * taken are written when this method returns, so the process may end directly afterwards. Waits as long as the
+     * output blocks.
+     */
     public void flush() {
-        String line = queuedLines.poll();
-        while (line != null) {
-            output.println(line);
-            line = queuedLines.poll();
-        }
-        output.flush();
+        writeBatch();
     }
 
     private void writeLines() {
         try {
             while (true) {
-                StringBuilder batch = new StringBuilder();
-                batch.append(queuedLines.take()).append('\n');
-                String next = queuedLines.poll();
-                while (next != null) {
-                    batch.append(next).append('\n');
-                    next = queuedLines.poll();
-                }
-                long droppedCount = droppedLines.getAndSet(0);
-                if (droppedCount > 0) {
-                    batch.append("log: request=- decision=\"lines dropped\" count=")
-                            .append(droppedCount)
-                            .append('\n');
-                }
-                byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
-                output.write(bytes, 0, bytes.length);
-                output.flush();
+                unseenLines.acquire();
+                unseenLines.drainPermits();
+                writeBatch();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    private void writeBatch() {
+        batchLock.lock();
+        try {
+            StringBuilder batch = new StringBuilder();
+            String next = queuedLines.poll();
+            while (next != null) {
+                batch.append(next).append('\n');
+                next = queuedLines.poll();
+            }
+            long droppedCount = droppedLines.getAndSet(0);
+            if (droppedCount > 0) {
+                batch.append("log: request=- decision=\"lines dropped\" count=")
+                        .append(droppedCount)
+                        .append('\n');
+            }
+            byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
+            output.write(bytes, 0, bytes.length);
+            output.flush();
+        } finally {
+            batchLock.unlock();
+        }
+    }
 }
