--- a/measure/src/main/java/org/geraniumproxy/measure/stop/Outcome.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/Outcome.java
@@ -1,5 +1,7 @@
 package org.geraniumproxy.measure.stop;
 
+import java.util.Set;
+
 /** What a client saw after it had sent a request. */
 sealed interface Outcome {
     /**
@@ -9,8 +11,8 @@
      * @param state session state of the READY line
      */
     record Answered(String result, String state) implements Outcome {
-        private static final java.util.Set<String> PROMISES =
-                java.util.Set.of("BUSY", "ROLLEDBACK", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT");
+        private static final Set<String> PROMISES =
+                Set.of("BUSY", "ROLLEDBACK", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT");
 
         boolean isSuccess() {
             return result.startsWith("COMPLETE");
@@ -18,8 +20,13 @@
 
         /** Returns whether the answer promises that nothing of the attempt is kept. */
         boolean isPromise() {
+            return PROMISES.contains(errorCode());
+        }
+
+        /** Returns the code of an ERROR line, or an empty text. */
+        String errorCode() {
             String[] words = result.split(" ", 3);
-            return words[0].equals("ERROR") && words.length > 1 && PROMISES.contains(words[1]);
+            return words[0].equals("ERROR") && words.length > 1 ? words[1] : "";
         }
     }
 
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/StopResult.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/StopResult.java
@@ -51,11 +51,19 @@
                 + requests.stream()
                         .filter(request -> request.outcome() instanceof Outcome.Answered answer && answer.isSuccess())
                         .count()
-                + " cut=" + count(requests, Outcome.Cut.class) + " silent=" + count(requests, Outcome.Silent.class)
+                + " errors=" + errors(requests) + " cut=" + count(requests, Outcome.Cut.class) + " silent="
+                + count(requests, Outcome.Silent.class)
                 + " routed out of rotation="
                 + runs.stream().mapToLong(RunRecord::outOfRotation).sum() + " findings=" + kinds;
     }
 
+    private static TreeMap<String, Long> errors(List<ClientRequest> requests) {
+        return requests.stream()
+                .map(request -> request.outcome() instanceof Outcome.Answered answer ? answer.errorCode() : "")
+                .filter(code -> !code.isEmpty())
+                .collect(Collectors.groupingBy(code -> code, TreeMap::new, Collectors.counting()));
+    }
+
     private static long count(List<ClientRequest> requests, Class<? extends Outcome> outcome) {
         return requests.stream()
                 .filter(request -> outcome.isInstance(request.outcome()))
