Leave time for the halt of the virtual machine before the forced termination

Cause: the halt of the virtual machine waits up to 0.3 s for threads in native code, such as the selectors, and the schedule had 0.4 s for it and for the answers of the store together. A program with one thread in a selector took 320 and 346 ms from the halt to its end, 5 and 19 ms without that thread.

The schedule now has 0.35 s for leaving and 0.35 s for the halt, so statements in progress are answered 0.9 s before the end of the grace period.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/StopSchedule.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/StopSchedule.java
@@ -19,8 +19,14 @@
      */
     public static final Duration LOAD_BALANCER_DELAY = Duration.ofMillis(2200);
 
-    /** Time between leaving the fleet and the forced termination of the process. */
-    public static final Duration LEAVE_TIME = Duration.ofMillis(400);
+    /** Time in which the VM leaves the fleet and writes its last log lines. */
+    public static final Duration LEAVE_TIME = Duration.ofMillis(350);
+
+    /**
+     * Time between the halt of the virtual machine and the end of the process. A halt waits for threads in native code,
+     * such as the selectors, for at most 300 ms.
+     */
+    public static final Duration HALT_TIME = Duration.ofMillis(350);
 
     /** Time in which the last answers are passed to the operating system. */
     public static final Duration FLUSH_TIME = Duration.ofMillis(200);
@@ -35,7 +41,8 @@
      */
     public static StopSchedule of(Instant signalledAt, Duration grace) {
         Instant middle = signalledAt.plus(grace.dividedBy(2));
-        Instant leavesAt = later(middle, signalledAt.plus(grace).minus(LEAVE_TIME));
+        Instant leavesAt =
+                later(middle, signalledAt.plus(grace).minus(HALT_TIME).minus(LEAVE_TIME));
         Instant answersDueAt = later(middle, leavesAt.minus(FLUSH_TIME));
         Instant removedAt = signalledAt.plus(LOAD_BALANCER_DELAY);
         return new StopSchedule(
