Refuse the statements that wait for a rate when their customer is removed

Callers saw a statement without an answer until its timeout, then BUSY, if a configuration removed their customer while the statement waited for the owner's token: it was held for the whole timeout instead of some milliseconds.

RateLimiter dropped the customer's rate together with the list of waiting operations. The owner's answer and the timeout of the request look the rate up, find none and do nothing, so the session never gets an event. The rate's operations are now refused before it is dropped, with the reason in the log and the retry time of a customer without a limit. Operations that were admitted with a delay are not in the list and still get their token.

Ruled out: keeping the rate until its list is empty. The owner of a removed customer does not lend, so the statement would wait for the same refusal.

--- a/core/src/main/java/org/geraniumproxy/core/limit/BorrowedRate.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/BorrowedRate.java
@@ -140,6 +140,15 @@
         return contact.pending().map(OwnerContact.PendingRequest::nextWakeAt);
     }
 
+    /**
+     * Returns the operations that wait for the owner's answer. Whoever drops this state must answer them.
+     *
+     * @return numbers of the operations, in order of arrival
+     */
+    public List<Long> waitingOperations() {
+        return waiting.stream().map(WaitingOperation::operation).toList();
+    }
+
     private BorrowedRate admit(WaitingOperation arrived, Instant now, List<CustomerRateEffect> effects) {
         if (tokens.isSpendable(now)) {
             return spend(arrived, now, effects);
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RateLimiter.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RateLimiter.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.geraniumproxy.core.caller.CallerSession;
 import org.geraniumproxy.core.caller.SessionEvent;
 import org.geraniumproxy.core.control.Transition;
@@ -46,11 +47,28 @@
             membersSince = engine.now();
         }
         ownership = next;
-        rates.keySet().retainAll(customers.keySet());
+        removeAllExcept(customers.keySet());
         customers.values().forEach(customer -> update(customer, membersChanged));
         sendHandovers();
     }
 
+    /**
+     * Forgets the other customers and refuses their waiting operations, which no answer of an owner reaches any more.
+     */
+    private void removeAllExcept(Set<CustomerName> customers) {
+        rates.forEach((customer, rate) -> {
+            if (!customers.contains(customer)) {
+                rate.borrowed()
+                        .waitingOperations()
+                        .forEach(operation -> engine.deliver(
+                                operation,
+                                new SessionEvent.RateTokenRefused(
+                                        UNKNOWN_CUSTOMER_DELAY, "the customer was removed from the configuration")));
+            }
+        });
+        rates.keySet().retainAll(customers);
+    }
+
     private void update(ServiceCustomer customer, boolean membersChanged) {
         CustomerRate known = rates.get(customer.name());
         if (known == null) {
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -156,6 +156,21 @@
 
     /** Applies a configuration with one route of the given consistency. */
     EngineFixture configure(Consistency consistency, RateOwnership ownership) throws Exception {
+        view = view(consistency, Map.of(CUSTOMER, customer()));
+        return runOnLoop(() -> engine.update(view, ownership));
+    }
+
+    /** Applies a configuration without customers when the loop's current step is finished. */
+    void removeCustomerLater(Consistency consistency, RateOwnership ownership) {
+        TrafficView withoutCustomers = view(consistency, Map.of());
+        loop.execute(() -> engine.update(withoutCustomers, ownership));
+    }
+
+    private static ServiceCustomer customer() {
+        return new ServiceCustomer(CUSTOMER, Set.of(KeyDigest.ofKey(KEY)), 1000, 1000);
+    }
+
+    private TrafficView view(Consistency consistency, Map<CustomerName, ServiceCustomer> customers) {
         ServiceRoute route = new ServiceRoute(
                 RouteName.of("route"),
                 "database",
@@ -166,15 +181,14 @@
                 Duration.ofSeconds(1),
                 1,
                 false);
-        ServiceCustomer customer = new ServiceCustomer(CUSTOMER, Set.of(KeyDigest.ofKey(KEY)), 1000, 1000);
         ServiceConfiguration configuration = ServiceConfiguration.of(
                 1,
                 Map.of("database", route),
                 Map.of(GROUP, new ServiceGroup(GROUP, 4, 1)),
-                Map.of(CUSTOMER, customer),
+                customers,
                 Duration.ofSeconds(3));
         GroupDirectory directory = new GroupDirectory(databases, Optional.empty(), Map.of());
-        view = new TrafficView(
+        return new TrafficView(
                 configuration,
                 Map.of(GROUP, directory),
                 formerDatabases,
@@ -182,7 +196,6 @@
                 1,
                 Set.of(GROUP),
                 List.of());
-        return runOnLoop(() -> engine.update(view, ownership));
     }
 
     /** Begins a stop in which transactions and statements have more time than any test takes. */
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_borrow_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_borrow_Test.java
@@ -26,6 +26,7 @@
     private static final VmName SELF = VmName.of("vm-1");
 
     private final BlockingQueue<TokenRequest> requests = new LinkedBlockingQueue<>();
+    private volatile Runnable onRequest = () -> {};
 
     @Test
     void should_run_a_statement_when_the_owner_grants_a_token() throws Exception {
@@ -70,6 +71,21 @@
         }
     }
 
+    /** Guards against a statement that is held until its timeout because the answer it waits for is ignored. */
+    @Test
+    void should_refuse_a_waiting_statement_at_once_when_its_customer_is_removed() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture fixture = fixture(primary);
+                EngineFixture.TestCaller caller = fixture.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            onRequest = () -> fixture.removeCustomerLater(Consistency.PRIMARY, ownedByAnother());
+            caller.send("read r1");
+            assertThat(caller.readLine(), is("failed BUSY"));
+            fixture.awaitLogLine("cause=\"the customer was removed from the configuration\"");
+            assertThat(primary.receivedLines(), not(hasItem("run r1")));
+        }
+    }
+
     private EngineFixture fixture(ScriptedDatabase primary) throws Exception {
         RateOwnership ownership = ownedByAnother();
         return new EngineFixture(new RecordingSender())
@@ -109,6 +125,7 @@
         @Override
         public void send(TokenRequest request, VmName owner, String address) {
             requests.add(request);
+            onRequest.run();
         }
     }
 }
