Ignore a refused rate token of a statement that has already ended

A refusal that arrives when the session no longer waits for a token was taken for one of whatever the session did then: an idle session sent a second reply, which its caller takes for that of the next statement, and a statement that runs was answered as not run. A granted token was checked already; a refused one was not.

A statement's timeout leaves its operation in the rate's list of waiting ones, so the list's next refusal reaches the session late. This was read from the code; no run of a node showed it.

The new test failed before: a reply was sent after the timeout's (expected false, was true).

Ruled out as too large for this change: numbers of the operations in the events of a session. A late grant or refusal can still meet the session's next statement while that one waits for a token.

--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
@@ -77,6 +77,9 @@
 
     static CallerSession rateTokenRefused(
             CallerSession session, SessionEvent.RateTokenRefused refused, List<SessionEffect> effects) {
+        if (!(session.progress() instanceof SessionProgress.AwaitingRateToken)) {
+            return session;
+        }
         String requestId =
                 session.currentStatement().map(CurrentStatement::requestId).orElse("-");
         effects.add(new SessionEffect.Log(requestId, "over the rate", "cause=\"" + refused.cause() + "\""));
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_run_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_run_Test.java
@@ -144,6 +144,18 @@
         assertThat(fixture.error(), is(ErrorCode.BUSY));
     }
 
+    /** Guards against a second reply to one statement, which the caller would take for that of its next one. */
+    @Test
+    void should_ignore_a_refused_token_of_a_statement_that_has_timed_out() {
+        CallerSessionFixture fixture = CallerSessionFixture.connectedWith(Consistency.PRIMARY)
+                .on(new SessionEvent.StatementReceived("r1", READ))
+                .advance(CallerSessionFixture.TIMEOUT)
+                .on(new SessionEvent.TimePassed());
+        assertThat(fixture.error(), is(ErrorCode.BUSY));
+        fixture.on(new SessionEvent.RateTokenRefused(Duration.ofMillis(40), "no token"));
+        assertThat(fixture.hasEffect(SessionEffect.Reply.class), is(false));
+    }
+
     @Test
     void should_refuse_a_withdrawn_key_on_a_connected_session() {
         CallerSessionFixture fixture = CallerSessionFixture.connectedWith(Consistency.PRIMARY)
