Keep the identifiers of token requests when a customer is removed and added again

A VM could admit statements without taking tokens from the customer's rate: when a customer was removed and added again, its requests were numbered from the start of the process again. An owner repeats its last answer to a request that has the identifier of the last one, because a datagram may be sent twice. An owner that skipped the version without the customer still has its answers, so it repeated a grant for which the tokens were taken long before. The same held for an old answer that arrived late.

RateLimiter now remembers the highest identifier of all removed customers, one number for all so that removed customers leave nothing behind, and new customers begin above it.

The new test failed before: the first request after the customer was added again had identifier 1, as the first one before the removal (expected greater than 1). That the owner repeats its answer to such a request was read in OwnedRate.answer.

Ruled out: comparing answers by age at the owner, which cannot tell a repeated request from a new one with the same identifier.

--- a/core/src/main/java/org/geraniumproxy/core/limit/BorrowedRate.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/BorrowedRate.java
@@ -41,7 +41,7 @@
     /**
      * Returns the state of a VM that has not asked for tokens yet.
      *
-     * @param firstRequestId identifier that is larger than any of an earlier process of this VM
+     * @param firstRequestId identifier that is not smaller than any of an earlier request of this VM for this customer
      * @param now current time
      * @return a state without tokens
      */
@@ -149,6 +149,15 @@
         return waiting.stream().map(WaitingOperation::operation).toList();
     }
 
+    /**
+     * Returns the identifier of the last request to an owner.
+     *
+     * @return the identifier, or the one that this state began with if there was no request
+     */
+    public long lastRequestId() {
+        return contact.lastRequestId();
+    }
+
     private BorrowedRate admit(WaitingOperation arrived, Instant now, List<CustomerRateEffect> effects) {
         if (tokens.isSpendable(now)) {
             return spend(arrived, now, effects);
--- a/core/src/main/java/org/geraniumproxy/core/limit/CustomerRate.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/CustomerRate.java
@@ -50,7 +50,7 @@
      * @param customer rate and burst of the customer
      * @param ownership members of the fleet
      * @param membersSince time at which this VM learned of these members
-     * @param firstRequestId identifier that is larger than any of an earlier process of this VM
+     * @param firstRequestId identifier that is not smaller than any of an earlier request of this VM for this customer
      * @param now current time
      * @return a state without tokens
      */
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RateLimiter.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RateLimiter.java
@@ -32,6 +32,12 @@
     private final PeerSender sender;
     private final Map<CustomerName, CustomerRate> rates = new HashMap<>();
     private final Map<VmName, Map<CustomerName, Long>> handovers = new HashMap<>();
+    /**
+     * Highest identifier of the requests for removed customers. A customer may be added again, and an owner that
+     * skipped the removal repeats its last answer to a request with the same identifier.
+     */
+    private long lastRemovedRequestId = Long.MIN_VALUE;
+
     private Instant membersSince = Instant.MIN;
     private RateOwnership ownership = RateOwnership.alone(VmName.of("unknown"));
 
@@ -58,6 +64,8 @@
     private void removeAllExcept(Set<CustomerName> customers) {
         rates.forEach((customer, rate) -> {
             if (!customers.contains(customer)) {
+                lastRemovedRequestId =
+                        Math.max(lastRemovedRequestId, rate.borrowed().lastRequestId());
                 rate.borrowed()
                         .waitingOperations()
                         .forEach(operation -> engine.deliver(
@@ -72,9 +80,10 @@
     private void update(ServiceCustomer customer, boolean membersChanged) {
         CustomerRate known = rates.get(customer.name());
         if (known == null) {
+            long firstRequestId = Math.max(engine.firstRequestId(), lastRemovedRequestId);
             rates.put(
                     customer.name(),
-                    CustomerRate.initial(customer, ownership, membersSince, engine.firstRequestId(), engine.now()));
+                    CustomerRate.initial(customer, ownership, membersSince, firstRequestId, engine.now()));
             return;
         }
         Transition<CustomerRate, CustomerRateEffect> transition =
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_borrow_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_borrow_Test.java
@@ -1,6 +1,7 @@
 package org.geraniumproxy.engine.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -86,6 +87,28 @@
         }
     }
 
+    /**
+     * Guards against an identifier that the owner has answered: it repeats its last answer to such a request and takes
+     * no token from the rate.
+     */
+    @Test
+    void should_not_reuse_request_identifiers_when_a_customer_is_removed_and_added_again() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture fixture = fixture(primary);
+                EngineFixture.TestCaller caller = fixture.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            caller.send("read r1");
+            TokenRequest first = nextRequest();
+            fixture.receive(granted(first, 1));
+            assertThat(caller.readLine(), is("completed signed"));
+            fixture.removeCustomerLater(Consistency.PRIMARY, ownedByAnother());
+            fixture.configure(Consistency.PRIMARY, ownedByAnother());
+            requests.clear();
+            caller.send("read r2");
+            assertThat(nextRequest().requestId(), is(greaterThan(first.requestId())));
+        }
+    }
+
     private EngineFixture fixture(ScriptedDatabase primary) throws Exception {
         RateOwnership ownership = ownedByAnother();
         return new EngineFixture(new RecordingSender())
