Close the idle connections of a database together, so that none of them is granted meanwhile

When a database was restarted (or moved) and got more slots in the same update while statements waited for it, an update of the configuration ended halfway with an exception on the traffic thread: the rest of the view was not applied, and a statement that had been granted a connection waited for its timeout.

closeIdleConnections closed one connection at a time and told the state of the pool after each. With the new slots, that step granted a waiting statement one of the connections that were next to be closed; the loop then closed it although it was in use, and counted it as lost once more. All idle connections are now taken out before the state learns of them, in one event, so it can only grant connections that stay. An update without idle connections sends no event, as before.

Ruled out: applying the new slots after the close. Each path that closes idle connections would have to keep that order.

--- a/core/src/main/java/org/geraniumproxy/core/pool/CustomerPool.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/CustomerPool.java
@@ -84,11 +84,19 @@
                 with(connections.release(returned.customer(), returned.reusable(), now));
             case CustomerPoolEvent.ConnectionOpened opened -> with(connections.opened(opened.customer(), now));
             case CustomerPoolEvent.OpeningFailed failed -> openingFailed(failed, now, effects);
-            case CustomerPoolEvent.IdleConnectionLost lost -> with(connections.removeIdle(lost.customer()));
+            case CustomerPoolEvent.IdleConnectionsLost lost -> removeIdle(lost.customers());
             case CustomerPoolEvent.TimePassed _ -> this;
         };
     }
 
+    private CustomerPool removeIdle(List<CustomerName> customers) {
+        CustomerConnections next = connections;
+        for (CustomerName customer : customers) {
+            next = next.removeIdle(customer);
+        }
+        return with(next);
+    }
+
     private CustomerPool openingFailed(
             CustomerPoolEvent.OpeningFailed failed, Instant now, List<CustomerPoolEffect> effects) {
         CustomerConnections next = connections.openingFailed(failed.customer());
--- a/core/src/main/java/org/geraniumproxy/core/pool/CustomerPoolEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/CustomerPoolEvent.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.core.pool;
 
+import java.util.List;
 import org.geraniumproxy.core.identity.CustomerName;
 
 /** An input of a {@link CustomerPool}. */
@@ -49,11 +50,16 @@
     record OpeningFailed(CustomerName customer, boolean connectionLimitReached) implements CustomerPoolEvent {}
 
     /**
-     * An idle connection was lost.
+     * Idle connections were lost. Those that are lost together are reported together so that none of them is granted.
      *
-     * @param customer customer that the connection serves
+     * @param customers customer of each connection
      */
-    record IdleConnectionLost(CustomerName customer) implements CustomerPoolEvent {}
+    record IdleConnectionsLost(List<CustomerName> customers) implements CustomerPoolEvent {
+        /** Copies the list. */
+        public IdleConnectionsLost {
+            customers = List.copyOf(customers);
+        }
+    }
 
     /** A scheduled time was reached, or the view changed. */
     record TimePassed() implements CustomerPoolEvent {}
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -260,7 +260,7 @@
             apply(new CustomerPoolEvent.ConnectionReturned(connection.customer(), false));
         } else if (idleConnections.remove(connection)) {
             connections.remove(connection.id());
-            apply(new CustomerPoolEvent.IdleConnectionLost(connection.customer()));
+            apply(new CustomerPoolEvent.IdleConnectionsLost(List.of(connection.customer())));
         }
         engine.runPendingSteps();
     }
@@ -304,12 +304,17 @@
     }
 
     private void closeIdleConnections(String reason) {
-        for (BackendConnection connection : List.copyOf(idleConnections)) {
-            idleConnections.remove(connection);
+        if (idleConnections.isEmpty()) {
+            return;
+        }
+        List<BackendConnection> closed = List.copyOf(idleConnections);
+        idleConnections.clear();
+        for (BackendConnection connection : closed) {
             connections.remove(connection.id());
             connection.discard(reason);
-            apply(new CustomerPoolEvent.IdleConnectionLost(connection.customer()));
         }
+        apply(new CustomerPoolEvent.IdleConnectionsLost(
+                closed.stream().map(BackendConnection::customer).toList()));
     }
 
     private void apply(CustomerPoolEvent event) {
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -20,6 +20,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.CallerDrain;
@@ -103,22 +105,33 @@
         return this;
     }
 
+    /** Adds a primary with the given slots, or replaces its entry. Another start time is that of a restart. */
+    EngineFixture withPrimary(String name, ScriptedDatabase database, int slots, long startedAtMilliseconds) {
+        databases.put(BackendServerName.of(name), entry(name, database, true, slots, startedAtMilliseconds));
+        return this;
+    }
+
     EngineFixture withFormerDatabase(String name, ScriptedDatabase database) {
         formerDatabases.put(BackendServerName.of(name), entry(name, database, false));
         return this;
     }
 
     private static DatabaseEntry entry(String name, ScriptedDatabase database, boolean primary) {
+        return entry(name, database, primary, 2, 1);
+    }
+
+    private static DatabaseEntry entry(
+            String name, ScriptedDatabase database, boolean primary, int slots, long startedAtMilliseconds) {
         BackendServerName server = BackendServerName.of(name);
         return new DatabaseEntry(
                 server,
                 GROUP,
                 database.address(),
                 FailureDomain.of("zone"),
-                2,
+                slots,
                 false,
                 primary,
-                1,
+                startedAtMilliseconds,
                 1,
                 new StoreRevision(1, 1));
     }
@@ -227,12 +240,27 @@
 
     /** Waits until a number of callers are connected. */
     EngineFixture awaitSessions(int count) throws Exception {
+        return awaitState(() -> engine.sessionCount() == count);
+    }
+
+    /** Waits until the given number of statements wait for a database or run there. */
+    EngineFixture awaitOutstandingStatements(String name, int count) throws Exception {
+        return awaitState(() -> {
+            DatabaseConnectionPool connectionPool = engine.connectionPool(BackendServerName.of(name));
+            return connectionPool.load().outstandingStatements() == count;
+        });
+    }
+
+    private EngineFixture awaitState(BooleanSupplier reached) throws Exception {
         Instant end = Instant.now().plus(REPLY_TIMEOUT);
-        while (CompletableFuture.supplyAsync(engine::sessionCount, loop).get() != count) {
+        AtomicBoolean isReached = new AtomicBoolean();
+        runOnLoop(() -> isReached.set(reached.getAsBoolean()));
+        while (!isReached.get()) {
             if (Instant.now().isAfter(end)) {
-                throw new AssertionError("not " + count + " sessions");
+                throw new AssertionError("the engine did not reach the expected state");
             }
             TimeUnit.MILLISECONDS.sleep(5);
+            runOnLoop(() -> isReached.set(reached.getAsBoolean()));
         }
         return this;
     }
