Open no connections to a database that leaves, and close those that were being opened

When a database left while statements waited for it, the VM opened new connections to it, one for each idle connection that it closed, up to the number of waiting statements. These connections and those that were being opened when it left stayed open until the next update of the configuration or the directory, so the database kept their slots and the pool was not forgotten.

remove() closed the idle connections before it refused the waiting requests, and the state of the pool opens connections as long as requests wait. The requests are now refused first, all in one event: refused one by one, the first refusal could grant another one the idle connection. onOpened did not look at removed. It now closes a connection that no command waits for; administrative commands still get connections to a former database, and the tick closes what is left when such a command expires.

Both new tests failed before: 6 connections were opened to the database instead of 4; a connection that opened after its database had left was still open 5 s later.

Ruled out: closing each connection in onOpened once the database left. A promotion queries former databases, and its command would never get a connection.

--- a/core/src/main/java/org/geraniumproxy/core/pool/CustomerPool.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/CustomerPool.java
@@ -78,7 +78,7 @@
             CustomerPoolEvent event, CustomerPoolView view, Instant now, List<CustomerPoolEffect> effects) {
         return switch (event) {
             case CustomerPoolEvent.SlotRequested requested -> enqueue(requested.request(), view, now, effects);
-            case CustomerPoolEvent.RequestCancelled withdrawn -> with(queue.withoutRequest(withdrawn.slotRequestId()));
+            case CustomerPoolEvent.RequestsCancelled cancelled -> cancel(cancelled.slotRequestIds());
             case CustomerPoolEvent.SlotReleased released -> with(queue.release(released.slotRequestId(), now));
             case CustomerPoolEvent.ConnectionReturned returned ->
                 with(connections.release(returned.customer(), returned.reusable(), now));
@@ -89,6 +89,14 @@
         };
     }
 
+    private CustomerPool cancel(List<Long> slotRequestIds) {
+        SlotQueue next = queue;
+        for (long slotRequestId : slotRequestIds) {
+            next = next.withoutRequest(slotRequestId);
+        }
+        return with(next);
+    }
+
     private CustomerPool removeIdle(List<CustomerName> customers) {
         CustomerConnections next = connections;
         for (CustomerName customer : customers) {
--- a/core/src/main/java/org/geraniumproxy/core/pool/CustomerPoolEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/CustomerPoolEvent.java
@@ -13,11 +13,17 @@
     record SlotRequested(SlotRequest request) implements CustomerPoolEvent {}
 
     /**
-     * A waiting slot request was cancelled.
+     * Waiting slot requests were cancelled. Those that are cancelled together are reported together so that none of
+     * them is granted a slot.
      *
-     * @param slotRequestId id of the slot request
+     * @param slotRequestIds ids of the slot requests
      */
-    record RequestCancelled(long slotRequestId) implements CustomerPoolEvent {}
+    record RequestsCancelled(List<Long> slotRequestIds) implements CustomerPoolEvent {
+        /** Copies the list. */
+        public RequestsCancelled {
+            slotRequestIds = List.copyOf(slotRequestIds);
+        }
+    }
 
     /**
      * A slot was released.
--- a/core/src/test/java/org/geraniumproxy/core/pool/CustomerPool_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/pool/CustomerPool_on_Test.java
@@ -91,7 +91,7 @@
     @Test
     void should_drop_a_cancelled_request() {
         on(new CustomerPoolEvent.SlotRequested(request(1, CUSTOMER)));
-        on(new CustomerPoolEvent.RequestCancelled(1));
+        on(new CustomerPoolEvent.RequestsCancelled(List.of(1L)));
         on(new CustomerPoolEvent.ConnectionOpened(CUSTOMER));
         assertThat(effects, is(empty()));
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -93,13 +93,13 @@
     }
 
     /**
-     * Stops sending statements to the database: closes idle connections and refuses queued requests, which are then
-     * placed on another database.
+     * Stops sending statements to the database: refuses queued requests, which are then placed on another database, and
+     * closes idle connections. As long as requests wait, new connections would be opened in place of the closed ones.
      */
     void remove() {
         removed = true;
-        closeIdleConnections("the database left");
         refuseQueuedRequests("the database left");
+        closeIdleConnections("the database left");
     }
 
     boolean isUnused() {
@@ -117,7 +117,7 @@
 
     void cancelRequest(long slotRequestId) {
         if (queuedRequests.remove(slotRequestId)) {
-            apply(new CustomerPoolEvent.RequestCancelled(slotRequestId));
+            apply(new CustomerPoolEvent.RequestsCancelled(List.of(slotRequestId)));
         }
     }
 
@@ -159,6 +159,7 @@
 
     void onTick() {
         apply(new CustomerPoolEvent.TimePassed());
+        closeIdleConnectionsIfRemoved();
     }
 
     void recordReply(Duration latency, boolean acknowledgedCommit) {
@@ -210,6 +211,7 @@
         condition = condition.answered(engine.now());
         idleConnections.push(connection);
         apply(new CustomerPoolEvent.ConnectionOpened(connection.customer()));
+        closeIdleConnectionsIfRemoved();
         engine.runPendingSteps();
     }
 
@@ -295,14 +297,26 @@
     }
 
     private void refuseQueuedRequests(String reason) {
-        for (long slotRequestId : List.copyOf(queuedRequests)) {
-            cancelRequest(slotRequestId);
+        if (queuedRequests.isEmpty()) {
+            return;
+        }
+        List<Long> refused = List.copyOf(queuedRequests);
+        queuedRequests.clear();
+        apply(new CustomerPoolEvent.RequestsCancelled(refused));
+        for (long slotRequestId : refused) {
             engine.deliver(
                     CallerSession.sessionIdOf(slotRequestId),
                     new SessionEvent.SlotRefused(slotRequestId, reason, true));
         }
     }
 
+    /** Closes connections that were still being opened when the database left, unless a command waits for a slot. */
+    private void closeIdleConnectionsIfRemoved() {
+        if (removed && queuedRequests.isEmpty()) {
+            closeIdleConnections("the database left");
+        }
+    }
+
     private void closeIdleConnections(String reason) {
         if (idleConnections.isEmpty()) {
             return;
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -105,6 +105,12 @@
         return this;
     }
 
+    /** Removes a database from the configurations that are applied from now on. */
+    EngineFixture withoutDatabase(String name) {
+        databases.remove(BackendServerName.of(name));
+        return this;
+    }
+
     /** Adds a primary with the given slots, or replaces its entry. Another start time is that of a restart. */
     EngineFixture withPrimary(String name, ScriptedDatabase database, int slots, long startedAtMilliseconds) {
         databases.put(BackendServerName.of(name), entry(name, database, true, slots, startedAtMilliseconds));
@@ -251,6 +257,14 @@
         });
     }
 
+    /**
+     * Waits until the engine has no connection to a database. Applies no configuration, which would close idle ones.
+     */
+    EngineFixture awaitUnused(String name) throws Exception {
+        return awaitState(
+                () -> engine.connectionPool(BackendServerName.of(name)).isUnused());
+    }
+
     private EngineFixture awaitState(BooleanSupplier reached) throws Exception {
         Instant end = Instant.now().plus(REPLY_TIMEOUT);
         AtomicBoolean isReached = new AtomicBoolean();
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_update_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_update_Test.java
@@ -1,6 +1,7 @@
 package org.geraniumproxy.engine.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItems;
 import static org.hamcrest.Matchers.is;
 
 import java.util.ArrayList;
@@ -30,6 +31,45 @@
         }
     }
 
+    /** Guards against connections that are opened to a database because it leaves. */
+    @Test
+    void should_open_no_connection_to_a_database_that_leaves_while_statements_wait_for_it() throws Exception {
+        try (ScriptedDatabase leaving = new ScriptedDatabase(this::respond);
+                ScriptedDatabase remaining = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture fixture = new EngineFixture()) {
+            holdIdleConnectionsAndQueuedStatements(fixture, leaving);
+            fixture.withoutDatabase("db-1")
+                    .withDatabase("db-2", remaining, true)
+                    .configure(Consistency.PRIMARY);
+            assertThat(callers.get(2).readLine(), is("completed signed"));
+            assertThat(callers.get(3).readLine(), is("completed signed"));
+            assertThat(remaining.receivedLines(), hasItems("run r5", "run r6"));
+            answer("run r1", "run r2");
+            assertThat(callers.get(0).readLine(), is("completed signed"));
+            assertThat(callers.get(1).readLine(), is("completed signed"));
+            assertThat(
+                    leaving.receivedLines().stream()
+                            .filter(line -> line.startsWith("open"))
+                            .count(),
+                    is(4L));
+            fixture.awaitUnused("db-1");
+        }
+    }
+
+    /** Guards against a connection to a database that left, which stays open until the next update. */
+    @Test
+    void should_close_a_connection_that_opens_after_its_database_left() throws Exception {
+        try (ScriptedDatabase leaving = new ScriptedDatabase(this::respond);
+                EngineFixture fixture =
+                        new EngineFixture().withDatabase("db-1", leaving, true).configure(Consistency.PRIMARY)) {
+            newCaller(fixture).send("read r1");
+            leaving.awaitLine("open db-1 troupe");
+            fixture.withoutDatabase("db-1").configure(Consistency.PRIMARY);
+            answer("open db-1 troupe");
+            fixture.awaitUnused("db-1");
+        }
+    }
+
     /** Guards against granting a connection that the same update closes; the statement would wait for its timeout. */
     @Test
     void should_run_waiting_statements_on_new_connections_when_their_database_restarted_with_more_slots()
