Decide the end of a planned stop in one step with the last request

Callers saw: a statement that a peer forwarded to a stopping node in the announcement time (1.5 s) was cut about one second after that time, and its database call with it, although the drain timeout was far away.

Cause: InFlightRequests completed its "drained" future for good the first time the count was 0 while draining, but enterForwarded kept accepting. The future of a node that was idle at SIGTERM, or that became idle for a moment, was already done when the announcement time was over, so the node left the roster and stopped its servers whatever ran by then. Supervision keeps the view of a group for 30 s after the hand-over, so the forwarded work was run and not redirected. No forwarded deadline was compared with the time left.

Fix: the count and the phase of the stop are one immutable InFlightState (open, draining, closing, closed). Closing begins after the announcement time and becomes closed in the transition that finds the count 0; nothing is accepted afterwards. While draining, forwarded work whose deadline is after the end of the drain is refused.

Ruled out: a withdrawn group view redirects the forwarded request before it runs (GroupSupervisors.scheduleStop delays the withdrawal by 30 s); a request of the node's own callers is lost between the two counts (its own ticket stays open while the coordinator's part is counted).

--- /dev/null
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/node/GracefulStop.java
@@ -0,0 +1,53 @@
+package org.geraniumproxy.proxy.node;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.geraniumproxy.proxy.telemetry.InFlightRequests;
+import org.geraniumproxy.proxy.traffic.Delay;
+
+/** Waits at a planned stop until the node refuses every request and none is in flight, or the drain timeout is over. */
+final class GracefulStop {
+    /**
+     * Time between the announcement of leaving and the end of the peer server. Peers learn of it with their next view
+     * exchange, every 500 ms; until then they may still forward requests to this node.
+     */
+    static final Duration ANNOUNCEMENT_TIME = Duration.ofMillis(1500);
+
+    private final InFlightRequests inFlight;
+    private final Clock clock;
+    private final Delay delay;
+    private final Duration drainTimeout;
+
+    /**
+     * Creates the stop of a node.
+     *
+     * @param inFlight the requests in flight
+     * @param clock this VM's clock
+     * @param delay waits
+     * @param drainTimeout maximum time for requests in flight to end
+     */
+    GracefulStop(InFlightRequests inFlight, Clock clock, Delay delay, Duration drainTimeout) {
+        this.inFlight = inFlight;
+        this.clock = clock;
+        this.delay = delay;
+        this.drainTimeout = drainTimeout;
+    }
+
+    /**
+     * Refuses callers' requests at once and every request once other VMs know of the stop and none is in flight. The
+     * announcement time is always waited for, also when the drain timeout is shorter.
+     *
+     * @param announcement tells other VMs that this VM is leaving
+     * @return completes when every request is refused
+     */
+    CompletableFuture<Void> drain(Supplier<CompletableFuture<Void>> announcement) {
+        inFlight.drain(clock.instant().plus(drainTimeout));
+        CompletableFuture<Void> timeout = delay.after(drainTimeout);
+        CompletableFuture<Void> announced = announcement.get().thenCompose(_ -> delay.after(ANNOUNCEMENT_TIME));
+        CompletableFuture<Void> closed = announced.thenCompose(_ -> inFlight.closeWhenIdle());
+        var unused = announced.thenCombine(timeout, (_, _) -> null).thenRun(inFlight::close);
+        return closed;
+    }
+}
--- a/proxy/src/main/java/org/geraniumproxy/proxy/node/Node.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/node/Node.java
@@ -4,15 +4,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Clock;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.geraniumproxy.proxy.control.ControlThread;
 import org.geraniumproxy.proxy.telemetry.InFlightRequests;
 import org.geraniumproxy.proxy.telemetry.TelemetryEndpoint;
 import org.geraniumproxy.proxy.telemetry.TrafficMetrics;
+import org.geraniumproxy.proxy.traffic.Delay;
 import org.geraniumproxy.settings.HostAndPort;
 import org.geraniumproxy.settings.NodeSettings;
 import org.jboss.logging.Logger;
@@ -20,12 +19,6 @@
 /** A running node: its servers, its control thread and its graceful stop. */
 @Singleton
 public final class Node {
-    /**
-     * Time between the announcement of leaving and the end of the peer server. Peers learn of it with their next view
-     * exchange, every 500 ms; until then they may still forward requests to this node.
-     */
-    private static final Duration ANNOUNCEMENT_TIME = Duration.ofMillis(1500);
-
     private static final Logger log = Logger.getLogger(Node.class);
 
     private final NodeSettings settings;
@@ -104,19 +97,14 @@
 
     /**
      * Stops the node gracefully: announces that it is leaving, refuses new requests as not run, lets running ones
-     * finish until the drain timeout, gives loans and connections back, and leaves the roster.
+     * finish until the drain timeout, gives loans and connections back, and leaves the roster. Call it once.
      *
      * @return completes when the node has stopped
      */
     public CompletableFuture<Void> stop() {
         log.info("node: stopping");
-        CompletableFuture<Void> announced = control.drain()
-                .thenRunAsync(
-                        () -> {},
-                        CompletableFuture.delayedExecutor(ANNOUNCEMENT_TIME.toMillis(), TimeUnit.MILLISECONDS));
-        CompletableFuture<Void> drained =
-                inFlight.drain().completeOnTimeout(null, settings.drainTimeout().toMillis(), TimeUnit.MILLISECONDS);
-        return CompletableFuture.allOf(announced, drained)
+        return new GracefulStop(inFlight, clock, Delay.SYSTEM, settings.drainTimeout())
+                .drain(control::drain)
                 .thenCompose(ignored -> control.leave().exceptionally(this::reportLeaveFailure))
                 .thenRunAsync(this::close)
                 .thenCompose(ignored -> stopped());
--- a/proxy/src/main/java/org/geraniumproxy/proxy/telemetry/InFlightRequests.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/telemetry/InFlightRequests.java
@@ -1,20 +1,20 @@
 package org.geraniumproxy.proxy.telemetry;
 
+import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.geraniumproxy.core.control.InvariantViolation;
+import org.geraniumproxy.core.admission.InFlightState;
 
 /**
  * Counts the requests and transactions that have not ended, so that a planned stop can wait for the last one.
  *
- * <p>Requests that other VMs forward are taken in while draining too: they were admitted elsewhere, and refusing them
- * before the other VMs know of the stop would only send them round again.
+ * <p>Requests that other VMs forward are accepted while draining too, because those VMs may not know of the stop yet.
+ * One that might outlast the drain is refused, and the other VM sends it to the next coordinator.
  */
 public final class InFlightRequests {
-    private final CompletableFuture<Void> drained = new CompletableFuture<>();
-    private int count;
-    private boolean draining;
+    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+    private InFlightState state = InFlightState.IDLE;
 
     /** A counted request. */
     @FunctionalInterface
@@ -25,36 +25,52 @@
     }
 
     /**
-     * Takes in a request of a caller.
+     * Accepts a request of a caller.
      *
      * @return its ticket, or empty while draining
      */
     public synchronized Optional<Ticket> enter() {
-        return draining ? Optional.empty() : Optional.of(newTicket());
+        return state.enter().map(this::newTicket);
     }
 
     /**
-     * Takes in a request that another VM forwarded.
+     * Accepts a request for a group of this VM, which another VM may have forwarded.
      *
-     * @return its ticket
+     * @param deadline time on this VM's clock at which the caller stops waiting
+     * @return its ticket, or empty if it might outlast the drain or the requests are closed
      */
-    public synchronized Ticket enterForwarded() {
-        return newTicket();
+    public synchronized Optional<Ticket> enterForwarded(Instant deadline) {
+        return state.enterForwarded(deadline).map(this::newTicket);
     }
 
     /**
-     * Stops taking in callers' requests.
+     * Stops accepting callers' requests. Has no effect if they are already refused.
      *
-     * @return completes when no request is left
+     * @param end time on this VM's clock at which requests in flight are ended
      */
-    public CompletableFuture<Void> drain() {
-        boolean idle;
+    public synchronized void drain(Instant end) {
+        state = state.draining(end);
+    }
+
+    /**
+     * Refuses every request from the moment at which none is in flight. Call it once other VMs know of the stop.
+     *
+     * @return completes when every request is refused; when this follows from {@link #close()}, some may be in flight
+     */
+    public CompletableFuture<Void> closeWhenIdle() {
         synchronized (this) {
-            draining = true;
-            idle = count == 0;
+            state = state.closing();
         }
-        completeIf(idle);
-        return drained.copy();
+        completeIfClosed();
+        return closed.copy();
+    }
+
+    /** Refuses every request from now on, while some may be in flight. */
+    public void close() {
+        synchronized (this) {
+            state = state.closed();
+        }
+        completeIfClosed();
     }
 
     /**
@@ -63,7 +79,7 @@
      * @return true after {@link #drain}
      */
     public synchronized boolean isDraining() {
-        return draining;
+        return state.isDraining();
     }
 
     /**
@@ -72,11 +88,11 @@
      * @return the number
      */
     public synchronized int count() {
-        return count;
+        return state.count();
     }
 
-    private Ticket newTicket() {
-        count++;
+    private Ticket newTicket(InFlightState entered) {
+        state = entered;
         AtomicBoolean open = new AtomicBoolean(true);
         return () -> {
             if (open.compareAndSet(true, false)) {
@@ -86,18 +102,19 @@
     }
 
     private void leave() {
-        boolean last;
         synchronized (this) {
-            InvariantViolation.check(count > 0, "a request ended that was not in flight");
-            count--;
-            last = draining && count == 0;
+            state = state.left();
         }
-        completeIf(last);
+        completeIfClosed();
+    }
+
+    private synchronized boolean isClosed() {
+        return state.isClosed();
     }
 
-    private void completeIf(boolean condition) {
-        if (condition) {
-            drained.complete(null);
+    private void completeIfClosed() {
+        if (isClosed()) {
+            closed.complete(null);
         }
     }
 }
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorHandler.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorHandler.java
@@ -70,8 +70,12 @@
     }
 
     private GroupResult serve(GroupRequest request) {
+        Optional<InFlightRequests.Ticket> ticket = context.inFlight().enterForwarded(request.deadline());
+        if (ticket.isEmpty()) {
+            return GroupResult.unserved(stopping(), request.session());
+        }
         SendGuard guard = new SendGuard(request.repeatable());
-        try (InFlightRequests.Ticket _ = context.inFlight().enterForwarded()) {
+        try (InFlightRequests.Ticket _ = ticket.get()) {
             return run(request, guard);
         } catch (RuntimeException e) {
             log.errorf(e, "backend: a request for group %s failed", request.group());
@@ -82,6 +86,11 @@
         }
     }
 
+    /** Returns the refusal that makes the entry proxy ask the next coordinator instead of refusing the caller. */
+    static Outcome stopping() {
+        return Outcome.notRun(NotRunReason.NOT_COORDINATOR, "this VM is being stopped and hands its groups over");
+    }
+
     private GroupResult run(GroupRequest request, SendGuard guard) {
         Instant arrivedAt = context.now();
         Duration acceptedAge = request.access() == Access.WRITE ? Duration.ZERO : request.acceptedAge();
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorTransactions.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorTransactions.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.geraniumproxy.core.outcome.NotRunReason;
 import org.geraniumproxy.core.outcome.Outcome;
@@ -39,7 +40,11 @@
     }
 
     private TransactionStart beginCounted(GroupRequest request) {
-        InFlightRequests.Ticket ticket = context.inFlight().enterForwarded();
+        Optional<InFlightRequests.Ticket> entered = context.inFlight().enterForwarded(request.deadline());
+        if (entered.isEmpty()) {
+            return refused(request, CoordinatorHandler.stopping());
+        }
+        InFlightRequests.Ticket ticket = entered.get();
         TransactionStart start;
         try {
             start = beginNow(request, ticket);
--- a/proxy/src/test/java/org/geraniumproxy/proxy/traffic/Coordinator_handle_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/traffic/Coordinator_handle_Test.java
@@ -138,6 +138,35 @@
         assertThat(result.outcome(), instanceOf(Outcome.Answered.class));
     }
 
+    @Test
+    void should_send_nothing_when_request_may_outlast_the_drain() {
+        // given a request with 5 s left at a coordinator that ends its requests 1 ms before
+        CoordinatorRig rig = new CoordinatorRig();
+        rig.inFlight.drain(NOW.plusMillis(4999));
+
+        // when
+        GroupResult result = rig.handle(write());
+
+        // then the entry proxy is told to ask the next coordinator
+        assertThat(reason(result), equalTo(NotRunReason.NOT_COORDINATOR));
+        assertThat(rig.sentTo, empty());
+        assertThat(rig.inFlight.count(), equalTo(0));
+    }
+
+    @Test
+    void should_run_forwarded_request_when_it_ends_within_the_drain() {
+        // given
+        CoordinatorRig rig = new CoordinatorRig(completed(TERM, 11));
+        rig.inFlight.drain(NOW.plusSeconds(5));
+
+        // when
+        GroupResult result = rig.handle(write());
+
+        // then
+        assertThat(result.outcome(), instanceOf(Outcome.Answered.class));
+        assertThat(rig.sentTo, contains(PRIMARY));
+    }
+
     @Test
     void should_refuse_unsent_when_token_is_ahead_of_new_report() {
         // given
