Count a transaction until the step that ends it has its result

Callers see: a commit whose node is stopped while the write waits for its proof of durability can be cut without an answer.

Cause: PinnedConnection closed the ticket of InFlightRequests together with the lease. A commit gives the connection back as soon as the database has answered and waits for the durability of the write afterwards, up to the deadline. On a coordinator that another VM forwards to, nothing else counts the transaction, so the count can reach 0 and the node leave in this time.

Fix: the ticket is closed when the step that ended the transaction leaves, or with the connection if no step is running. The connection itself is given back as early as before.

Evidence: should_count_the_transaction_until_its_last_step_is_answered failed before the change ("Expected: <1> but: was <0>"), its two companions passed; all three and Caller_transact_Test pass now. The case at callers was read from the code and not run.

Ruled out: one-statement requests, whose ticket is held round the whole CoordinatorHandler.run.

--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/PinnedConnection.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/PinnedConnection.java
@@ -8,7 +8,7 @@
 
 /**
  * The connection of one transaction. It is given back exactly once and never while a step uses it, so that no other
- * transaction can get it before.
+ * transaction can get it before. The transaction counts as in flight until the step that ends it has its result.
  */
 final class PinnedConnection {
     private final SlotLease lease;
@@ -68,9 +68,14 @@
                     lease.yieldSlot();
                 }
             }
-            case ENDING -> release();
-            case IDLE, GIVEN_BACK -> {
-                // The step has already given the connection back.
+            case ENDING -> {
+                release();
+                ticket.close();
+            }
+            // The step has already given the connection back, but its answer was owed until now.
+            case GIVEN_BACK -> ticket.close();
+            case IDLE -> {
+                // No step was running.
             }
             default -> throw new InvariantViolation("unknown state of a pinned connection: " + state);
         }
@@ -89,6 +94,7 @@
             case IDLE -> {
                 lease.connection().close();
                 release();
+                ticket.close();
             }
             case IN_STEP -> {
                 lease.connection().close();
@@ -105,6 +111,5 @@
         InvariantViolation.check(state != State.GIVEN_BACK, "a pinned connection was given back twice");
         state = State.GIVEN_BACK;
         lease.release();
-        ticket.close();
     }
 }
