Answer the requests in flight at the drain timeout before the servers stop

Callers see: whatever runs when the drain timeout is over gets no answer. Its call is cut one second later, and no log line names it. Read from the code.

Cause: completeOnTimeout ended the wait, and the next steps were the roster and Server.shutdown, then shutdownNow. Nothing told the request that its time was over.

Fix: each counted request has a ticket that the drain timeout ends. Whoever waits for work of the request waits for the ticket too: - the coordinator answers unknown if its SendGuard says that the request may have been sent, else NOT_COORDINATOR. SendGuard.end() decides this and forbids a later send in one step; - a transaction is closed first and then answered: unknown if the commit was sent, else rolled back. The closed connection can't send a later commit; - the entry proxy answers DRAINING while it waits for a rate token, unknown while it waits for a peer's answer, and tries no other VM; - a silent caller's transaction ends with DRAINING on its stream. The servers stop after that, with one second for the answers to leave. The log says how many requests were ended and names at most 20 request numbers.

Evidence: the code before had no place for the signal, so the tests ran on a scratch copy with the signal to the tickets taken out. Failed there: the drain timeout in GracefulStop_drain_Test and two tests of InFlightRequests_drain_Test (false for true, "running" for "ended"); in Coordinator_handle_Test the sent request (no result in 10 s) and the queued one (answered, so it was sent); in Caller_execute_Test both new tests (no reply in 20 s); in Caller_transact_Test the commit in progress ("no reply to COMMIT") and the silent caller (stream not ended in 20 s). should_be_not_run_when_drain_of_coordinator_is_over_ between_statements passed there, after the 20 s deadline of the transaction. All pass with the change. Request numbers in the log line were not looked at in a run of a node.

Ruled out: a shorter deadline for each request instead of a signal, because the deadline of a request that is accepted before the drain is fixed before its end is known.

--- a/proxy/src/main/java/org/geraniumproxy/proxy/node/GracefulStop.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/node/GracefulStop.java
@@ -2,10 +2,12 @@
 
 import java.time.Clock;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.geraniumproxy.proxy.telemetry.InFlightRequests;
 import org.geraniumproxy.proxy.traffic.Delay;
+import org.jboss.logging.Logger;
 
 /** Waits at a planned stop until the node refuses every request and none is in flight, or the drain timeout is over. */
 final class GracefulStop {
@@ -15,6 +17,11 @@
      */
     static final Duration ANNOUNCEMENT_TIME = Duration.ofMillis(1500);
 
+    /** Number of requests that a log line names. */
+    private static final int MAXIMUM_LOGGED_REQUESTS = 20;
+
+    private static final Logger log = Logger.getLogger(GracefulStop.class);
+
     private final InFlightRequests inFlight;
     private final Clock clock;
     private final Delay delay;
@@ -36,8 +43,9 @@
     }
 
     /**
-     * Refuses callers' requests at once and every request once other VMs know of the stop and none is in flight. The
-     * announcement time is always waited for, also when the drain timeout is shorter.
+     * Refuses callers' requests at once and every request once other VMs know of the stop and none is in flight. At the
+     * drain timeout the requests in flight are answered with what is known of them. The announcement time is always
+     * waited for, also when the drain timeout is shorter.
      *
      * @param announcement tells other VMs that this VM is leaving
      * @return completes when every request is refused
@@ -47,7 +55,17 @@
         CompletableFuture<Void> timeout = delay.after(drainTimeout);
         CompletableFuture<Void> announced = announcement.get().thenCompose(_ -> delay.after(ANNOUNCEMENT_TIME));
         CompletableFuture<Void> closed = announced.thenCompose(_ -> inFlight.closeWhenIdle());
-        var unused = announced.thenCombine(timeout, (_, _) -> null).thenRun(inFlight::close);
+        var unused = announced.thenCombine(timeout, (_, _) -> null).thenRun(this::endRequests);
         return closed;
     }
+
+    private void endRequests() {
+        List<Long> requests = inFlight.endAll();
+        if (!requests.isEmpty()) {
+            log.warnf(
+                    "node: the drain timeout is over, requests ended=%d, first request numbers %s",
+                    requests.size(),
+                    requests.stream().limit(MAXIMUM_LOGGED_REQUESTS).toList());
+        }
+    }
 }
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorHandler.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorHandler.java
@@ -66,17 +66,27 @@
 
     @Override
     public CompletableFuture<GroupResult> handle(GroupRequest request) {
-        return CompletableFuture.supplyAsync(() -> serve(request), context.executor());
-    }
-
-    private GroupResult serve(GroupRequest request) {
-        Optional<InFlightRequests.Ticket> ticket = context.inFlight().enterForwarded(request.deadline());
+        Optional<InFlightRequests.Ticket> ticket =
+                context.inFlight().enterForwarded(request.requestNumber(), request.deadline());
         if (ticket.isEmpty()) {
-            return GroupResult.unserved(stopping(), request.session());
+            return CompletableFuture.completedFuture(GroupResult.unserved(stopping(), request.session()));
         }
         SendGuard guard = new SendGuard(request.repeatable());
-        try (InFlightRequests.Ticket _ = ticket.get()) {
+        return ticket.get()
+                .orWhenEnded(
+                        CompletableFuture.supplyAsync(() -> serve(request, ticket.get(), guard), context.executor()),
+                        () -> GroupResult.unserved(ended(guard), request.session()));
+    }
+
+    private static Outcome ended(SendGuard guard) {
+        return guard.end() ? Outcome.unknown("the coordinator was stopped after the request was sent") : stopping();
+    }
+
+    private GroupResult serve(GroupRequest request, InFlightRequests.Ticket ticket, SendGuard guard) {
+        try (InFlightRequests.Ticket _ = ticket) {
             return run(request, guard);
+        } catch (RequestEndedException _) {
+            return GroupResult.unserved(ended(guard), request.session());
         } catch (RuntimeException e) {
             log.errorf(e, "backend: a request for group %s failed", request.group());
             Outcome outcome = guard.mayHaveBeenSent()
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorTransaction.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorTransaction.java
@@ -14,6 +14,7 @@
 import org.geraniumproxy.core.routing.GroupResult;
 import org.geraniumproxy.core.session.SessionRequirement;
 import org.geraniumproxy.proxy.telemetry.Hop;
+import org.geraniumproxy.proxy.telemetry.InFlightRequests;
 import org.jboss.logging.Logger;
 
 /** A transaction on a pinned connection of this VM. */
@@ -26,6 +27,7 @@
     private final PinnedConnection pinned;
     private final GroupRequest request;
     private final Placed.At at;
+    private final InFlightRequests.Ticket ticket;
     private final AtomicBoolean stepRunning = new AtomicBoolean();
     private final CompletableFuture<Void> deadline;
     private volatile boolean commitSent;
@@ -37,20 +39,22 @@
             Acknowledgement acknowledgement,
             PinnedConnection pinned,
             GroupRequest request,
-            Placed.At at) {
+            Placed.At at,
+            InFlightRequests.Ticket ticket) {
         this.context = context;
         this.backendCall = backendCall;
         this.acknowledgement = acknowledgement;
         this.pinned = pinned;
         this.request = request;
         this.at = at;
+        this.ticket = ticket;
         this.sessionAfter = request.session();
         this.deadline = context.delay().after(context.timeUntil(request.deadline()));
     }
 
-    /** Rolls the transaction back at its deadline. */
-    void endAtDeadline() {
-        var unused = deadline.thenRunAsync(this::close, context.executor());
+    /** Rolls the transaction back at its deadline or at the end of the drain. */
+    void endAtDeadlineOrStop() {
+        var unused = CompletableFuture.anyOf(deadline, ticket.ended()).thenRunAsync(this::close, context.executor());
     }
 
     @Override
@@ -58,8 +62,18 @@
         if (!stepRunning.compareAndSet(false, true)) {
             throw new IllegalStateException("another step of the transaction is running");
         }
-        return CompletableFuture.supplyAsync(() -> run(step), context.executor())
-                .whenComplete((result, failure) -> stepRunning.set(false));
+        CompletableFuture<GroupResult> result = CompletableFuture.supplyAsync(() -> run(step), context.executor())
+                .whenComplete((_, _) -> stepRunning.set(false));
+        return ticket.orWhenEnded(result, this::endStep);
+    }
+
+    /** Closes the connection first, so that no commit is sent after the transaction is reported as rolled back. */
+    private GroupResult endStep() {
+        close();
+        return result(
+                commitSent
+                        ? Outcome.unknown("the coordinator was stopped after the commit was sent")
+                        : rolledBack("the coordinator is being stopped"));
     }
 
     @Override
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorTransactions.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorTransactions.java
@@ -36,15 +36,19 @@
 
     @Override
     public CompletableFuture<TransactionStart> begin(GroupRequest request) {
-        return CompletableFuture.supplyAsync(() -> beginCounted(request), context.executor());
+        Optional<InFlightRequests.Ticket> ticket =
+                context.inFlight().enterForwarded(request.requestNumber(), request.deadline());
+        if (ticket.isEmpty()) {
+            return CompletableFuture.completedFuture(refused(request, CoordinatorHandler.stopping()));
+        }
+        // A transaction that begins after its refusal is rolled back by its own ticket.
+        return ticket.get()
+                .orWhenEnded(
+                        CompletableFuture.supplyAsync(() -> beginCounted(request, ticket.get()), context.executor()),
+                        () -> refused(request, CoordinatorHandler.stopping()));
     }
 
-    private TransactionStart beginCounted(GroupRequest request) {
-        Optional<InFlightRequests.Ticket> entered = context.inFlight().enterForwarded(request.deadline());
-        if (entered.isEmpty()) {
-            return refused(request, CoordinatorHandler.stopping());
-        }
-        InFlightRequests.Ticket ticket = entered.get();
+    private TransactionStart beginCounted(GroupRequest request, InFlightRequests.Ticket ticket) {
         TransactionStart start;
         try {
             start = beginNow(request, ticket);
@@ -88,8 +92,14 @@
                 begun = true;
                 lease.yieldSlot();
                 CoordinatorTransaction transaction = new CoordinatorTransaction(
-                        context, backendCall, acknowledgement, new PinnedConnection(lease, ticket), request, at);
-                transaction.endAtDeadline();
+                        context,
+                        backendCall,
+                        acknowledgement,
+                        new PinnedConnection(lease, ticket),
+                        request,
+                        at,
+                        ticket);
+                transaction.endAtDeadlineOrStop();
                 return new TransactionStart.Begun(
                         transaction, GroupResult.unserved(Outcome.answered(List.of()), request.session()));
             }
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryHandler.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryHandler.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.geraniumproxy.core.admission.Admission;
 import org.geraniumproxy.core.admission.AdmissionDecision;
 import org.geraniumproxy.core.admission.CallerRequest;
@@ -84,23 +85,23 @@
     }
 
     private EntryReply executeCounted(CallerRequest request) {
-        Optional<InFlightRequests.Ticket> ticket = context.inFlight().enter();
+        Optional<InFlightRequests.Ticket> ticket = context.inFlight().enter(request.requestNumber());
         if (ticket.isEmpty()) {
             return refused(request, draining());
         }
         try (InFlightRequests.Ticket _ = ticket.get()) {
-            return switch (admit(request)) {
+            return switch (admit(request, ticket.get())) {
                 case Admission.Refused refused -> refused(request, refused.outcome());
-                case Admission.Admitted admitted -> serve(admitted);
+                case Admission.Admitted admitted -> serve(admitted, ticket.get());
             };
         }
     }
 
-    private EntryReply serve(Admission.Admitted admitted) {
+    private EntryReply serve(Admission.Admitted admitted, InFlightRequests.Ticket ticket) {
         GroupRequest request = admitted.request();
         GroupResult result;
         try {
-            result = router.execute(request);
+            result = router.execute(request, ticket);
         } catch (RuntimeException e) {
             log.errorf(e, "caller: a request for group %s failed", request.group());
             result = GroupResult.unserved(Outcome.unknown("the proxy failed"), request.session());
@@ -114,11 +115,11 @@
                     NotRunReason.MALFORMED_REQUEST, "the beginning of a transaction must have no statement");
             return new EntryTransactionStart.Refused(refused(request, outcome));
         }
-        Optional<InFlightRequests.Ticket> ticket = context.inFlight().enter();
+        Optional<InFlightRequests.Ticket> ticket = context.inFlight().enter(request.requestNumber());
         if (ticket.isEmpty()) {
             return new EntryTransactionStart.Refused(refused(request, draining()));
         }
-        EntryTransactionStart start = switch (admit(request)) {
+        EntryTransactionStart start = switch (admit(request, ticket.get())) {
             case Admission.Refused refused -> new EntryTransactionStart.Refused(refused(request, refused.outcome()));
             case Admission.Admitted admitted -> open(request, admitted, ticket.get());
         };
@@ -133,7 +134,7 @@
         GroupRequest groupRequest = admitted.request();
         TransactionStart start;
         try {
-            start = router.begin(groupRequest);
+            start = router.begin(groupRequest, ticket);
         } catch (RuntimeException e) {
             log.errorf(e, "caller: a transaction for group %s could not begin", groupRequest.group());
             Outcome outcome = Outcome.notRun(NotRunReason.UNREACHABLE, "the transaction could not begin");
@@ -150,14 +151,14 @@
     }
 
     /** Takes a rate token and then checks the request again, because the key may be withdrawn during the wait. */
-    private Admission admit(CallerRequest request) {
+    private Admission admit(CallerRequest request, InFlightRequests.Ticket ticket) {
         Instant arrivedAt = context.now();
         Admission first = AdmissionDecision.decide(context.snapshot(), request, arrivedAt);
         if (!(first instanceof Admission.Admitted admitted)) {
             return first;
         }
         Optional<Outcome.NotRun> limited =
-                takeToken(admitted.token().customer(), admitted.request().deadline());
+                takeToken(admitted.token().customer(), admitted.request().deadline(), ticket);
         if (limited.isPresent()) {
             return new Admission.Refused(limited.get());
         }
@@ -171,18 +172,14 @@
      *
      * @param customer the customer
      * @param deadline moment at which the request is no longer wanted
+     * @param ticket the counted request, whose end at the end of the drain ends the wait
      * @return the refusal, or empty if a token was taken
      */
-    Optional<Outcome.NotRun> takeToken(CustomerName customer, Instant deadline) {
+    Optional<Outcome.NotRun> takeToken(CustomerName customer, Instant deadline, InFlightRequests.Ticket ticket) {
         try {
-            return switch (rateLimiter.acquire(customer, deadline).join()) {
-                case RateDecision.Admitted _ -> Optional.empty();
-                case RateDecision.Refused refused ->
-                    Optional.of(new Outcome.NotRun(
-                            NotRunReason.RATE_EXCEEDED,
-                            "the customer is over its rate and burst",
-                            refused.retryAfter()));
-            };
+            CompletableFuture<Optional<Outcome.NotRun>> decision =
+                    rateLimiter.acquire(customer, deadline).thenApply(EntryHandler::refusalOf);
+            return ticket.orWhenEnded(decision, () -> Optional.of(draining())).join();
         } catch (RuntimeException e) {
             log.errorf(e, "limit: no decision for customer %s", customer);
             return Optional.of(new Outcome.NotRun(
@@ -190,6 +187,15 @@
         }
     }
 
+    private static Optional<Outcome.NotRun> refusalOf(RateDecision decision) {
+        return switch (decision) {
+            case RateDecision.Admitted _ -> Optional.empty();
+            case RateDecision.Refused refused ->
+                Optional.of(new Outcome.NotRun(
+                        NotRunReason.RATE_EXCEEDED, "the customer is over its rate and burst", refused.retryAfter()));
+        };
+    }
+
     private static EntryReply reply(Admission.Admitted admitted, GroupResult result) {
         GroupRequest request = admitted.request();
         return EntryReply.of(request.requestNumber(), admitted.token(), request.group(), result);
@@ -201,7 +207,8 @@
         return EntryReply.refused(request.requestNumber(), outcome, tokenRefused ? "" : request.sessionToken());
     }
 
-    private static Outcome draining() {
-        return Outcome.notRun(NotRunReason.DRAINING, "the proxy is being stopped; connect again to another one");
+    private static Outcome.NotRun draining() {
+        return new Outcome.NotRun(
+                NotRunReason.DRAINING, "the proxy is being stopped; connect again to another one", Duration.ZERO);
     }
 }
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryTransaction.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryTransaction.java
@@ -15,8 +15,8 @@
 import org.geraniumproxy.proxy.telemetry.InFlightRequests;
 
 /**
- * A caller's open transaction. It ends when its key is withdrawn, the view of the keys is too old, or its deadline has
- * passed, also while the caller is silent.
+ * A caller's open transaction. It ends when its key is withdrawn, the view of the keys is too old, its deadline has
+ * passed, or the drain of the node is over, also while the caller is silent.
  */
 public final class EntryTransaction implements AutoCloseable {
     /** Time between two looks at the configuration. A withdrawn key must stop working within 5 s. */
@@ -56,6 +56,7 @@
             InFlightRequests.Ticket ticket) {
         EntryTransaction opened = new EntryTransaction(context, entry, request, admitted, transaction, ticket);
         opened.checkLater();
+        opened.endWithDrain();
         return opened;
     }
 
@@ -117,7 +118,13 @@
             return Optional.of(
                     new Outcome.NotRun(NotRunReason.STATEMENT_TOO_LARGE, "the statement is too large", Duration.ZERO));
         }
-        return entry.takeToken(admitted.token().customer(), admitted.request().deadline());
+        return entry.takeToken(admitted.token().customer(), admitted.request().deadline(), ticket);
+    }
+
+    private void endWithDrain() {
+        Outcome.NotRun reason = new Outcome.NotRun(
+                NotRunReason.DRAINING, "the proxy is being stopped; the transaction is rolled back", Duration.ZERO);
+        var unused = ticket.ended().thenRunAsync(() -> revoke(reason), context.executor());
     }
 
     private void checkLater() {
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/GroupRouter.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/GroupRouter.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.geraniumproxy.core.control.ControlSnapshot;
 import org.geraniumproxy.core.identity.GroupName;
@@ -15,6 +16,7 @@
 import org.geraniumproxy.core.routing.GroupRequest;
 import org.geraniumproxy.core.routing.GroupResult;
 import org.geraniumproxy.proxy.telemetry.Hop;
+import org.geraniumproxy.proxy.telemetry.InFlightRequests;
 
 /** Brings requests to the coordinator of their group, which may be this VM, and tries again where that is allowed. */
 final class GroupRouter {
@@ -41,33 +43,62 @@
         this.retries = retries;
     }
 
-    GroupResult execute(GroupRequest request) {
+    /**
+     * Executes a request of one statement.
+     *
+     * @param request the request
+     * @param ticket the counted request, whose end at the end of the drain ends the wait
+     * @return the result, which is unknown if the drain ended before a peer's answer
+     */
+    GroupResult execute(GroupRequest request, InFlightRequests.Ticket ticket) {
         retries.requestStarted();
         SendGuard guard = new SendGuard(request.repeatable());
         int tries = 0;
         while (true) {
             tries++;
-            GroupResult result =
-                    reach(request, vm -> executeAt(vm, request, guard), Function.identity(), GroupResult::outcome);
+            GroupResult result = reach(
+                    request,
+                    ticket,
+                    vm -> executeAt(vm, request, guard, ticket),
+                    Function.identity(),
+                    GroupResult::outcome);
             Optional<Duration> pause = guard.maySend()
                     ? retries.pauseBeforeRetry(
                             result.outcome(), request.repeatable(), tries, context.timeUntil(request.deadline()))
                     : Optional.empty();
-            if (pause.isEmpty()) {
+            if (pause.isEmpty() || ticket.isEnded()) {
                 return result;
             }
-            context.metrics().retried();
             context.pause(pause.get());
+            if (ticket.isEnded()) {
+                return result;
+            }
+            context.metrics().retried();
         }
     }
 
-    TransactionStart begin(GroupRequest request) {
-        return reach(request, vm -> beginAt(vm, request), TransactionStart.Refused::new, GroupRouter::outcomeOf);
+    /**
+     * Begins a transaction.
+     *
+     * @param request the request that begins it
+     * @param ticket the counted transaction, whose end at the end of the drain ends the wait
+     * @return the transaction or the refusal
+     */
+    TransactionStart begin(GroupRequest request, InFlightRequests.Ticket ticket) {
+        return reach(
+                request,
+                ticket,
+                vm -> beginAt(vm, request, ticket),
+                TransactionStart.Refused::new,
+                GroupRouter::outcomeOf);
     }
 
-    /** Asks coordinator and standby in turn until one serves the group or the deadline has passed. */
+    /**
+     * Asks coordinator and standby in turn until one serves the group, the deadline has passed or the drain is over.
+     */
     private <T> T reach(
             GroupRequest request,
+            InFlightRequests.Ticket ticket,
             Function<Vm, T> attempt,
             Function<GroupResult, T> refusal,
             Function<T, Outcome> outcomeOf) {
@@ -79,7 +110,7 @@
                             Outcome.notRun(NotRunReason.UNREACHABLE, "no VM that serves the group is reachable"),
                             request.session())));
             Duration timeLeft = context.timeUntil(request.deadline());
-            if (!isRedirect(outcomeOf.apply(answer)) || timeLeft.compareTo(REDIRECT_PAUSE) <= 0) {
+            if (!isRedirect(outcomeOf.apply(answer)) || timeLeft.compareTo(REDIRECT_PAUSE) <= 0 || ticket.isEnded()) {
                 return answer;
             }
             boolean anotherLeft = target.isPresent() && failed.add(target.get().name()) && failed.size() < 2;
@@ -90,23 +121,43 @@
         }
     }
 
-    private GroupResult executeAt(Vm vm, GroupRequest request, SendGuard guard) {
+    private GroupResult executeAt(Vm vm, GroupRequest request, SendGuard guard, InFlightRequests.Ticket ticket) {
         guard.beforeSend();
         GroupResult result = isSelf(vm)
                 ? localRequests.handle(request).join()
                 : context.tracing()
-                        .inSpan(Hop.FORWARD, () -> peers.forward(vm, request).join());
+                        .inSpan(Hop.FORWARD, () -> forward(vm, request, ticket).join());
         if (!mayHaveReachedBackend(result.outcome())) {
             guard.notSent();
         }
         return result;
     }
 
-    private TransactionStart beginAt(Vm vm, GroupRequest request) {
+    private CompletableFuture<GroupResult> forward(Vm vm, GroupRequest request, InFlightRequests.Ticket ticket) {
+        return ticket.orWhenEnded(
+                peers.forward(vm, request),
+                () -> GroupResult.unserved(
+                        Outcome.unknown("the proxy was stopped before the answer of the coordinator arrived"),
+                        request.session()));
+    }
+
+    /** A transaction that a peer begins after the refusal ends with its stream, before any statement. */
+    private CompletableFuture<TransactionStart> forwardBegin(
+            Vm vm, GroupRequest request, InFlightRequests.Ticket ticket) {
+        return ticket.orWhenEnded(
+                peers.begin(vm, request),
+                () -> new TransactionStart.Refused(GroupResult.unserved(
+                        Outcome.notRun(NotRunReason.DRAINING, "the proxy was stopped before the transaction had begun"),
+                        request.session())));
+    }
+
+    private TransactionStart beginAt(Vm vm, GroupRequest request, InFlightRequests.Ticket ticket) {
         return isSelf(vm)
                 ? localTransactions.begin(request).join()
                 : context.tracing()
-                        .inSpan(Hop.FORWARD, () -> peers.begin(vm, request).join());
+                        .inSpan(
+                                Hop.FORWARD,
+                                () -> forwardBegin(vm, request, ticket).join());
     }
 
     private boolean isSelf(Vm vm) {
--- a/proxy/src/test/java/org/geraniumproxy/proxy/caller/Caller_execute_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/caller/Caller_execute_Test.java
@@ -174,6 +174,36 @@
         assertThat(reason(refused), equalTo(NotRunReason.DRAINING));
     }
 
+    @Test
+    void should_be_unknown_when_drain_of_coordinator_is_over_after_write_was_sent() {
+        // given a write that waits for its proof of durability
+        nodes.durable.set(new CompletableFuture<>());
+        CompletableFuture<ExecuteReply> running =
+                CompletableFuture.supplyAsync(() -> execute(write("PUT act mime")), nodes.transport.executor());
+        TestGroup.join(nodes.durabilityAsked);
+
+        // when
+        nodes.coordinatorRequests.endAll();
+
+        // then
+        assertThat(TestGroup.join(running).getOutcome().hasUnknown(), is(true));
+    }
+
+    @Test
+    void should_be_unknown_when_drain_of_entry_proxy_is_over_after_write_was_forwarded() {
+        // given a write that waits for its proof of durability
+        nodes.durable.set(new CompletableFuture<>());
+        CompletableFuture<ExecuteReply> running =
+                CompletableFuture.supplyAsync(() -> execute(write("PUT act mime")), nodes.transport.executor());
+        TestGroup.join(nodes.durabilityAsked);
+
+        // when
+        nodes.entryRequests.endAll();
+
+        // then
+        assertThat(TestGroup.join(running).getOutcome().hasUnknown(), is(true));
+    }
+
     @Test
     void should_refuse_when_customer_is_over_its_rate() {
         // given
--- a/proxy/src/test/java/org/geraniumproxy/proxy/caller/Caller_transact_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/caller/Caller_transact_Test.java
@@ -169,6 +169,54 @@
         assertThat(committed.getOutcome().hasAnswer(), is(true));
     }
 
+    @Test
+    void should_end_stream_and_roll_back_when_drain_of_entry_proxy_is_over() {
+        // given a caller that stays silent
+        TransactionCaller caller = begin(TestNodes.KEY);
+        caller.statement("PUT act mime");
+
+        // when
+        nodes.entryRequests.endAll();
+
+        // then
+        assertThat(caller.ended().getCode(), equalTo(Status.Code.UNAVAILABLE));
+        drained();
+        assertThat(nodes.pool.held(), equalTo(0));
+    }
+
+    @Test
+    void should_be_not_run_when_drain_of_coordinator_is_over_between_statements() {
+        // given
+        TransactionCaller caller = begin(TestNodes.KEY);
+        caller.statement("PUT act mime");
+
+        // when
+        nodes.coordinatorRequests.endAll();
+        drained();
+        ExecuteReply committed = caller.commit();
+
+        // then
+        assertThat(committed.getOutcome().hasNotRun(), is(true));
+        assertThat(nodes.pool.held(), equalTo(0));
+    }
+
+    @Test
+    void should_be_unknown_when_drain_of_coordinator_is_over_after_commit_was_sent() {
+        // given a commit that waits for its proof of durability
+        nodes.durable.set(new CompletableFuture<>());
+        TransactionCaller caller = begin(TestNodes.KEY);
+        caller.statement("PUT act mime");
+        CompletableFuture<ExecuteReply> committed =
+                CompletableFuture.supplyAsync(caller::commit, nodes.transport.executor());
+        TestGroup.join(nodes.durabilityAsked);
+
+        // when
+        nodes.coordinatorRequests.endAll();
+
+        // then
+        assertThat(TestGroup.join(committed).getOutcome().hasUnknown(), is(true));
+    }
+
     private TransactionCaller begin(String key) {
         TransactionCaller caller = TransactionCaller.open(nodes.streamingCaller());
         assertThat(caller.begin(key).getOutcome().hasAnswer(), is(true));
--- a/proxy/src/test/java/org/geraniumproxy/proxy/node/GracefulStop_drain_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/node/GracefulStop_drain_Test.java
@@ -45,13 +45,13 @@
 
         // then
         assertThat(drained.isDone(), is(true));
-        assertThat(requests.enterForwarded(delay.clock().instant()).isPresent(), is(false));
+        assertThat(requests.enterForwarded(2, delay.clock().instant()).isPresent(), is(false));
     }
 
     @Test
     void should_end_at_the_drain_timeout_when_a_request_does_not_end() {
         // given
-        InFlightRequests.Ticket stuck = requests.enter().orElseThrow();
+        InFlightRequests.Ticket stuck = requests.enter(1).orElseThrow();
         CompletableFuture<Void> drained = drain();
         delay.advance(DRAIN_TIMEOUT.minusMillis(1));
         boolean drainedEarly = drained.isDone();
@@ -59,8 +59,9 @@
         // when
         delay.advance(Duration.ofMillis(1));
 
-        // then
+        // then it is to be answered before the servers stop
         assertThat(drainedEarly, is(false));
+        assertThat(stuck.isEnded(), is(true));
         assertThat(drained.isDone(), is(true));
         stuck.close();
     }
@@ -85,6 +86,7 @@
     }
 
     private InFlightRequests.Ticket forward(Duration timeLeft) {
-        return requests.enterForwarded(delay.clock().instant().plus(timeLeft)).orElseThrow();
+        return requests.enterForwarded(2, delay.clock().instant().plus(timeLeft))
+                .orElseThrow();
     }
 }
--- a/proxy/src/test/java/org/geraniumproxy/proxy/traffic/CoordinatorRig.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/traffic/CoordinatorRig.java
@@ -15,6 +15,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.geraniumproxy.core.configuration.ConfigurationRevision;
 import org.geraniumproxy.core.control.ControlSnapshot;
 import org.geraniumproxy.core.failover.BackendStatus;
@@ -43,6 +45,8 @@
 
 /** A coordinator before databases whose replies the test writes, with a clock that stands still. */
 final class CoordinatorRig {
+    private static final long LIMIT_SECONDS = 10;
+
     static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
     static final GroupName GROUP = GroupName.of("ledger-1");
     static final BackendServerName PRIMARY = BackendServerName.of("ledger-1a");
@@ -57,10 +61,12 @@
     final InFlightRequests inFlight = new InFlightRequests();
 
     private final Deque<BackendReply> replies = new ArrayDeque<>();
+    private final CompletableFuture<BackendReply> lateReply = new CompletableFuture<>();
+    private Optional<Runnable> whileRunning = Optional.empty();
     private Runnable whileQueued = () -> {};
     private Runnable onAwaitedChange = () -> {};
     private GroupView view = view(TERM, 10, 10, NOW.minusMillis(20));
-    private int held;
+    private final AtomicInteger held = new AtomicInteger();
 
     CoordinatorRig(BackendReply... replies) {
         this.replies.addAll(Arrays.asList(replies));
@@ -94,6 +100,12 @@
         return this;
     }
 
+    /** Lets the database answer only after the caller has its reply. */
+    CoordinatorRig whileRunning(Runnable action) {
+        whileRunning = Optional.of(action);
+        return this;
+    }
+
     CoordinatorRig onAwaitedChange(Runnable action) {
         onAwaitedChange = action;
         return this;
@@ -110,13 +122,23 @@
                 inFlight);
         GroupResult result = new CoordinatorHandler(context, this::acquire, new ChangingView(), _ -> Map.of())
                 .handle(request)
+                .orTimeout(LIMIT_SECONDS, TimeUnit.SECONDS)
                 .join();
-        if (held != 0) {
+        lateReply.complete(new BackendReply.Broken("the connection was closed"));
+        awaitIdle().orTimeout(LIMIT_SECONDS, TimeUnit.SECONDS).join();
+        if (held.get() != 0) {
             throw new AssertionError("a lease was not released");
         }
         return result;
     }
 
+    /** A request that was answered at the end of the drain still gives its lease back. */
+    private CompletableFuture<Void> awaitIdle() {
+        return inFlight.count() == 0
+                ? CompletableFuture.completedFuture(null)
+                : Delay.SYSTEM.after(Duration.ofMillis(5)).thenCompose(_ -> awaitIdle());
+    }
+
     static GroupRequest read(boolean repeatable, Duration acceptedAge, LogPosition lastWrite) {
         return new GroupRequest(
                 1,
@@ -156,7 +178,7 @@
 
     private CompletableFuture<SlotPool.SlotGrant> acquire(
             GroupName group, BackendServerName server, CustomerName customer, Instant deadline) {
-        held++;
+        held.incrementAndGet();
         whileQueued.run();
         return CompletableFuture.completedFuture(new SlotPool.SlotGrant.Granted(new Lease(server)));
     }
@@ -195,6 +217,10 @@
         @Override
         public CompletableFuture<BackendReply> execute(BackendCommand command, Term term, CustomerName customer) {
             sentTo.add(server);
+            if (whileRunning.isPresent()) {
+                whileRunning.get().run();
+                return lateReply;
+            }
             return CompletableFuture.completedFuture(replies.remove());
         }
 
@@ -208,7 +234,7 @@
 
         @Override
         public void release() {
-            held--;
+            held.decrementAndGet();
         }
 
         @Override
--- a/proxy/src/test/java/org/geraniumproxy/proxy/traffic/Coordinator_handle_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/traffic/Coordinator_handle_Test.java
@@ -167,6 +167,34 @@
         assertThat(rig.sentTo, contains(PRIMARY));
     }
 
+    @Test
+    void should_be_unknown_when_drain_is_over_after_request_was_sent() {
+        // given
+        CoordinatorRig rig = new CoordinatorRig();
+        rig.whileRunning(rig.inFlight::endAll);
+
+        // when
+        GroupResult result = rig.handle(write());
+
+        // then
+        assertThat(result.outcome(), instanceOf(Outcome.Unknown.class));
+        assertThat(rig.sentTo, contains(PRIMARY));
+    }
+
+    @Test
+    void should_be_not_run_and_send_nothing_when_drain_is_over_while_request_is_queued() {
+        // given a slot that is granted after the request was answered
+        CoordinatorRig rig = new CoordinatorRig(completed(TERM, 11));
+        rig.whileQueued(rig.inFlight::endAll);
+
+        // when
+        GroupResult result = rig.handle(write());
+
+        // then
+        assertThat(reason(result), equalTo(NotRunReason.NOT_COORDINATOR));
+        assertThat(rig.sentTo, empty());
+    }
+
     @Test
     void should_refuse_unsent_when_token_is_ahead_of_new_report() {
         // given
--- a/proxy/src/test/java/org/geraniumproxy/proxy/traffic/PinnedConnection_release_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/traffic/PinnedConnection_release_Test.java
@@ -20,7 +20,7 @@
 
     private final InFlightRequests requests = new InFlightRequests();
     private final PinnedConnection pinned = new PinnedConnection(
-            new IdleLease(), requests.enterForwarded(DEADLINE).orElseThrow());
+            new IdleLease(), requests.enterForwarded(2, DEADLINE).orElseThrow());
 
     @Test
     void should_count_the_transaction_until_its_last_step_is_answered() {
