Leave the roster after the change of it that is in progress

Callers see: requests for the groups of a VM that has ended, which wait until its peers have found it down. Read from the code and not run with callers.

Cause: leave() did not wait for a join on its way to the store. It read a roster without this VM, took that for done and wrote nothing; then the join's swap succeeded, and the roster listed a process that was ending. The same happens when the node has given up a join whose request the store performs later. Besides, joinIfMissing started a join before changeRoster could skip it, so that several could be on their way; and nothing bounded the wait for leave, so that a store that doesn't answer kept the node from ending.

Fix: leave() follows the change in progress. If a join was sent whose reply is not known, leave writes the roster in any case, so that its revision is no longer the one that the late join expects. changeRoster starts a change only if none is in progress. GracefulStop waits for the roster for 4 s at most.

Ruled out: waiting alone, since it doesn't cover a join whose reply was lost.

--- a/proxy/src/main/java/org/geraniumproxy/proxy/control/ControlThread.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/control/ControlThread.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.geraniumproxy.core.control.ControlSnapshot;
 import org.geraniumproxy.core.control.InvariantViolation;
 import org.geraniumproxy.core.control.Transition;
@@ -22,6 +23,7 @@
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.membership.KnownConfiguration;
+import org.geraniumproxy.core.membership.Roster;
 import org.geraniumproxy.core.membership.ViewEffect;
 import org.geraniumproxy.core.membership.ViewEvent;
 import org.geraniumproxy.core.membership.ViewState;
@@ -60,7 +62,8 @@
     private final Set<VmName> asked = new HashSet<>();
 
     private ViewState state;
-    private boolean rosterChangePending;
+    private CompletableFuture<?> rosterChange = CompletableFuture.completedFuture(null);
+    private boolean joinUnconfirmed;
     private boolean left;
     private ScheduledFuture<?> ticks;
     private volatile ControlSnapshot snapshot;
@@ -163,13 +166,15 @@
     }
 
     /**
-     * Removes this VM from the roster.
+     * Removes this VM from the roster, after the change of the roster that is in progress, so that a join can't take
+     * effect later.
      *
      * @return completes when the store has confirmed it; completes exceptionally if the store can't be reached
      */
     public CompletableFuture<Void> leave() {
         return CompletableFuture.runAsync(() -> left = true, executor)
-                .thenCompose(ignored -> rosterKeeper.leave())
+                .thenComposeAsync(_ -> rosterChange.handle((_, _) -> null), executor)
+                .thenComposeAsync(_ -> rosterKeeper.leave(joinUnconfirmed), executor)
                 .thenAccept(roster -> log.infof("member: left the roster at revision %d", roster.revision()));
     }
 
@@ -303,28 +308,41 @@
                 .map(vm -> vm.incarnation() == identity.incarnation())
                 .orElse(false);
         if (!listed && !left && !state.draining()) {
-            changeRoster(rosterKeeper.join(), "joined the roster");
+            changeRoster(this::join, "joined the roster");
         }
     }
 
+    private CompletableFuture<Roster> join() {
+        joinUnconfirmed = true;
+        return rosterKeeper
+                .join()
+                .thenApplyAsync(
+                        roster -> {
+                            joinUnconfirmed = false;
+                            return roster;
+                        },
+                        executor);
+    }
+
     private void removeVm(ViewEffect.RemoveVm remove) {
         changeRoster(
-                rosterKeeper.remove(remove.vm(), remove.incarnation()), "removed " + remove.vm() + " from the roster");
+                () -> rosterKeeper.remove(remove.vm(), remove.incarnation()),
+                "removed " + remove.vm() + " from the roster");
     }
 
-    private void changeRoster(CompletableFuture<org.geraniumproxy.core.membership.Roster> change, String description) {
-        if (rosterChangePending) {
+    /** Starts a change unless another one is in progress. */
+    private void changeRoster(Supplier<CompletableFuture<Roster>> change, String description) {
+        if (!rosterChange.isDone()) {
             return;
         }
-        rosterChangePending = true;
-        var unused = change.whenCompleteAsync(
-                (roster, failure) -> {
-                    rosterChangePending = false;
-                    if (failure == null) {
-                        log.infof("member: %s at revision %d", description, roster.revision());
-                    }
-                },
-                executor);
+        rosterChange = change.get()
+                .whenCompleteAsync(
+                        (roster, failure) -> {
+                            if (failure == null) {
+                                log.infof("member: %s at revision %d", description, roster.revision());
+                            }
+                        },
+                        executor);
     }
 
     private void publish() {
--- a/proxy/src/main/java/org/geraniumproxy/proxy/control/RosterKeeper.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/control/RosterKeeper.java
@@ -36,9 +36,23 @@
                         identity.incarnation())));
     }
 
-    /** Removes this process from the roster. */
-    CompletableFuture<Roster> leave() {
-        return remove(identity.name(), identity.incarnation());
+    /**
+     * Removes this process from the roster.
+     *
+     * @param joinUnconfirmed whether a join was sent whose reply is not known. The roster is then written in any case,
+     *     so that its revision is no longer the one that the join expects, should the store receive it later.
+     */
+    CompletableFuture<Roster> leave(boolean joinUnconfirmed) {
+        return change(roster -> {
+            if (isListed(roster, identity.name(), identity.incarnation())) {
+                return Optional.of(roster.without(identity.name()));
+            }
+            return joinUnconfirmed ? Optional.of(rewritten(roster)) : Optional.empty();
+        });
+    }
+
+    private static Roster rewritten(Roster roster) {
+        return new Roster(roster.revision() + 1, roster.vms(), roster.nextIndex());
     }
 
     /** Removes a process from the roster; a later process of the same name stays. */
--- a/proxy/src/main/java/org/geraniumproxy/proxy/node/GracefulStop.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/node/GracefulStop.java
@@ -17,6 +17,9 @@
      */
     static final Duration ANNOUNCEMENT_TIME = Duration.ofMillis(1500);
 
+    /** Longest wait for the roster; two changes of two store calls each, which have a timeout of 1 s. */
+    static final Duration LEAVE_TIMEOUT = Duration.ofSeconds(4);
+
     /** Number of requests that a log line names. */
     private static final int MAXIMUM_LOGGED_REQUESTS = 20;
 
@@ -59,6 +62,28 @@
         return closed;
     }
 
+    /**
+     * Leaves the roster. A failure is logged and doesn't keep the node from ending, because peers remove the VM later.
+     *
+     * @param departure removes this VM from the roster
+     * @return completes when the VM has left, could not leave, or has waited for the store for long enough
+     */
+    CompletableFuture<Void> leave(Supplier<CompletableFuture<Void>> departure) {
+        CompletableFuture<Void> left = departure.get().exceptionally(GracefulStop::reportLeaveFailure);
+        CompletableFuture<Void> result = left.copy();
+        var unused = delay.after(LEAVE_TIMEOUT).thenRun(() -> {
+            if (result.complete(null)) {
+                log.warnf("member: the roster was not changed in %s, peers will remove this VM", LEAVE_TIMEOUT);
+            }
+        });
+        return result;
+    }
+
+    private static Void reportLeaveFailure(Throwable failure) {
+        log.warnf("member: the roster could not be changed, peers will remove this VM: %s", failure.getMessage());
+        return null;
+    }
+
     private void endRequests() {
         List<Long> requests = inFlight.endAll();
         if (!requests.isEmpty()) {
--- a/proxy/src/main/java/org/geraniumproxy/proxy/node/Node.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/node/Node.java
@@ -103,18 +103,13 @@
      */
     public CompletableFuture<Void> stop() {
         log.info("node: stopping");
-        return new GracefulStop(inFlight, clock, Delay.SYSTEM, settings.drainTimeout())
-                .drain(control::drain)
-                .thenCompose(ignored -> control.leave().exceptionally(this::reportLeaveFailure))
+        GracefulStop stop = new GracefulStop(inFlight, clock, Delay.SYSTEM, settings.drainTimeout());
+        return stop.drain(control::drain)
+                .thenCompose(ignored -> stop.leave(control::leave))
                 .thenRunAsync(this::close)
                 .thenCompose(ignored -> stopped());
     }
 
-    private Void reportLeaveFailure(Throwable failure) {
-        log.warnf("member: the roster could not be changed, peers will remove this VM: %s", failure.getMessage());
-        return null;
-    }
-
     private void close() {
         servers.stop();
         control.close();
