Name the token request in the rate limiter's decisions

Cause: the decision named only the session. The token request has an id now, from the same counter as the requests for slots, and a session takes a decision only for the token that it awaits.

Evidence: CallerSession_run_Test.should_ignore_a_token_that_an_earlier_statement_requested.

--- a/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
@@ -28,7 +28,7 @@
  * @param currentStatement the statement in progress, or empty if the session is idle
  * @param progress progress of the current statement
  * @param lastCommit log position of the last commit of the session, or empty if none is known
- * @param slotRequestCount number of slot requests made so far
+ * @param requestCount number of requests for tokens and slots made so far
  * @param unusedSince time at which the caller connected, or empty after its first operation
  */
 public record CallerSession(
@@ -40,13 +40,13 @@
         Optional<CurrentStatement> currentStatement,
         SessionProgress progress,
         Optional<LogPosition> lastCommit,
-        long slotRequestCount,
+        long requestCount,
         Optional<Instant> unusedSince) {
     /** Customer of callers without a known key on routes that allow anonymous access. */
     public static final CustomerName ANONYMOUS = CustomerName.of("-");
 
-    /** Low-order bits of a slot request id that count the requests of one session; more than any session makes. */
-    private static final int SLOT_REQUEST_BITS = 24;
+    /** Low-order bits of a request id that count the requests of one session; more than any session makes. */
+    private static final int REQUEST_BITS = 24;
 
     private static final SessionProgress.Idle IDLE = new SessionProgress.Idle();
 
@@ -72,13 +72,13 @@
     }
 
     /**
-     * Returns the id of the session that made a slot request.
+     * Returns the id of the session that made a request for a token or a slot.
      *
-     * @param slotRequestId id of the slot request
+     * @param requestId id of the request
      * @return id of the session
      */
-    public static long sessionIdOf(long slotRequestId) {
-        return slotRequestId >> SLOT_REQUEST_BITS;
+    public static long sessionIdOf(long requestId) {
+        return requestId >> REQUEST_BITS;
     }
 
     /**
@@ -95,7 +95,8 @@
             case SessionEvent.StatementReceived received ->
                 StatementAdmission.receive(this, received, context, effects);
             case SessionEvent.CallerDisconnected _ -> StatementInterruption.callerDisconnected(this, effects);
-            case SessionEvent.RateTokenGranted _ -> StatementAdmission.rateTokenGranted(this, context, effects);
+            case SessionEvent.RateTokenGranted granted ->
+                StatementAdmission.rateTokenGranted(this, granted, context, effects);
             case SessionEvent.RateTokenRefused refused -> StatementAdmission.rateTokenRefused(this, refused, effects);
             case SessionEvent.SlotGranted granted -> StatementExecution.slotGranted(this, granted, context, effects);
             case SessionEvent.SlotRefused refused -> StatementExecution.slotRefused(this, refused, context, effects);
@@ -163,8 +164,8 @@
                 .orElse(TransactionState.IDLE);
     }
 
-    long nextSlotRequestId() {
-        return (id << SLOT_REQUEST_BITS) + slotRequestCount + 1;
+    long nextRequestId() {
+        return (id << REQUEST_BITS) + requestCount + 1;
     }
 
     CallerSession withConnection(String databaseName, KeyDigest keyDigest, Instant now) {
@@ -191,7 +192,7 @@
                 currentStatement,
                 progress,
                 lastCommit,
-                slotRequestCount,
+                requestCount,
                 Optional.empty());
     }
 
@@ -205,7 +206,7 @@
                 currentStatement,
                 progress,
                 lastCommit,
-                slotRequestCount,
+                requestCount,
                 unusedSince);
     }
 
@@ -219,7 +220,7 @@
                 currentStatement,
                 next,
                 lastCommit,
-                slotRequestCount,
+                requestCount,
                 unusedSince);
     }
 
@@ -233,7 +234,7 @@
                 Optional.of(next),
                 progress,
                 lastCommit,
-                slotRequestCount,
+                requestCount,
                 unusedSince);
     }
 
@@ -247,7 +248,7 @@
                 currentStatement,
                 progress,
                 lastCommit,
-                slotRequestCount,
+                requestCount,
                 unusedSince);
     }
 
@@ -261,7 +262,7 @@
                 currentStatement,
                 progress,
                 lastCommit,
-                slotRequestCount,
+                requestCount,
                 unusedSince);
     }
 
@@ -275,7 +276,7 @@
                 Optional.empty(),
                 IDLE,
                 lastCommit,
-                slotRequestCount,
+                requestCount,
                 unusedSince);
     }
 
@@ -290,12 +291,19 @@
                 currentStatement,
                 progress,
                 latest,
-                slotRequestCount,
+                requestCount,
                 unusedSince);
     }
 
+    CallerSession withTokenRequest() {
+        return withRequest(new SessionProgress.AwaitingRateToken(nextRequestId()));
+    }
+
     CallerSession withSlotRequest(Placement placement) {
-        SessionProgress.AwaitingSlot awaitingSlot = new SessionProgress.AwaitingSlot(placement, nextSlotRequestId());
+        return withRequest(new SessionProgress.AwaitingSlot(placement, nextRequestId()));
+    }
+
+    private CallerSession withRequest(SessionProgress awaiting) {
         return new CallerSession(
                 id,
                 database,
@@ -303,9 +311,9 @@
                 sessionState,
                 transaction,
                 currentStatement,
-                awaitingSlot,
+                awaiting,
                 lastCommit,
-                slotRequestCount + 1,
+                requestCount + 1,
                 unusedSince);
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
@@ -47,10 +47,12 @@
     /**
      * Requests a token from the customer's rate limiter.
      *
+     * @param tokenRequestId id of the token request
      * @param customer name of the customer
      * @param maximumWait maximum wait for the token before the statement is refused
      */
-    record RequestRateToken(CustomerName customer, Duration maximumWait) implements SessionEffect {}
+    record RequestRateToken(long tokenRequestId, CustomerName customer, Duration maximumWait)
+            implements SessionEffect {}
 
     /**
      * Requests a slot of a database.
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionEvent.java
@@ -26,16 +26,21 @@
     /** The caller closed its connection, or the connection was lost. */
     record CallerDisconnected() implements SessionEvent {}
 
-    /** The rate limiter granted a token for the statement. */
-    record RateTokenGranted() implements SessionEvent {}
+    /**
+     * The rate limiter granted a token.
+     *
+     * @param tokenRequestId id of the token request
+     */
+    record RateTokenGranted(long tokenRequestId) implements SessionEvent {}
 
     /**
-     * The rate limiter refused the statement because the customer is over its rate.
+     * The rate limiter refused a token because the customer is over its rate.
      *
+     * @param tokenRequestId id of the token request
      * @param retryAfter expected time until a token is available
      * @param cause which limiter had no token
      */
-    record RateTokenRefused(Duration retryAfter, String cause) implements SessionEvent {}
+    record RateTokenRefused(long tokenRequestId, Duration retryAfter, String cause) implements SessionEvent {}
 
     /**
      * The session was granted a slot.
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionProgress.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionProgress.java
@@ -24,8 +24,12 @@
     /** No statement is in progress. */
     record Idle() implements SessionProgress {}
 
-    /** The statement waits for a token of its customer's rate limiter. */
-    record AwaitingRateToken() implements SessionProgress {}
+    /**
+     * The statement waits for a token of its customer's rate limiter.
+     *
+     * @param tokenRequestId id of the token request
+     */
+    record AwaitingRateToken(long tokenRequestId) implements SessionProgress {}
 
     /**
      * The statement could not run and is placed again later.
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
@@ -47,8 +47,12 @@
                 : handleOutsideTransaction(session, received, context, effects);
     }
 
-    static CallerSession rateTokenGranted(CallerSession session, SessionContext context, List<SessionEffect> effects) {
-        if (!(session.progress() instanceof SessionProgress.AwaitingRateToken)) {
+    static CallerSession rateTokenGranted(
+            CallerSession session,
+            SessionEvent.RateTokenGranted granted,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        if (!awaitsToken(session, granted.tokenRequestId())) {
             return session;
         }
         CurrentStatement current = session.currentStatement().orElseThrow();
@@ -77,7 +81,7 @@
 
     static CallerSession rateTokenRefused(
             CallerSession session, SessionEvent.RateTokenRefused refused, List<SessionEffect> effects) {
-        if (!(session.progress() instanceof SessionProgress.AwaitingRateToken)) {
+        if (!awaitsToken(session, refused.tokenRequestId())) {
             return session;
         }
         String requestId =
@@ -90,6 +94,12 @@
                 effects);
     }
 
+    /** Returns whether the session awaits this token, and not that of a later statement. */
+    private static boolean awaitsToken(CallerSession session, long tokenRequestId) {
+        return session.progress() instanceof SessionProgress.AwaitingRateToken awaiting
+                && awaiting.tokenRequestId() == tokenRequestId;
+    }
+
     private static CallerSession handleOutsideTransaction(
             CallerSession session,
             SessionEvent.StatementReceived received,
@@ -205,8 +215,9 @@
                 configuration.route(session.database().orElseThrow()).orElseThrow();
         CallerSession started = start(session, received, template, route, context.now(), effects);
         CustomerName customer = session.customer(route, configuration).orElseThrow();
-        effects.add(new SessionEffect.RequestRateToken(customer, route.maximumTokenWait()));
-        return started.with(new SessionProgress.AwaitingRateToken());
+        CallerSession awaiting = started.withTokenRequest();
+        effects.add(new SessionEffect.RequestRateToken(started.nextRequestId(), customer, route.maximumTokenWait()));
+        return awaiting;
     }
 
     private static CallerSession start(
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
@@ -162,7 +162,7 @@
         BackendServerName database = placement.database();
         effects.add(new SessionEffect.RequestSlot(
                 database,
-                session.nextSlotRequestId(),
+                session.nextRequestId(),
                 customer,
                 current.route().priority(),
                 current.deadline(),
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -94,10 +94,15 @@
     CallerSessionFixture sends(Statement statement) {
         on(new SessionEvent.StatementReceived("r1", statement));
         return effect(SessionEffect.RequestRateToken.class).isPresent()
-                ? on(new SessionEvent.RateTokenGranted())
+                ? on(new SessionEvent.RateTokenGranted(tokenRequestId()))
                 : this;
     }
 
+    /** Returns the id of the token request that the last event has caused. */
+    long tokenRequestId() {
+        return effect(SessionEffect.RequestRateToken.class).orElseThrow().tokenRequestId();
+    }
+
     CallerSessionFixture grantsSlot() {
         long number = effect(SessionEffect.RequestSlot.class).orElseThrow().slotRequestId();
         return on(new SessionEvent.SlotGranted(number, CONNECTION, ConnectionState.EMPTY));
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_run_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_run_Test.java
@@ -139,8 +139,8 @@
     @Test
     void should_refuse_a_statement_over_the_rate() {
         CallerSessionFixture fixture = CallerSessionFixture.connectedWith(Consistency.PRIMARY)
-                .on(new SessionEvent.StatementReceived("r1", READ))
-                .on(new SessionEvent.RateTokenRefused(Duration.ofMillis(40), "no token"));
+                .on(new SessionEvent.StatementReceived("r1", READ));
+        fixture.on(new SessionEvent.RateTokenRefused(fixture.tokenRequestId(), Duration.ofMillis(40), "no token"));
         assertThat(fixture.error(), is(ErrorCode.BUSY));
     }
 
@@ -148,12 +148,29 @@
     @Test
     void should_ignore_a_refused_token_of_a_statement_that_has_timed_out() {
         CallerSessionFixture fixture = CallerSessionFixture.connectedWith(Consistency.PRIMARY)
-                .on(new SessionEvent.StatementReceived("r1", READ))
-                .advance(CallerSessionFixture.TIMEOUT)
-                .on(new SessionEvent.TimePassed());
+                .on(new SessionEvent.StatementReceived("r1", READ));
+        long first = fixture.tokenRequestId();
+        fixture.advance(CallerSessionFixture.TIMEOUT).on(new SessionEvent.TimePassed());
         assertThat(fixture.error(), is(ErrorCode.BUSY));
-        fixture.on(new SessionEvent.RateTokenRefused(Duration.ofMillis(40), "no token"));
+        fixture.on(new SessionEvent.RateTokenRefused(first, Duration.ofMillis(40), "no token"));
+        assertThat(fixture.hasEffect(SessionEffect.Reply.class), is(false));
+    }
+
+    /** Guards against a write that runs on the token of an earlier one and is then refused with its own. */
+    @Test
+    void should_ignore_a_token_that_an_earlier_statement_requested() {
+        CallerSessionFixture fixture = CallerSessionFixture.connectedWith(Consistency.PRIMARY)
+                .on(new SessionEvent.StatementReceived("r1", WRITE));
+        long first = fixture.tokenRequestId();
+        fixture.advance(CallerSessionFixture.TIMEOUT).on(new SessionEvent.TimePassed());
+        fixture.on(new SessionEvent.StatementReceived("r2", WRITE));
+        long second = fixture.tokenRequestId();
+        fixture.on(new SessionEvent.RateTokenGranted(first));
+        assertThat(fixture.hasEffect(SessionEffect.RequestSlot.class), is(false));
+        fixture.on(new SessionEvent.RateTokenRefused(first, Duration.ofMillis(40), "no token"));
         assertThat(fixture.hasEffect(SessionEffect.Reply.class), is(false));
+        fixture.on(new SessionEvent.RateTokenGranted(second));
+        assertThat(fixture.hasEffect(SessionEffect.RequestSlot.class), is(true));
     }
 
     @Test
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/PeerRequests.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/PeerRequests.java
@@ -88,8 +88,8 @@
     }
 
     /** Requests a token for the operation of a session, which receives the decision as an event. */
-    void admit(long session, CustomerName customer, Duration maximumWait) {
-        rateLimiter.admit(session, customer, maximumWait);
+    void admit(long tokenRequestId, CustomerName customer, Duration maximumWait) {
+        rateLimiter.admit(tokenRequestId, customer, maximumWait);
     }
 
     void onTick() {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RateLimiter.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RateLimiter.java
@@ -68,10 +68,8 @@
                         Math.max(lastRemovedRequestId, rate.borrowed().lastRequestId());
                 rate.borrowed()
                         .waitingOperations()
-                        .forEach(operation -> engine.deliver(
-                                operation,
-                                new SessionEvent.RateTokenRefused(
-                                        UNKNOWN_CUSTOMER_DELAY, "the customer was removed from the configuration")));
+                        .forEach(operation -> refuse(
+                                operation, UNKNOWN_CUSTOMER_DELAY, "the customer was removed from the configuration"));
             }
         });
         rates.keySet().retainAll(customers);
@@ -125,18 +123,18 @@
                         customer, (_, rate) -> rate.receiveHandover(handover.sender(), tokens, engine.now())));
     }
 
-    /** Requests a token for the operation of a session, which receives the decision as an event. */
-    void admit(long session, CustomerName customer, Duration maximumWait) {
+    /** Requests a token for an operation, whose session receives the decision as an event. */
+    void admit(long tokenRequestId, CustomerName customer, Duration maximumWait) {
         if (customer.equals(CallerSession.ANONYMOUS)) {
-            engine.deliver(session, new SessionEvent.RateTokenGranted());
+            grant(tokenRequestId);
             return;
         }
         CustomerRate rate = rates.get(customer);
         if (rate == null) {
-            engine.deliver(session, new SessionEvent.RateTokenRefused(UNKNOWN_CUSTOMER_DELAY, "no limit is known"));
+            refuse(tokenRequestId, UNKNOWN_CUSTOMER_DELAY, "no limit is known");
             return;
         }
-        apply(customer, rate.borrowed().arrive(session, maximumWait, engine.now()));
+        apply(customer, rate.borrowed().arrive(tokenRequestId, maximumWait, engine.now()));
     }
 
     void receive(TokenRequest request) {
@@ -173,12 +171,10 @@
     private void execute(CustomerName customer, CustomerRateEffect effect) {
         VmName owner = rates.get(customer).owner();
         switch (effect) {
-            case CustomerRateEffect.Admit admit -> deliverAfter(admit.operation(), admit.delay());
+            case CustomerRateEffect.Admit admit -> grantAfter(admit.operation(), admit.delay());
             case CustomerRateEffect.Refuse refuse -> {
                 engine.metrics().operationOverRate(refuse.source());
-                engine.deliver(
-                        refuse.operation(),
-                        new SessionEvent.RateTokenRefused(refuse.retryAfter(), describe(owner, refuse.source())));
+                refuse(refuse.operation(), refuse.retryAfter(), describe(owner, refuse.source()));
             }
             case CustomerRateEffect.Ask ask -> ask(customer, owner, ask);
             case CustomerRateEffect.OwnerChanged changed ->
@@ -200,17 +196,27 @@
         };
     }
 
-    private void deliverAfter(long session, Duration delay) {
+    private void grantAfter(long tokenRequestId, Duration delay) {
         if (delay.isZero()) {
-            engine.deliver(session, new SessionEvent.RateTokenGranted());
+            grant(tokenRequestId);
             return;
         }
         engine.loop().schedule(engine.now().plus(delay), () -> {
-            engine.deliver(session, new SessionEvent.RateTokenGranted());
+            grant(tokenRequestId);
             engine.runPendingSteps();
         });
     }
 
+    private void grant(long tokenRequestId) {
+        engine.deliver(CallerSession.sessionIdOf(tokenRequestId), new SessionEvent.RateTokenGranted(tokenRequestId));
+    }
+
+    private void refuse(long tokenRequestId, Duration retryAfter, String cause) {
+        engine.deliver(
+                CallerSession.sessionIdOf(tokenRequestId),
+                new SessionEvent.RateTokenRefused(tokenRequestId, retryAfter, cause));
+    }
+
     private void ask(CustomerName customer, VmName owner, CustomerRateEffect.Ask ask) {
         TokenRequest request = new TokenRequest(
                 ownership.self(), customer, ask.requestId(), ask.needed(), ask.ahead(), ask.maximumWait());
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -384,7 +384,7 @@
             case SessionEffect.Reply reply -> sendReply(caller, reply);
             case SessionEffect.CloseCallerConnection _ -> caller.closeAfterQueuedMessages();
             case SessionEffect.RequestRateToken tokenRequest ->
-                peerRequests.admit(caller.session().id(), tokenRequest.customer(), tokenRequest.maximumWait());
+                peerRequests.admit(tokenRequest.tokenRequestId(), tokenRequest.customer(), tokenRequest.maximumWait());
             case SessionEffect.RequestSlot request -> requestSlot(request);
             case SessionEffect.CancelSlotRequest cancel -> cancelSlotRequest(cancel);
             case SessionEffect.ReleaseSlot release ->
