Keep a rate's bucket empty until the end of the takeover when its limits change

The time until the bucket is full included the rest of the takeover. An owner whose limits were raised from the start of the takeover had a full bucket at its end.

--- a/core/src/main/java/org/geraniumproxy/core/limit/OwnedRate.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/OwnedRate.java
@@ -50,7 +50,9 @@
     }
 
     /**
-     * Applies other limits.
+     * Applies other limits. During a takeover the bucket remains empty until this VM lends: its time until it is full
+     * includes the rest of the takeover, which would otherwise count as tokens that accrue at the rate of the old
+     * limits and are missing, or left over, at that of the new ones.
      *
      * @param tokensPerSecond rate that this VM may lend
      * @param burst burst that this VM may lend
@@ -58,7 +60,10 @@
      * @return the state with the limits
      */
     public OwnedRate withLimits(double tokensPerSecond, double burst, Instant now) {
-        return new OwnedRate(bucket.withLimits(tokensPerSecond, burst, now), lendsFrom, lastAnswers);
+        PacedRate limited = lends(now)
+                ? bucket.withLimits(tokensPerSecond, burst, now)
+                : PacedRate.empty(tokensPerSecond, burst, lendsFrom);
+        return new OwnedRate(limited, lendsFrom, lastAnswers);
     }
 
     /**
--- a/core/src/test/java/org/geraniumproxy/core/limit/OwnedRate_answer_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/limit/OwnedRate_answer_Test.java
@@ -77,6 +77,33 @@
         assertThat(granted(9, Duration.ZERO, START).granted(), is(3));
     }
 
+    /**
+     * Guards against an owner that hears from the other holders during its takeover and then refuses what the rate
+     * allows, because it counted the tokens of the rest of the takeover at the lower rate.
+     */
+    @Test
+    void should_lend_the_whole_rate_from_the_end_of_the_takeover_after_the_limits_rose() {
+        rate = OwnedRate.initial(5_000, 5_000, OwnedRate.TAKEOVER_DELAY, START)
+                .withLimits(1_250, 1_250, START)
+                .withLimits(5_000, 5_000, START.plusMillis(400));
+        TokenAnswer.Granted answer = granted(1, Duration.ZERO, LENDS_FROM.plusMillis(1));
+        assertThat(answer.granted(), is(1));
+    }
+
+    /** Guards against a bucket that fills during the takeover, in which the equal parts are used. */
+    @Test
+    void should_begin_without_tokens_after_limits_rose_or_fell_during_the_takeover() {
+        OwnedRate raised = OwnedRate.initial(1_250, 1_250, OwnedRate.TAKEOVER_DELAY, START)
+                .withLimits(5_000, 5_000, START.plusMillis(400));
+        OwnedRate loweredAndRaised = OwnedRate.initial(5_000, 5_000, OwnedRate.TAKEOVER_DELAY, START)
+                .withLimits(1_250, 1_250, START.plusMillis(400))
+                .withLimits(5_000, 5_000, START.plusMillis(800));
+        assertThat(raised.availableTokens(LENDS_FROM), is(0L));
+        assertThat(loweredAndRaised.availableTokens(LENDS_FROM), is(0L));
+        assertThat(raised.availableTokens(LENDS_FROM.plusMillis(10)), is(50L));
+        assertThat(loweredAndRaised.availableTokens(LENDS_FROM.plusMillis(10)), is(50L));
+    }
+
     /** Guards against a lowered limit that is used up from tokens of the higher one. */
     @Test
     void should_discard_tokens_beyond_a_lowered_burst() {
--- a/core/src/test/java/org/geraniumproxy/core/limit/RateFleet_lend_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/limit/RateFleet_lend_Test.java
@@ -158,6 +158,26 @@
         assertThat(fleet.mostAdmittedWithin(customer, WINDOW), is(lessThanOrEqualTo(STRICT_BOUND)));
     }
 
+    /** Guards against refusals far below the rate once the takeover of an owner ends that heard from no VM at first. */
+    @Test
+    void should_refuse_nothing_below_the_limit_when_vms_are_heard_during_the_takeover() {
+        RateFleet fleet = new RateFleet(4, 5_000, 5_000, 14);
+        CustomerName customer = customer("calm");
+        VmName owner = fleet.ownerOf(customer);
+        List<VmName> others =
+                fleet.members().stream().filter(vm -> !vm.equals(owner)).toList();
+        others.forEach(fleet::silence);
+        Instant lendsFrom = fleet.now().plus(OwnedRate.TAKEOVER_DELAY);
+        for (int operation = 0; operation < 40; operation++) {
+            fleet.operation(others.get(operation % 3), customer, lendsFrom.plusMillis(20 + operation * 10L));
+        }
+        fleet.runUntil(Instant.EPOCH.plusMillis(400));
+        others.forEach(fleet::unsilence);
+        fleet.runUntil(lendsFrom.plusSeconds(2));
+        assertThat(fleet.refused(), is(0));
+        assertThat(fleet.admitted(), is(40));
+    }
+
     /** Returns the name of a VM that becomes the owner of a customer's rate when it joins. */
     private static VmName joiningOwner(RateFleet fleet, CustomerName customer) {
         for (int number = 100; ; number++) {
