Receive no input after a close that was requested in the same iteration

A pipelined statement whose connection was to be closed after pending output was still read, if the loop had found its connection readable before the close was requested. An accepted connection that could not be registered stayed in the count of sessions, so a later stop took its whole grace period.

Cause: the check stood in the interest of the selection key only, and an exception between the creation of a session and the registration of its connection reached nobody. Found by the review, by reading; the first has its test in EventLoop_run_Test for later iterations, the second has none.

--- a/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
@@ -218,9 +218,7 @@
                 StreamConnection[] connectionReference = new StreamConnection[1];
                 StreamHandler handler = listener.handlerFactory().apply(connectionReference);
                 connectionReference[0] = new StreamConnection(this, channel, handler);
-                connectionReference[0].attachKey(
-                        channel.register(selector, SelectionKey.OP_READ, connectionReference[0]));
-                handler.onConnected();
+                register(channel, connectionReference[0], handler);
                 channel = listener.channel().accept();
             }
         } catch (IOException e) {
@@ -228,6 +226,17 @@
         }
     }
 
+    /** Registers an accepted connection. Its handler is told if that fails. */
+    private void register(SocketChannel channel, StreamConnection connection, StreamHandler handler) {
+        try {
+            connection.attachKey(channel.register(selector, SelectionKey.OP_READ, connection));
+            handler.onConnected();
+        } catch (IOException | RuntimeException e) {
+            logFailure("accepting a connection failed", e);
+            connection.close("accept failed: " + e);
+        }
+    }
+
     /** Closes a listener. Connections that wait to be accepted would be reset by the close. */
     private void closeListener(Listener listener) {
         accept(listener);
--- a/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
@@ -104,7 +104,7 @@
 
     /** Receives the input that has arrived, as if the loop had found the connection readable. */
     public void receiveAvailable() {
-        if (!closed && !closeAfterFlush && key != null && channel.isConnected()) {
+        if (!closed && key != null && channel.isConnected()) {
             loop.receive(this);
         }
     }
@@ -124,6 +124,9 @@
     }
 
     void read(ByteBuffer buffer) {
+        if (closeAfterFlush) {
+            return;
+        }
         try {
             buffer.clear();
             int count = channel.read(buffer);
