End the sessions of a stopping node whatever fails or is late meanwhile

When answers were due, a statement that waited for a slot could be granted one in the same step in which it was refused. The stale grant then ended the step with an exception: the sessions after it got no answer, and the traffic thread's periodic step never ran again.

- A slot that was granted but not delivered belongs to the pool; cancelling the request gives it back.
- The periodic step is scheduled again before it runs, and a session that fails does not end the others.
- A slot that is granted when answers are due is given back instead of used.
A transaction that would be rolled back at once is refused.

--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionDrain.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionDrain.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import org.geraniumproxy.core.statement.Statement;
 
 /**
  * Ends the sessions of a VM that stops. A session is closed together with the answer after which its caller is owed
@@ -16,22 +17,35 @@
      */
     static final Duration FIRST_STATEMENT_WAIT = Duration.ofMillis(300);
 
-    private static final String STOPPING = "the VM is stopping";
+    static final String STOPPING = "the VM is stopping";
 
     private SessionDrain() {}
 
     /** Returns the refusal of a statement that arrives too late to be answered with a result. */
-    static Optional<StatementResult.Failed> refusal(SessionContext context) {
+    static Optional<StatementResult.Failed> refusal(Statement statement, SessionContext context) {
         return context.view()
                 .drain()
-                .filter(drain -> drain.areAnswersDue(context.now()))
+                .filter(drain -> isTooLate(statement, drain, context.now()))
                 .map(_ -> new StatementResult.Failed(ErrorCode.BUSY, STOPPING));
     }
 
+    /** Returns whether every statement must be answered at once. */
+    static boolean areAnswersDue(SessionContext context) {
+        return context.view()
+                .drain()
+                .filter(drain -> drain.areAnswersDue(context.now()))
+                .isPresent();
+    }
+
+    private static boolean isTooLate(Statement statement, CallerDrain drain, Instant now) {
+        return statement instanceof Statement.Begin ? drain.mustTransactionsEnd(now) : drain.areAnswersDue(now);
+    }
+
     /** Ends what is due after an event. Does nothing unless the VM is stopping. */
     static CallerSession afterEvent(CallerSession session, SessionContext context, List<SessionEffect> effects) {
         return context.view()
                 .drain()
+                .filter(drain -> drain.hasStarted(context.now()))
                 .map(drain -> end(session, drain, context.now(), effects))
                 .orElse(session);
     }
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
@@ -201,7 +201,7 @@
             List<SessionEffect> effects) {
         ServiceConfiguration configuration = context.view().configuration();
         Optional<StatementResult.Failed> refusal =
-                SessionDrain.refusal(context).or(() -> refusal(session, configuration));
+                SessionDrain.refusal(received.statement(), context).or(() -> refusal(session, configuration));
         if (refusal.isPresent()) {
             effects.add(new SessionEffect.Log(
                     received.requestId(), "refused", describe(refusal.get()) + " version=" + configuration.version()));
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
@@ -84,6 +84,10 @@
                 synchronization.connectionState(),
                 context.now(),
                 Optional.empty());
+        if (SessionDrain.areAnswersDue(context)) {
+            CallerSession granting = session.with(new SessionProgress.PreparingConnection(slot, false));
+            return StatementInterruption.answerWithoutResult(granting, SessionDrain.STOPPING, effects);
+        }
         if (commands.isEmpty()) {
             return sendStatement(session, slot, context, effects);
         }
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementInterruption.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementInterruption.java
@@ -4,7 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 
-/** Ends statements after a lost connection, a passed deadline or a disconnected caller. */
+/** Ends statements after a lost connection, a passed deadline, a disconnected caller or at a stop. */
 final class StatementInterruption {
     private StatementInterruption() {}
 
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -121,9 +121,9 @@
     record PrimaryClaimed(GroupName group, PrimaryClaim claim) implements FleetEvent {}
 
     /**
-     * This process is stopping and the load balancer has removed it, so the sessions are ended.
+     * This process is stopping, so the sessions are ended once the load balancer has removed it.
      *
      * @param drain times by which they must have ended
      */
-    record CallerDrainStarted(CallerDrain drain) implements FleetEvent {}
+    record StopSignalled(CallerDrain drain) implements FleetEvent {}
 }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -251,7 +251,7 @@
             case FleetEvent.WriteRefusedByReplica refused -> with(databases.markDemoted(refused, effects));
             case FleetEvent.PrimaryClaimed claimed ->
                 with(databases.addClaim(claimed.group(), claimed.claim(), effects));
-            case FleetEvent.CallerDrainStarted started ->
+            case FleetEvent.StopSignalled signalled ->
                 new FleetState(
                         self,
                         configuration,
@@ -261,7 +261,7 @@
                         lastReport,
                         exchange,
                         ownership,
-                        Optional.of(started.drain()));
+                        Optional.of(signalled.drain()));
         };
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/fleet/StopSchedule.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/StopSchedule.java
@@ -8,11 +8,10 @@
  * Times of the steps of a planned stop. They count from the stop signal, so that a process that handles the signal late
  * has less time for each step, but ends in time.
  *
- * @param listenerClosesAt time from which no connection is accepted and sessions are ended
- * @param drain times by which the sessions must have ended
+ * @param drain times by which the sessions must have ended; no connection is accepted after its start
  * @param leavesAt latest time at which the VM leaves the fleet, which takes the rest of the grace period
  */
-public record StopSchedule(Instant listenerClosesAt, CallerDrain drain, Instant leavesAt) {
+public record StopSchedule(CallerDrain drain, Instant leavesAt) {
     /**
      * Time in which the load balancer removes this VM. It checks readiness once a second and removes a VM after two
      * failed checks.
@@ -45,8 +44,8 @@
                 later(middle, signalledAt.plus(grace).minus(HALT_TIME).minus(LEAVE_TIME));
         Instant answersDueAt = later(middle, leavesAt.minus(FLUSH_TIME));
         Instant removedAt = signalledAt.plus(LOAD_BALANCER_DELAY);
-        return new StopSchedule(
-                removedAt.isBefore(middle) ? removedAt : middle, new CallerDrain(middle, answersDueAt), leavesAt);
+        Instant startsAt = removedAt.isBefore(middle) ? removedAt : middle;
+        return new StopSchedule(new CallerDrain(startsAt, middle, answersDueAt), leavesAt);
     }
 
     private static Instant later(Instant first, Instant second) {
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -74,7 +74,7 @@
 
     /** Begins a stop in which transactions end after 1 s and answers are due after 3 s. */
     CallerSessionFixture startsDraining() {
-        drain = Optional.of(new CallerDrain(now.plusSeconds(1), now.plusSeconds(3)));
+        drain = Optional.of(new CallerDrain(now, now.plusSeconds(1), now.plusSeconds(3)));
         return this;
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_drain_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSession_drain_Test.java
@@ -115,6 +115,14 @@
         assertThat(fixture.hasEffect(SessionEffect.CancelSlotRequest.class), is(true));
     }
 
+    @Test
+    void should_refuse_a_transaction_that_would_be_rolled_back_at_once() {
+        CallerSessionFixture fixture = connected().startsDraining();
+        fixture.advance(UNTIL_TRANSACTIONS_END).sends(new Statement.Begin(false));
+        assertThat(fixture.error(), is(ErrorCode.BUSY));
+        assertThat(isClosed(fixture), is(true));
+    }
+
     @Test
     void should_refuse_a_statement_that_arrives_after_the_answers_were_due() {
         CallerSessionFixture fixture = connected().startsDraining();
--- a/core/src/test/java/org/geraniumproxy/core/fleet/StopSchedule_of_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/fleet/StopSchedule_of_Test.java
@@ -1,6 +1,7 @@
 package org.geraniumproxy.core.fleet;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -35,10 +36,18 @@
         assertThat(schedule.drain().answersDueAt(), greaterThanOrEqualTo(SIGNALLED_AT.plusSeconds(5)));
     }
 
+    /** The traffic thread looks at the sessions each 0.1 s, and then passes the answers to the operating system. */
+    @Test
+    void should_leave_time_for_the_last_answers() {
+        StopSchedule schedule = StopSchedule.of(SIGNALLED_AT, Duration.ofSeconds(6));
+        Duration remaining = Duration.between(schedule.drain().answersDueAt(), schedule.leavesAt());
+        assertThat(remaining, greaterThan(Duration.ofMillis(100)));
+    }
+
     @Test
     void should_keep_the_order_of_the_steps_in_a_short_grace_period() {
         StopSchedule schedule = StopSchedule.of(SIGNALLED_AT, Duration.ofMillis(200));
-        assertThat(schedule.listenerClosesAt(), is(SIGNALLED_AT.plusMillis(100)));
+        assertThat(schedule.drain().startsAt(), is(SIGNALLED_AT.plusMillis(100)));
         assertThat(schedule.drain().answersDueAt(), is(SIGNALLED_AT.plusMillis(100)));
         assertThat(schedule.leavesAt(), is(SIGNALLED_AT.plusMillis(100)));
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerConnection.java
@@ -102,7 +102,9 @@
 
     /** Logs what the caller is still owed when the process ends. */
     void logUnfinished() {
-        apply(new SessionEvent.ProcessEnding());
+        session.on(new SessionEvent.ProcessEnding(), engine.context(session))
+                .effects()
+                .forEach(effect -> engine.execute(this, effect));
         engine.log(
                 "-",
                 "session open at the exit",
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -51,12 +51,16 @@
     private final Map<Long, Long> sessionsByConnection = new HashMap<>();
     private final Set<Long> rollingBack = new LinkedHashSet<>();
     private final Set<Long> queuedRequests = new LinkedHashSet<>();
+    private final Map<Long, UndeliveredGrant> undeliveredGrants = new HashMap<>();
     private DatabaseEntry entry;
     private CustomerPool poolState = CustomerPool.initial();
     private DatabaseCondition condition = DatabaseCondition.UNUSED;
     private boolean removed;
     private boolean probeInFlight;
 
+    /** Connection of a granted slot, and whether the session held the connection already. */
+    private record UndeliveredGrant(long connectionId, boolean heldBefore) {}
+
     DatabaseConnectionPool(TrafficEngine engine, DatabaseEntry entry) {
         this.engine = engine;
         this.entry = entry;
@@ -115,12 +119,26 @@
         apply(new CustomerPoolEvent.SlotRequested(request));
     }
 
+    /** Cancels a request for a slot. A slot that was granted meanwhile is given back, with its connection. */
     void cancelRequest(long slotRequestId) {
         if (queuedRequests.remove(slotRequestId)) {
             apply(new CustomerPoolEvent.RequestsCancelled(List.of(slotRequestId)));
+            return;
+        }
+        UndeliveredGrant granted = undeliveredGrants.remove(slotRequestId);
+        if (granted != null) {
+            releaseSlot(slotRequestId);
+            if (!granted.heldBefore()) {
+                releaseConnection(granted.connectionId(), connectionState(granted.connectionId()), false);
+            }
         }
     }
 
+    /** Returns whether a granted slot is still wanted. The session owns it from then on. */
+    boolean confirmGrant(long slotRequestId) {
+        return undeliveredGrants.remove(slotRequestId) != null;
+    }
+
     void releaseSlot(long slotRequestId) {
         apply(new CustomerPoolEvent.SlotReleased(slotRequestId));
     }
@@ -397,7 +415,8 @@
     }
 
     private void grant(SlotRequest request, long session, BackendConnection connection) {
-        engine.deliver(session, new SessionEvent.SlotGranted(request.id(), connection.id(), connection.state()));
+        undeliveredGrants.put(request.id(), new UndeliveredGrant(connection.id(), request.holdsConnection()));
+        engine.deliver(session, this, new SessionEvent.SlotGranted(request.id(), connection.id(), connection.state()));
     }
 
     private void openConnection(CustomerName customer) {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -141,7 +141,6 @@
      */
     public void update(TrafficView next, RateOwnership ownership) {
         boolean firstConfiguration = !isConfigured();
-        boolean beginsDraining = !isDraining() && next.drain().isPresent();
         view = next;
         peerRequests.update(next, ownership);
         Map<BackendServerName, DatabaseEntry> currentDatabases = new HashMap<>();
@@ -168,9 +167,6 @@
             List.copyOf(sessions.values()).forEach(CallerConnection::handleQueuedMessages);
         }
         runPendingSteps();
-        if (beginsDraining) {
-            endDrainedSessions();
-        }
     }
 
     /**
@@ -209,8 +205,8 @@
     }
 
     /**
-     * Returns when the last session has ended and its answers have been passed to the operating system. Must be called
-     * on the loop's thread, after the listener was closed.
+     * Ends the sessions that are owed nothing, and returns when the last one has ended and its answers have been passed
+     * to the operating system. Must be called on the loop's thread, after the listener was closed.
      *
      * @return completes on the loop's thread
      */
@@ -218,6 +214,7 @@
         CompletableFuture<Void> ended = new CompletableFuture<>();
         log("-", "waiting for sessions", "sessions=" + sessions.size());
         sessionsEnded = Optional.of(ended);
+        endDrainedSessions();
         completeIfNoSessions(ended);
         return ended;
     }
@@ -243,7 +240,7 @@
     }
 
     boolean isDraining() {
-        return view.drain().isPresent();
+        return view.drain().filter(drain -> drain.hasStarted(now())).isPresent();
     }
 
     EventLoop loop() {
@@ -330,14 +327,25 @@
 
     /** Delivers an event to a session after the current step. */
     void deliver(long session, SessionEvent event) {
+        pendingSteps.add(() -> deliverNow(session, event));
+    }
+
+    private void deliverNow(long session, SessionEvent event) {
+        if (session == AdministrativeCommands.SESSION_ID) {
+            administrativeCommands.apply(event);
+            return;
+        }
+        CallerConnection caller = sessions.get(session);
+        if (caller != null) {
+            caller.apply(event);
+        }
+    }
+
+    /** Delivers a granted slot after the current step, unless the session has cancelled its request by then. */
+    void deliver(long session, DatabaseConnectionPool connectionPool, SessionEvent.SlotGranted granted) {
         pendingSteps.add(() -> {
-            if (session == AdministrativeCommands.SESSION_ID) {
-                administrativeCommands.apply(event);
-                return;
-            }
-            CallerConnection caller = sessions.get(session);
-            if (caller != null) {
-                caller.apply(event);
+            if (connectionPool.confirmGrant(granted.slotRequestId())) {
+                deliverNow(session, granted);
             }
         });
     }
@@ -473,14 +481,13 @@
 
     private void scheduleWakeUp(CallerConnection caller, Instant at) {
         loop.schedule(at, () -> {
-            if (!caller.isDisconnected()) {
-                caller.apply(new SessionEvent.TimePassed());
-                runPendingSteps();
-            }
+            checkTime(caller);
+            runPendingSteps();
         });
     }
 
     private void tick() {
+        loop.schedule(now().plus(TICK_INTERVAL), this::tick);
         connectionPools.values().forEach(DatabaseConnectionPool::onTick);
         view.groups().forEach(this::probePrimary);
         peerRequests.onTick();
@@ -490,7 +497,6 @@
         }
         metrics.updateState(sessionCount(), view.configuration().version());
         observer.onReport(report());
-        loop.schedule(now().plus(TICK_INTERVAL), this::tick);
     }
 
     /**
@@ -499,14 +505,28 @@
      */
     private void endDrainedSessions() {
         for (CallerConnection caller : List.copyOf(sessions.values())) {
-            caller.stream().receiveAvailable();
-            if (!caller.isDisconnected()) {
-                caller.apply(new SessionEvent.TimePassed());
+            try {
+                checkTime(caller);
+            } catch (RuntimeException e) {
+                log(
+                        "-",
+                        "ending a session failed",
+                        "session=" + caller.session().id() + " error=\"" + e + "\"");
+                caller.stream().close("internal error: " + e);
             }
         }
         runPendingSteps();
     }
 
+    private void checkTime(CallerConnection caller) {
+        if (isDraining()) {
+            caller.stream().receiveAvailable();
+        }
+        if (!caller.isDisconnected()) {
+            caller.apply(new SessionEvent.TimePassed());
+        }
+    }
+
     private TrafficReport report() {
         Map<BackendServerName, DatabaseHealth> health = new HashMap<>();
         connectionPools.forEach((name, connectionPool) ->
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -219,16 +219,23 @@
 
     /** Begins a stop in which transactions and statements have more time than any test takes. */
     void startDraining() {
-        Instant end = engine.now().plus(STATEMENT_TIMEOUT);
+        startDraining(STATEMENT_TIMEOUT);
+    }
+
+    /** Begins a stop in which answers are due after a time, and ends the sessions that are owed nothing. */
+    void startDraining(Duration untilAnswersAreDue) {
+        Instant now = engine.now();
+        Instant end = now.plus(untilAnswersAreDue);
         TrafficView draining = new TrafficView(
                 view.configuration(),
                 view.groups(),
                 view.formerDatabases(),
-                Optional.of(new CallerDrain(end, end)),
+                Optional.of(new CallerDrain(now, end, end)),
                 view.vmCount(),
                 view.watchedGroups(),
                 view.positionSources());
         engine.update(draining, RateOwnership.alone(VmName.of("vm-1")));
+        var unused = engine.whenSessionsEnd();
     }
 
     /** Delivers the answer of another VM. */
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_drain_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_drain_Test.java
@@ -6,6 +6,8 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -60,6 +62,48 @@
         }
     }
 
+    /** Guards against a slot that is granted to a statement which is answered in the same step, and ends the step. */
+    @Test
+    void should_answer_every_statement_when_a_slot_is_granted_while_the_answers_are_due() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        try (ScriptedDatabase primary = new ScriptedDatabase(line -> replyAfter(released, line));
+                EngineFixture fixture =
+                        new EngineFixture().withPrimary("db-1", primary, 1, 1).configure(Consistency.PRIMARY);
+                EngineFixture.TestCaller running = fixture.newCaller().connect();
+                EngineFixture.TestCaller waiting = fixture.newCaller().connect();
+                EngineFixture.TestCaller leaving = fixture.newCaller().connect();
+                EngineFixture.TestCaller last = fixture.newCaller().connect()) {
+            for (EngineFixture.TestCaller caller : List.of(running, waiting, leaving, last)) {
+                assertThat(caller.readLine(), is("accepted"));
+            }
+            running.send("write r1");
+            primary.awaitLine("run r1");
+            waiting.send("write r2");
+            fixture.awaitOutstandingStatements("db-1", 2);
+            last.send("write r4");
+            fixture.awaitOutstandingStatements("db-1", 3);
+            fixture.runOnLoop(() -> {
+                disconnectAndWait(leaving);
+                fixture.startDraining(Duration.ZERO);
+            });
+            assertThat(running.readLine(), is("failed IN_DOUBT"));
+            assertThat(waiting.readLine(), is("failed BUSY"));
+            assertThat(last.readLine(), is("failed BUSY"));
+            released.countDown();
+        }
+    }
+
+    private static void disconnectAndWait(EngineFixture.TestCaller caller) {
+        try {
+            caller.disconnect();
+            TimeUnit.MILLISECONDS.sleep(50);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private static Optional<String> replyAfter(CountDownLatch released, String line) {
         try {
             if (line.equals("run r1")
