--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionDrain.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionDrain.java
@@ -8,7 +8,8 @@
 
 /**
  * Ends the sessions of a VM that stops. A session is closed together with the answer after which its caller is owed
- * nothing, so that the caller can't send a statement in between.
+ * nothing, so that a caller that notices the end of its connection sends no statement in between. A statement that
+ * crosses the close is not received.
  */
 final class SessionDrain {
     /**
