Log what a promotion counted, and report an acknowledged commit that it lost

Each VM logs the acknowledged position that it knows of when it learns of a primary. The holder compares the log with which it requested a promotion with the positions that it learns of afterwards, and reports a loss once: "acknowledged commit lost" with the group, the attempt and both positions.

PromotionState_on_Test: two tests. No decision has changed.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -88,6 +88,7 @@
     public Transition<FleetState, FleetEffect> on(FleetEvent event, Instant now) {
         List<FleetEffect> effects = new ArrayList<>();
         FleetState applied = apply(event, now, effects);
+        applied.logAcknowledgedAtClaims(databases.claims(), now, effects);
         FleetState next = applied.with(applied.databases.refresh(now, effects));
         RateOwnership owners = next.peers.ownership(self, now);
         if (!next.hasSameViewAs(this)) {
@@ -265,6 +266,27 @@
         };
     }
 
+    /**
+     * Logs the acknowledged position that this VM knows of when it learns of a primary. If the promoted log ends before
+     * it, the promotion lost a commit.
+     */
+    private void logAcknowledgedAtClaims(
+            Map<GroupName, PrimaryClaim> previous, Instant now, List<FleetEffect> effects) {
+        if (databases.claims() == previous) {
+            return;
+        }
+        databases.claims().forEach((group, claim) -> {
+            if (!claim.equals(previous.get(group))) {
+                effects.add(new FleetEffect.Log(
+                        "position acknowledged before the primary was learned",
+                        "group=" + group + " term=" + claim.term() + " acknowledged="
+                                + acknowledgedPosition(group, now)
+                                        .map(LogPosition::toString)
+                                        .orElse("none")));
+            }
+        });
+    }
+
     private FleetState updateConfiguration(ServiceConfiguration newest, List<FleetEffect> effects) {
         if (newest.version() < configuration.version() || newest.equals(configuration)) {
             return this;
--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -43,13 +43,13 @@
     PromotionPhase choose(PromotionChoice choice, Map<BackendServerName, DatabaseStatus> stopped) {
         return switch (choice) {
             case PromotionChoice.Chosen chosen -> {
-                log("database chosen", "database=" + chosen.target() + " stepDown=" + chosen.stepDown());
+                log("database chosen", chosen.candidate() + " stepDown=" + chosen.stepDown());
                 attempt.snapshot()
                         .primary()
                         .ifPresent(primary -> send(Set.of(primary), new BackendCommand.StepDown(attempt.term())));
                 yield chosen.stepDown() == StepDownRequirement.NONE
-                        ? verify(stopped, chosen.target())
-                        : new PromotionPhase.SteppingDown(attempt, stopped, chosen.target(), chosen.stepDown());
+                        ? verify(stopped, chosen.candidate())
+                        : new PromotionPhase.SteppingDown(attempt, stopped, chosen.candidate(), chosen.stepDown());
             }
             case PromotionChoice.Insufficient insufficient ->
                 abandon(stopped.keySet(), insufficient.reason(), Optional.empty());
@@ -62,13 +62,13 @@
      */
     PromotionPhase steppedDown(PromotionPhase.SteppingDown steppingDown, CommandResult result) {
         return steppingDown.requirement().isMetBy(result)
-                ? verify(steppingDown.stopped(), steppingDown.target())
+                ? verify(steppingDown.stopped(), steppingDown.candidate())
                 : abandon(steppingDown.stopped().keySet(), "the primary did not confirm that it stepped down");
     }
 
-    private PromotionPhase verify(Map<BackendServerName, DatabaseStatus> stopped, BackendServerName target) {
+    private PromotionPhase verify(Map<BackendServerName, DatabaseStatus> stopped, PromotionCandidate candidate) {
         send(stopped.keySet(), new BackendCommand.ReadStatus());
-        return new PromotionPhase.Verifying(attempt, stopped.keySet(), stopped, target);
+        return new PromotionPhase.Verifying(attempt, stopped.keySet(), stopped, candidate);
     }
 
     /**
@@ -90,37 +90,40 @@
         }
         Set<BackendServerName> pending = without(verifying.pending(), replica);
         if (!pending.isEmpty()) {
-            return new PromotionPhase.Verifying(attempt, pending, verifying.stopped(), verifying.target());
+            return new PromotionPhase.Verifying(attempt, pending, verifying.stopped(), verifying.candidate());
         }
         if (mayBeOvertaken) {
             effects.add(new PromotionEffect.RenewFencingToken());
-            return new PromotionPhase.RenewingToken(attempt, verifying.target());
+            return new PromotionPhase.RenewingToken(attempt, verifying.candidate());
         }
-        return recordIntent(verifying.target());
+        return recordIntent(verifying.candidate());
     }
 
-    PromotionPhase recordIntent(BackendServerName target) {
-        addIntent(target, PromotionIntent.Progress.OPEN);
-        return new PromotionPhase.RecordingIntent(attempt, target);
+    PromotionPhase recordIntent(PromotionCandidate candidate) {
+        addIntent(candidate, PromotionIntent.Progress.OPEN);
+        return new PromotionPhase.RecordingIntent(attempt, candidate);
     }
 
-    PromotionPhase request(BackendServerName target, Optional<Instant> unansweredAt) {
+    PromotionPhase request(PromotionCandidate candidate, Optional<Instant> unansweredAt) {
         effects.add(new PromotionEffect.RequestPromotion(
-                target, attempt.id(), Duration.between(attempt.startedAt(), now), unansweredAt.isPresent()));
-        return new PromotionPhase.Requesting(attempt, target, Optional.empty(), unansweredAt);
+                candidate.database(),
+                attempt.id(),
+                Duration.between(attempt.startedAt(), now),
+                unansweredAt.isPresent()));
+        return new PromotionPhase.Requesting(attempt, candidate, Optional.empty(), unansweredAt);
     }
 
-    PromotionPhase accepted(BackendServerName target) {
+    PromotionPhase accepted(PromotionCandidate candidate) {
         Duration duration = Duration.between(attempt.startedAt(), now);
-        log("promotion accepted", "database=" + target + " took=" + duration.toMillis() + "ms");
-        effects.add(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(target, attempt.term())));
-        addIntent(target, PromotionIntent.Progress.TAKEN);
+        log("promotion accepted", candidate + " took=" + duration.toMillis() + "ms");
+        effects.add(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(candidate.database(), attempt.term())));
+        addIntent(candidate, PromotionIntent.Progress.TAKEN);
         return new PromotionPhase.Watching(
                 now.plus(PromotionState.SETTLING_TIME), Optional.empty(), Resumption.ALL_REPLICAS);
     }
 
-    PromotionPhase refused(BackendServerName target) {
-        addIntent(target, PromotionIntent.Progress.REFUSED);
+    PromotionPhase refused(PromotionCandidate candidate) {
+        addIntent(candidate, PromotionIntent.Progress.REFUSED);
         return abandon(attempt.snapshot().replicas(), "the promotion request was refused");
     }
 
@@ -145,9 +148,9 @@
                 now.plus(PromotionState.ATTEMPT_RETRY_DELAY), noPrimarySince, Resumption.ALL_REPLICAS);
     }
 
-    private void addIntent(BackendServerName target, PromotionIntent.Progress progress) {
+    private void addIntent(PromotionCandidate candidate, PromotionIntent.Progress progress) {
         effects.add(new PromotionEffect.RecordIntent(
-                new PromotionIntent(target, attempt.term(), progress, Optional.of(attempt.id()), now)));
+                new PromotionIntent(candidate.database(), attempt.term(), progress, Optional.of(attempt.id()), now)));
     }
 
     private void send(Set<BackendServerName> databases, BackendCommand command) {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
@@ -1,9 +1,11 @@
 package org.geraniumproxy.core.promotion;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.LogPosition;
@@ -46,6 +48,26 @@
         return replicas;
     }
 
+    /** Returns each replica with its entry and the position at which it stopped, for the log. */
+    String describe(Map<BackendServerName, DatabaseStatus> stopped) {
+        return replicas().stream()
+                        .sorted(Comparator.comparing(BackendServerName::value))
+                        .map(replica -> replica + "=" + describe(replica, Optional.ofNullable(stopped.get(replica))))
+                        .collect(Collectors.joining(" "))
+                + " acknowledged="
+                + acknowledged.map(PromotionChoice::text).orElse("none");
+    }
+
+    private String describe(BackendServerName replica, Optional<DatabaseStatus> status) {
+        String entry = suspected.containsKey(replica)
+                ? "expired"
+                : databases.get(replica).draining() ? "draining" : "present";
+        return "entry:" + entry + (recentlyRestarted.contains(replica) ? ",restarted" : "") + ",stopped:"
+                + status.map(DatabaseStatus::received)
+                        .map(PromotionChoice::text)
+                        .orElse("no");
+    }
+
     /** Returns whether a database may be running. */
     boolean mayRun(BackendServerName database) {
         return databases.containsKey(database) || suspected.containsKey(database);
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotedLog.java
@@ -0,0 +1,27 @@
+package org.geraniumproxy.core.promotion;
+
+import java.util.Optional;
+import org.geraniumproxy.core.identity.LogPosition;
+
+/**
+ * The log with which a promotion was requested. It tells afterwards whether the promotion lost a commit.
+ *
+ * @param attempt attempt that requested the promotion
+ * @param candidate database to promote and the end of its log
+ * @param term term with which the replicas were stopped
+ */
+record PromotedLog(AttemptId attempt, PromotionCandidate candidate, long term) {
+    /**
+     * Returns an acknowledged position that the log lacks although the promotion has taken effect.
+     *
+     * @param snapshot state of the group
+     * @return the position, or empty if no loss is known
+     */
+    Optional<LogPosition> lostPosition(GroupSnapshot snapshot) {
+        boolean leads = snapshot.primary().equals(Optional.of(candidate.database())) && snapshot.newestTerm() >= term;
+        return snapshot.acknowledged()
+                .filter(_ -> leads)
+                .filter(position -> position.term().number() < term)
+                .filter(position -> position.compareTo(candidate.received()) > 0);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionCandidate.java
@@ -0,0 +1,17 @@
+package org.geraniumproxy.core.promotion;
+
+import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.LogPosition;
+
+/**
+ * A database that an attempt may promote.
+ *
+ * @param database name of the database
+ * @param received last position of its log, after it stopped receiving
+ */
+public record PromotionCandidate(BackendServerName database, LogPosition received) {
+    @Override
+    public String toString() {
+        return "database=" + database + " position=" + PromotionChoice.text(received);
+    }
+}
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -20,10 +20,10 @@
     /**
      * The database can become primary.
      *
-     * @param target database to promote
+     * @param candidate database to promote
      * @param stepDown what the old primary must have answered before the promotion is requested
      */
-    record Chosen(BackendServerName target, StepDownRequirement stepDown) implements PromotionChoice {}
+    record Chosen(PromotionCandidate candidate, StepDownRequirement stepDown) implements PromotionChoice {}
 
     /**
      * No database is proven to hold all acknowledged commits.
@@ -107,13 +107,15 @@
             Map<BackendServerName, DatabaseStatus> stopped,
             BackendServerName target,
             boolean steady) {
+        PromotionCandidate candidate =
+                new PromotionCandidate(target, stopped.get(target).received());
         if (snapshot.primary().isPresent()) {
             StepDownRequirement whenSteady =
                     primaryServes(snapshot) ? StepDownRequirement.UNLESS_UNREACHABLE : StepDownRequirement.NONE;
-            return new Chosen(target, steady ? whenSteady : StepDownRequirement.ALWAYS);
+            return new Chosen(candidate, steady ? whenSteady : StepDownRequirement.ALWAYS);
         }
         return steady || stopped.keySet().containsAll(snapshot.replicas())
-                ? new Chosen(target, StepDownRequirement.NONE)
+                ? new Chosen(candidate, StepDownRequirement.NONE)
                 : new Insufficient(
                         "an unanswered command may resume a replica, and a database that did not answer may lead");
     }
@@ -144,7 +146,7 @@
         return entry != null && !entry.draining();
     }
 
-    private static String text(LogPosition position) {
+    static String text(LogPosition position) {
         return position.term().number() + "." + position.position();
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -54,13 +54,13 @@
      *
      * @param attempt current attempt
      * @param stopped status of each replica when it stopped
-     * @param target chosen database
+     * @param candidate chosen database
      * @param requirement what the primary must answer
      */
     record SteppingDown(
             Attempt attempt,
             Map<BackendServerName, DatabaseStatus> stopped,
-            BackendServerName target,
+            PromotionCandidate candidate,
             StepDownRequirement requirement)
             implements PromotionPhase {
         /** Copies the map. */
@@ -75,13 +75,13 @@
      * @param attempt current attempt
      * @param pending replicas that have not answered
      * @param stopped status of each replica when it stopped
-     * @param target chosen database
+     * @param candidate chosen database
      */
     record Verifying(
             Attempt attempt,
             Set<BackendServerName> pending,
             Map<BackendServerName, DatabaseStatus> stopped,
-            BackendServerName target)
+            PromotionCandidate candidate)
             implements PromotionPhase {
         /** Copies the collections. */
         public Verifying {
@@ -94,32 +94,32 @@
      * The promotion intent is being written to the store.
      *
      * @param attempt current attempt
-     * @param target chosen database
+     * @param candidate chosen database
      */
-    record RecordingIntent(Attempt attempt, BackendServerName target) implements PromotionPhase {}
+    record RecordingIntent(Attempt attempt, PromotionCandidate candidate) implements PromotionPhase {}
 
     /**
      * A greater fencing token is obtained before the intent is recorded, because a copy of an earlier request may still
      * take effect.
      *
      * @param attempt current attempt
-     * @param target chosen database
+     * @param candidate chosen database
      */
-    record RenewingToken(Attempt attempt, BackendServerName target) implements PromotionPhase {}
+    record RenewingToken(Attempt attempt, PromotionCandidate candidate) implements PromotionPhase {}
 
     /**
      * The promotion request is sent until it is answered.
      *
      * @param attempt current attempt
-     * @param target chosen database
+     * @param candidate chosen database
      * @param retryAt time at which the request is sent again; empty while an answer is awaited
      * @param unansweredAt time at which a request last ended without an answer
      */
     record Requesting(
-            Attempt attempt, BackendServerName target, Optional<Instant> retryAt, Optional<Instant> unansweredAt)
+            Attempt attempt, PromotionCandidate candidate, Optional<Instant> retryAt, Optional<Instant> unansweredAt)
             implements PromotionPhase {
         Requesting retriedAt(Instant time, Optional<Instant> lastUnansweredAt) {
-            return new Requesting(attempt, target, Optional.of(time), lastUnansweredAt);
+            return new Requesting(attempt, candidate, Optional.of(time), lastUnansweredAt);
         }
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -12,6 +12,7 @@
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.promotion.PromotionPhase.Attempt;
 
 /**
@@ -30,6 +31,7 @@
  * @param phase current phase
  * @param lateRequestUntil time until which an unanswered request of this lease holder may still take effect
  * @param commands commands that databases may still carry out
+ * @param promoted log with which this process last requested a promotion, until a loss was reported
  */
 public record PromotionState(
         String holder,
@@ -37,7 +39,8 @@
         long earlierAttempts,
         PromotionPhase phase,
         Instant lateRequestUntil,
-        OutstandingCommands commands) {
+        OutstandingCommands commands,
+        Optional<PromotedLog> promoted) {
     /**
      * Time limit of a command, after which it counts as unanswered. Covers opening a connection and several round trips
      * between regions.
@@ -75,7 +78,8 @@
                 0,
                 new PromotionPhase.Watching(Instant.MIN, Optional.empty(), Resumption.ALL_REPLICAS),
                 Instant.MIN,
-                OutstandingCommands.NONE);
+                OutstandingCommands.NONE,
+                Optional.empty());
     }
 
     /**
@@ -93,7 +97,8 @@
                 attempts,
                 initial(holder).phase(),
                 requested ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil,
-                commands.released());
+                commands.released(),
+                promoted);
     }
 
     /**
@@ -127,12 +132,31 @@
                         earlierAttempts,
                         next,
                         unanswered ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil,
-                        commands.sent(effects, now)),
+                        commands.sent(effects, now),
+                        promotedAfter(event, next, effects)),
                 effects);
     }
 
+    /** Reports a commit that the last promotion lost, once, and returns the log of the last requested promotion. */
+    private Optional<PromotedLog> promotedAfter(
+            PromotionEvent event, PromotionPhase next, List<PromotionEffect> effects) {
+        if (next instanceof PromotionPhase.Requesting requesting) {
+            Attempt attempt = requesting.attempt();
+            return Optional.of(new PromotedLog(attempt.id(), requesting.candidate(), attempt.term()));
+        }
+        if (promoted.isEmpty() || !(event instanceof PromotionEvent.TimePassed passed)) {
+            return promoted;
+        }
+        Optional<LogPosition> lost = promoted.get().lostPosition(passed.snapshot());
+        lost.ifPresent(position -> effects.add(new PromotionEffect.Log(
+                "acknowledged commit lost",
+                "attempt=" + promoted.get().attempt() + " " + promoted.get().candidate() + " acknowledged="
+                        + PromotionChoice.text(position))));
+        return lost.isPresent() ? Optional.empty() : promoted;
+    }
+
     private PromotionState with(OutstandingCommands next) {
-        return new PromotionState(holder, attempts, earlierAttempts, phase, lateRequestUntil, next);
+        return new PromotionState(holder, attempts, earlierAttempts, phase, lateRequestUntil, next, promoted);
     }
 
     private PromotionPhase timePassed(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
@@ -149,7 +173,7 @@
             case PromotionPhase.Requesting requesting
             when requesting.retryAt().filter(at -> !now.isBefore(at)).isPresent() ->
                 new AttemptSteps(requesting.attempt(), now, effects)
-                        .request(requesting.target(), requesting.unansweredAt());
+                        .request(requesting.candidate(), requesting.unansweredAt());
             default -> phase;
         };
     }
@@ -296,6 +320,9 @@
 
     private PromotionPhase decide(PromotionPhase.Stopping stopping, Instant now, List<PromotionEffect> effects) {
         Attempt attempt = stopping.attempt();
+        effects.add(new PromotionEffect.Log(
+                "replicas counted",
+                "attempt=" + attempt.id() + " " + attempt.snapshot().describe(stopping.stopped())));
         PromotionChoice choice = PromotionChoice.of(
                 attempt.snapshot(),
                 stopping.stopped(),
@@ -311,7 +338,7 @@
         Attempt attempt = renewing.attempt();
         AttemptSteps steps = new AttemptSteps(attempt, now, effects);
         return renewed
-                ? steps.recordIntent(renewing.target())
+                ? steps.recordIntent(renewing.candidate())
                 : steps.abandon(attempt.snapshot().replicas(), "the fencing token could not be renewed");
     }
 
@@ -322,14 +349,14 @@
         Attempt attempt = recording.attempt();
         AttemptSteps steps = new AttemptSteps(attempt, now, effects);
         return switch (result) {
-            case IntentWriteResult.Recorded _ -> steps.request(recording.target(), Optional.empty());
+            case IntentWriteResult.Recorded _ -> steps.request(recording.candidate(), Optional.empty());
             // The request of an earlier holder may take effect and relies on the stopped replicas.
             case IntentWriteResult.Superseded superseded
             when superseded
                     .current()
                     .filter(intent -> isPending(intent, attempt.snapshot(), now))
                     .isPresent() -> steps.abandon(Set.of(), "an earlier holder recorded an intent");
-            case IntentWriteResult.Superseded _ -> steps.recordIntent(recording.target());
+            case IntentWriteResult.Superseded _ -> steps.recordIntent(recording.candidate());
             case IntentWriteResult.Unconfirmed _ ->
                 steps.abandon(attempt.snapshot().replicas(), "the promotion intent could not be recorded");
         };
@@ -337,7 +364,7 @@
 
     private PromotionPhase accepted(Instant now, List<PromotionEffect> effects) {
         return phase instanceof PromotionPhase.Requesting requesting
-                ? new AttemptSteps(requesting.attempt(), now, effects).accepted(requesting.target())
+                ? new AttemptSteps(requesting.attempt(), now, effects).accepted(requesting.candidate())
                 : phase;
     }
 
@@ -351,7 +378,7 @@
                 .orElse(false);
         return mayStillTakeEffect
                 ? requesting.retriedAt(now.plus(REQUEST_RETRY_DELAY), requesting.unansweredAt())
-                : new AttemptSteps(requesting.attempt(), now, effects).refused(requesting.target());
+                : new AttemptSteps(requesting.attempt(), now, effects).refused(requesting.candidate());
     }
 
     private PromotionPhase unanswered(Instant now) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -134,7 +134,13 @@
         holderChanges = false;
         PromotionState calm = calmState(0);
         PromotionState state = new PromotionState(
-                HOLDER, 1, 0, calm.phase(), LATE.plus(PromotionState.LATE_REQUEST_TIMEOUT), calm.commands());
+                HOLDER,
+                1,
+                0,
+                calm.phase(),
+                LATE.plus(PromotionState.LATE_REQUEST_TIMEOUT),
+                calm.commands(),
+                Optional.empty());
         PromotionIntent taken = new PromotionIntent(name(1), 2, PromotionIntent.Progress.TAKEN, attempt(HOLDER), EARLY);
         Group group = new Group(idle().databases(), 1, 2, 0, "");
         Store store = new Store(Optional.of(taken), 2, Optional.empty());
@@ -208,7 +214,7 @@
         OutstandingCommands commands =
                 new OutstandingCommands(Set.of(), Set.of(name(0), name(1), name(2)), Optional.of(EARLY));
         return new PromotionState(
-                HOLDER, attempts, 0, PromotionState.initial(HOLDER).phase(), Instant.MIN, commands);
+                HOLDER, attempts, 0, PromotionState.initial(HOLDER).phase(), Instant.MIN, commands, Optional.empty());
     }
 
     private static PromotionIntent openIntent(int target, String holder) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
@@ -34,6 +34,8 @@
     Optional<PromotionReason> reason = Optional.of(PromotionReason.FAILING);
     Optional<PromotionIntent> intent = Optional.empty();
     Optional<LogPosition> acknowledged = Optional.empty();
+    Optional<BackendServerName> primary = Optional.of(PRIMARY);
+    long newestTerm = TERM - 1;
 
     /** Begins an attempt in which both replicas stop at the given positions. */
     void stopAt(long second, long third) {
@@ -95,7 +97,8 @@
                 0,
                 initial.phase(),
                 Instant.MIN,
-                new OutstandingCommands(Set.of(), Set.of(SECOND, THIRD), Optional.of(Instant.EPOCH)));
+                new OutstandingCommands(Set.of(), Set.of(SECOND, THIRD), Optional.of(Instant.EPOCH)),
+                Optional.empty());
     }
 
     void resumed(BackendServerName database, Optional<DatabaseStatus> status) {
@@ -127,6 +130,13 @@
                 .toList();
     }
 
+    List<String> loggedDecisions() {
+        return effects.stream()
+                .filter(PromotionEffect.Log.class::isInstance)
+                .map(effect -> ((PromotionEffect.Log) effect).decision())
+                .toList();
+    }
+
     List<BackendServerName> requestedPromotions() {
         return effects.stream()
                 .filter(PromotionEffect.RequestPromotion.class::isInstance)
@@ -152,15 +162,7 @@
             (suspected.contains(name) ? withoutEntry : databases).put(name, entry);
         }
         return new GroupSnapshot(
-                databases,
-                withoutEntry,
-                Optional.of(PRIMARY),
-                reason,
-                TERM - 1,
-                recentlyRestarted,
-                1,
-                acknowledged,
-                intent);
+                databases, withoutEntry, primary, reason, newestTerm, recentlyRestarted, 1, acknowledged, intent);
     }
 
     PromotionIntent openIntent(BackendServerName target, Optional<AttemptId> attempt) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -4,7 +4,9 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
 import java.util.Optional;
@@ -168,6 +170,38 @@
         assertThat(sent(BackendCommand.ReadStatus.class), containsInAnyOrder(SECOND, THIRD));
     }
 
+    /** Guards against a loss that only the callers notice. */
+    @Test
+    void should_report_an_acknowledged_commit_that_the_promoted_log_lacks() {
+        requestAt(10, 12);
+        on(new PromotionEvent.RequestAccepted());
+        primary = Optional.of(THIRD);
+        newestTerm = TERM;
+        reason = Optional.empty();
+        acknowledged = Optional.of(LogPosition.of(3, 12));
+        begin();
+        assertThat(loggedDecisions(), not(hasItem("acknowledged commit lost")));
+        acknowledged = Optional.of(LogPosition.of(3, 13));
+        begin();
+        assertThat(loggedDecisions(), hasItem("acknowledged commit lost"));
+        begin();
+        assertThat(loggedDecisions(), not(hasItem("acknowledged commit lost")));
+    }
+
+    @Test
+    void should_log_the_entry_and_the_position_of_each_replica_that_is_counted() {
+        suspected = Set.of(THIRD);
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, Optional.empty());
+        assertThat(
+                effects,
+                hasItem(new PromotionEffect.Log(
+                        "replicas counted",
+                        "attempt=vm-1/1 db-2=entry:present,stopped:3.10 db-3=entry:expired,stopped:no"
+                                + " acknowledged=none")));
+    }
+
     /** Guards against a second attempt that stops replicas while the first promotion is in progress. */
     @Test
     void should_not_begin_an_attempt_while_the_last_promotion_is_settling() {
