Tell a primary that serves to step down before its replicas stop

Callers of a group whose primary was replaced as planned lost acknowledged writes, when a replica that the promotion did not count had confirmed them.

Cause: the replicas were stopped first, the longest log among those that the store listed was chosen, and only then the primary was told to step down. Until then it acknowledged commits through any replica that had not been asked: the successor whose entry was late, or one whose entry had expired. Its answer names its last position, which nothing compared with the chosen log.

The order is reversed for a primary that is expected to answer: it is asked whether it leads, told to step down while the replicas receive, and then the replicas stop. Its last position bounds all that it has acknowledged or can acknowledge, whoever confirmed it, so a log that reaches this position is safe and the answers of other replicas are not needed. A replica that was never stopped holds exactly this position. If none does, the old primary itself is stopped and promoted again. The position is kept for the next attempt. Only the answer of a database that led in the same term counts. A primary is not told to step down while no replica can take over. A draining primary that fails for several VMs is now replaced as failing; one that cannot be reached is waited for until its notice is over, because other VMs may reach it.

Ruled out as the only cause: a list of replicas that is read again, because the successor's entry may arrive after the promotion.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -133,6 +133,17 @@
         return databases.directory(group, Set.of(DatabaseAvailability.GONE)).databases();
     }
 
+    /**
+     * Returns whether a database gets statements.
+     *
+     * @param database name of the database
+     * @return false if its notice is over, if its entry has been missing too long or if it is unknown
+     */
+    public boolean isUsed(BackendServerName database) {
+        TrackedDatabase known = databases.byName().get(database);
+        return known != null && known.availability() == DatabaseAvailability.USED;
+    }
+
     /**
      * Returns the VMs that probe the primary of a group.
      *
--- a/core/src/main/java/org/geraniumproxy/core/fleet/PrimaryReplacementPolicy.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PrimaryReplacementPolicy.java
@@ -50,12 +50,12 @@
             return Optional.of(PromotionReason.NONE_LEADS);
         }
         BackendServerName name = primary.get().name();
-        if (primary.get().draining()) {
-            return Optional.of(PromotionReason.LEAVING);
-        }
         if (isFailing(state, group, name, now)) {
             return Optional.of(PromotionReason.FAILING);
         }
+        if (primary.get().draining()) {
+            return Optional.of(state.isUsed(name) ? PromotionReason.LEAVING : PromotionReason.LEFT);
+        }
         return state.missingDuration(name, now).compareTo(MISSING_ENTRY_TIMEOUT) > 0
                 ? Optional.of(PromotionReason.MISSING)
                 : Optional.empty();
--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.LogPosition;
 
 /**
  * Steps of one attempt at one time. Each returns the next phase and adds its effects.
@@ -30,45 +32,148 @@
         return pending.isEmpty() ? stop() : new PromotionPhase.Inspecting(attempt, pending);
     }
 
+    /** Asks the primary whether it leads, and the replicas for their positions, while the primary serves. */
+    PromotionPhase query() {
+        Set<BackendServerName> databases = new HashSet<>(attempt.snapshot().replicas());
+        attempt.snapshot().primary().ifPresent(databases::add);
+        send(databases, new BackendCommand.ReadStatus());
+        return new PromotionPhase.Querying(attempt, databases, Map.of());
+    }
+
+    /** Handles the answer of a database that was asked for its state. */
+    PromotionPhase queried(PromotionPhase.Querying querying, BackendServerName database, CommandResult result) {
+        Map<BackendServerName, DatabaseStatus> answers = new HashMap<>(querying.answers());
+        if (result instanceof CommandResult.Answered answered) {
+            answers.put(database, answered.status());
+        }
+        PromotionPhase.Querying next =
+                new PromotionPhase.Querying(attempt, without(querying.pending(), database), answers);
+        return next.pending().isEmpty() || isReplaceable(next) ? decideByAnswers(next) : next;
+    }
+
+    /** Decides how to replace the primary after all databases have answered or timed out. */
+    PromotionPhase decideByAnswers(PromotionPhase.Querying querying) {
+        Optional<DatabaseStatus> primary =
+                attempt.snapshot().primary().map(name -> querying.answers().get(name));
+        if (primary.isEmpty()) {
+            return stopWithoutPrimary("the primary does not answer");
+        }
+        if (!primary.get().primary()) {
+            return new AttemptSteps(attempt.withoutPrimary(), now, effects).stop();
+        }
+        if (!isReplaceable(querying)) {
+            return stopWithoutPrimary("no replica that stays answers with all acknowledged commits");
+        }
+        sendStepDown();
+        return new PromotionPhase.SteppingDown(attempt, primary.get().term());
+    }
+
+    /** Returns whether the primary leads and a replica can take over. */
+    private boolean isReplaceable(PromotionPhase.Querying querying) {
+        boolean leads = attempt.snapshot()
+                .primary()
+                .map(name -> querying.answers().get(name))
+                .filter(DatabaseStatus::primary)
+                .isPresent();
+        return leads
+                && querying.answers().entrySet().stream()
+                        .anyMatch(answer -> attempt.snapshot().canTakeOver(answer.getKey(), answer.getValue()));
+    }
+
+    /**
+     * Goes on without the answer of the primary, unless it still gets statements. Then it serves on, and the attempt is
+     * repeated.
+     */
+    private PromotionPhase stopWithoutPrimary(String reason) {
+        return attempt.snapshot().primaryServes() ? abandon(Set.of(), reason, Optional.empty()) : stop();
+    }
+
+    /**
+     * Handles the answer of a primary that was told to step down first. Its last position counts only if it led until
+     * then: another database that was promoted meanwhile may have acknowledged further commits. Without an answer it
+     * may lead or have stepped down.
+     */
+    PromotionPhase steppedDown(PromotionPhase.SteppingDown steppingDown, CommandResult result) {
+        return switch (result) {
+            case CommandResult.Answered answered
+            when answered.status().primary() || answered.status().term() != steppingDown.leadingTerm() ->
+                abandon(Set.of(), "the primary did not step down or another one was promoted");
+            case CommandResult.Answered answered -> {
+                LogPosition last = answered.status().received();
+                log("primary stepped down", "position=" + PromotionChoice.text(last));
+                yield new AttemptSteps(attempt.withLastPosition(last), now, effects).stop();
+            }
+            case CommandResult.Unanswered _ -> abandon(Set.of(), "the primary did not confirm that it stepped down");
+            case CommandResult.Failed _ -> stopWithoutPrimary("the command to step down was not carried out");
+        };
+    }
+
+    /** Stops the replicas, and a primary that has stepped down, whose log is complete. */
     PromotionPhase stop() {
-        Set<BackendServerName> replicas = attempt.snapshot().replicas();
-        send(replicas, new BackendCommand.StopReceiving(attempt.term()));
-        return new PromotionPhase.Stopping(attempt, replicas, Map.of());
+        Set<BackendServerName> databases = new HashSet<>(attempt.snapshot().replicas());
+        attempt.lastPosition().flatMap(_ -> attempt.snapshot().primary()).ifPresent(databases::add);
+        send(databases, new BackendCommand.StopReceiving(attempt.term()));
+        return new PromotionPhase.Stopping(attempt, databases, Map.of());
+    }
+
+    /** Handles the answer of a database that was told to stop receiving. */
+    Optional<PromotionPhase> chooseRemaining(Map<BackendServerName, DatabaseStatus> stopped) {
+        return PromotionChoice.ofRemaining(attempt, stopped).map(choice -> choose(choice, stopped));
     }
 
     /**
-     * Goes on with a choice. The old primary is told to step down in any case: a replica that restarts from now on
-     * receives again, and could otherwise confirm further commits.
+     * Goes on with a choice. A primary that has not stepped down before is told to in any case: a replica that restarts
+     * from now on receives again, and could otherwise confirm further commits.
      */
     PromotionPhase choose(PromotionChoice choice, Map<BackendServerName, DatabaseStatus> stopped) {
         return switch (choice) {
             case PromotionChoice.Chosen chosen -> {
-                log("database chosen", chosen.candidate() + " stepDown=" + chosen.stepDown());
-                attempt.snapshot()
-                        .primary()
-                        .ifPresent(primary -> send(Set.of(primary), new BackendCommand.StepDown(attempt.term())));
-                yield chosen.stepDown() == StepDownRequirement.NONE
-                        ? verify(stopped, chosen.candidate())
-                        : new PromotionPhase.SteppingDown(attempt, stopped, chosen.candidate(), chosen.stepDown());
+                log("database chosen", chosen.candidate().toString());
+                yield prove(chosen.candidate(), stopped);
             }
             case PromotionChoice.Insufficient insufficient ->
                 abandon(stopped.keySet(), insufficient.reason(), Optional.empty());
         };
     }
 
+    private PromotionPhase prove(PromotionCandidate candidate, Map<BackendServerName, DatabaseStatus> stopped) {
+        return switch (candidate.proof()) {
+            case CommitProof.PrimarySteppedDown _ -> verify(Set.of(candidate.database()), stopped, candidate);
+            case CommitProof.ReplicasStopped _ -> {
+                sendStepDown();
+                yield verify(stopped.keySet(), stopped, candidate);
+            }
+            case CommitProof.ReplicasStoppedUntilStepDown _ -> {
+                sendStepDown();
+                yield new PromotionPhase.ConfirmingStepDown(attempt, stopped, candidate);
+            }
+        };
+    }
+
+    private void sendStepDown() {
+        attempt.snapshot()
+                .primary()
+                .ifPresent(primary -> send(Set.of(primary), new BackendCommand.StepDown(attempt.term())));
+    }
+
     /**
-     * Handles the answer of the old primary. One that has stepped down acknowledges nothing, so replicas that resume
-     * late do no harm. Without an answer it may still lead.
+     * Handles the answer of the old primary after a database was chosen. One that has stepped down acknowledges
+     * nothing, so replicas that resume late do no harm. Without an answer it may still lead.
      */
-    PromotionPhase steppedDown(PromotionPhase.SteppingDown steppingDown, CommandResult result) {
-        return steppingDown.requirement().isMetBy(result)
-                ? verify(steppingDown.stopped(), steppingDown.candidate())
-                : abandon(steppingDown.stopped().keySet(), "the primary did not confirm that it stepped down");
+    PromotionPhase stepDownConfirmed(PromotionPhase.ConfirmingStepDown confirming, CommandResult result) {
+        boolean confirmed = result instanceof CommandResult.Answered answered
+                && !answered.status().primary();
+        return confirmed
+                ? verify(confirming.stopped().keySet(), confirming.stopped(), confirming.candidate())
+                : abandon(confirming.stopped().keySet(), "the primary did not confirm that it stepped down");
     }
 
-    private PromotionPhase verify(Map<BackendServerName, DatabaseStatus> stopped, PromotionCandidate candidate) {
-        send(stopped.keySet(), new BackendCommand.ReadStatus());
-        return new PromotionPhase.Verifying(attempt, stopped.keySet(), stopped, candidate);
+    private PromotionPhase verify(
+            Set<BackendServerName> databases,
+            Map<BackendServerName, DatabaseStatus> stopped,
+            PromotionCandidate candidate) {
+        send(databases, new BackendCommand.ReadStatus());
+        return new PromotionPhase.Verifying(attempt, databases, stopped, candidate);
     }
 
     /**
@@ -119,7 +224,7 @@
         effects.add(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(candidate.database(), attempt.term())));
         addIntent(candidate, PromotionIntent.Progress.TAKEN);
         return new PromotionPhase.Watching(
-                now.plus(PromotionState.SETTLING_TIME), Optional.empty(), Resumption.ALL_REPLICAS);
+                now.plus(PromotionState.SETTLING_TIME), Optional.empty(), Resumption.ALL_REPLICAS, Optional.empty());
     }
 
     PromotionPhase refused(PromotionCandidate candidate) {
@@ -128,11 +233,15 @@
     }
 
     /**
-     * Ends an attempt after a database was chosen. If the primary has stepped down, no entry of a new one is on its
-     * way, so the next attempt need not wait for one.
+     * Ends an attempt after the primary was told to step down. If it has, no entry of a new one is on its way, so the
+     * next attempt need not wait for one.
      */
     PromotionPhase abandon(Set<BackendServerName> stopped, String reason) {
-        return abandon(stopped, reason, Optional.of(now.minus(PromotionState.NO_PRIMARY_TIMEOUT)));
+        return abandon(stopped, reason, Optional.of(withoutPrimaryDelay()));
+    }
+
+    private Instant withoutPrimaryDelay() {
+        return now.minus(PromotionState.NO_PRIMARY_TIMEOUT);
     }
 
     /**
@@ -145,7 +254,10 @@
             send(stopped, new BackendCommand.ResumeReceiving());
         }
         return new PromotionPhase.Watching(
-                now.plus(PromotionState.ATTEMPT_RETRY_DELAY), noPrimarySince, Resumption.ALL_REPLICAS);
+                now.plus(PromotionState.ATTEMPT_RETRY_DELAY),
+                attempt.lastPosition().isPresent() ? Optional.of(withoutPrimaryDelay()) : noPrimarySince,
+                Resumption.ALL_REPLICAS,
+                attempt.lastPosition().map(last -> new SteppedDownPrimary(attempt.term(), last)));
     }
 
     private void addIntent(PromotionCandidate candidate, PromotionIntent.Progress progress) {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
@@ -40,6 +40,35 @@
         recentlyRestarted = Set.copyOf(recentlyRestarted);
     }
 
+    /** Returns whether the primary is known and was not reported to fail, so that it can be told to step down first. */
+    boolean isPrimaryExpectedToAnswer() {
+        return primary.isPresent()
+                && reason.filter(known -> switch (known) {
+                            case LEAVING, LEFT, MISSING -> true;
+                            case FAILING, NONE_LEADS -> false;
+                        })
+                        .isPresent();
+    }
+
+    /** Returns whether the primary gets statements until it is replaced. */
+    boolean primaryServes() {
+        return reason.equals(Optional.of(PromotionReason.LEAVING));
+    }
+
+    /** Returns the state of a group whose supposed primary is a replica. */
+    GroupSnapshot withoutPrimary() {
+        return new GroupSnapshot(
+                databases,
+                suspected,
+                Optional.empty(),
+                Optional.of(PromotionReason.NONE_LEADS),
+                newestTerm,
+                recentlyRestarted,
+                synchronousReplicas,
+                acknowledged,
+                intent);
+    }
+
     /** Returns the databases that a promotion stops: all that may confirm a commit, except the primary. */
     Set<BackendServerName> replicas() {
         Set<BackendServerName> replicas = new HashSet<>(databases.keySet());
@@ -68,6 +97,21 @@
                         .orElse("no");
     }
 
+    /**
+     * Returns whether a replica that is told of may replace a primary that serves: it stays, has not lost commits in a
+     * restart, and holds every commit that is known to be acknowledged.
+     */
+    boolean canTakeOver(BackendServerName replica, DatabaseStatus status) {
+        DatabaseEntry entry = databases.get(replica);
+        return entry != null
+                && !entry.draining()
+                && !status.primary()
+                && !recentlyRestarted.contains(replica)
+                && acknowledged
+                        .map(position -> status.received().compareTo(position) >= 0)
+                        .orElse(true);
+    }
+
     /** Returns whether a database may be running. */
     boolean mayRun(BackendServerName database) {
         return databases.containsKey(database) || suspected.containsKey(database);
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotedLog.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotedLog.java
@@ -12,7 +12,8 @@
  */
 record PromotedLog(AttemptId attempt, PromotionCandidate candidate, long term) {
     /**
-     * Returns an acknowledged position that the log lacks although the promotion has taken effect.
+     * Returns an acknowledged position that the log lacks although the promotion has taken effect. The first commit of
+     * the new primary is known by the position that follows the promoted log, so this position proves nothing.
      *
      * @param snapshot state of the group
      * @return the position, or empty if no loss is known
@@ -22,6 +23,6 @@
         return snapshot.acknowledged()
                 .filter(_ -> leads)
                 .filter(position -> position.term().number() < term)
-                .filter(position -> position.compareTo(candidate.received()) > 0);
+                .filter(position -> position.compareTo(candidate.received().next()) > 0);
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionCandidate.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionCandidate.java
@@ -8,10 +8,11 @@
  *
  * @param database name of the database
  * @param received last position of its log, after it stopped receiving
+ * @param proof why the log holds every acknowledged commit
  */
-public record PromotionCandidate(BackendServerName database, LogPosition received) {
+public record PromotionCandidate(BackendServerName database, LogPosition received, CommitProof proof) {
     @Override
     public String toString() {
-        return "database=" + database + " position=" + PromotionChoice.text(received);
+        return "database=" + database + " position=" + PromotionChoice.text(received) + " proof=" + proof;
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -9,21 +9,23 @@
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.promotion.PromotionPhase.Attempt;
 
 /**
  * Choice of a database that can become primary without losing an acknowledged commit. A commit is acknowledged once the
- * primary and enough replicas hold it. The choice is safe if enough replicas have stopped receiving that at least one
- * of them holds each acknowledged commit, and no stopped log is ahead of the chosen one. In a group whose primary
- * acknowledges commits alone there is no such proof; all replicas are stopped and the longest log is chosen.
+ * primary and enough replicas hold it. There are two proofs. A primary that has stepped down acknowledges nothing
+ * beyond its last position, so a log that reaches this position is safe. Otherwise enough replicas must have stopped
+ * receiving that at least one of them holds each acknowledged commit, and no stopped log may be ahead of the chosen
+ * one. In a group whose primary acknowledges commits alone the second proof does not hold; all replicas are stopped and
+ * the longest log is chosen.
  */
 public sealed interface PromotionChoice {
     /**
      * The database can become primary.
      *
      * @param candidate database to promote
-     * @param stepDown what the old primary must have answered before the promotion is requested
      */
-    record Chosen(PromotionCandidate candidate, StepDownRequirement stepDown) implements PromotionChoice {}
+    record Chosen(PromotionCandidate candidate) implements PromotionChoice {}
 
     /**
      * No database is proven to hold all acknowledged commits.
@@ -33,19 +35,55 @@
     record Insufficient(String reason) implements PromotionChoice {}
 
     /**
-     * Chooses a database.
+     * Chooses a database after all replicas have answered or timed out.
      *
-     * @param snapshot state of the group
-     * @param stopped status of each replica that has stopped receiving; a subset of the replicas of the snapshot
+     * @param attempt current attempt
+     * @param stopped status of each database that has stopped receiving
      * @param resumable replicas that an unanswered command may still resume
-     * @param pendingTarget database that an earlier request may still promote
-     * @return the database with the highest position, or the missing evidence
+     * @return the chosen database, or the missing evidence
      */
     static PromotionChoice of(
-            GroupSnapshot snapshot,
-            Map<BackendServerName, DatabaseStatus> stopped,
-            Set<BackendServerName> resumable,
-            Optional<BackendServerName> pendingTarget) {
+            Attempt attempt, Map<BackendServerName, DatabaseStatus> stopped, Set<BackendServerName> resumable) {
+        Optional<PromotionChoice> holder = holderOfLastPosition(attempt, stopped, _ -> true);
+        if (holder.isPresent()) {
+            return holder.get();
+        }
+        if (attempt.lastPosition().isPresent() && attempt.snapshot().primaryServes()) {
+            return new Insufficient("no database that stopped has the last position "
+                    + text(attempt.lastPosition().get()) + " of the old primary");
+        }
+        return longestLog(attempt, stopped, resumable);
+    }
+
+    /**
+     * Chooses a database that stays and holds the whole log of a primary that has stepped down. It needs no answer of
+     * other replicas.
+     *
+     * @param attempt current attempt
+     * @param stopped status of each database that has stopped receiving
+     * @return the chosen database, or empty if none is known yet
+     */
+    static Optional<PromotionChoice> ofRemaining(Attempt attempt, Map<BackendServerName, DatabaseStatus> stopped) {
+        return holderOfLastPosition(attempt, stopped, database -> isRemaining(attempt.snapshot(), database));
+    }
+
+    private static Optional<PromotionChoice> holderOfLastPosition(
+            Attempt attempt, Map<BackendServerName, DatabaseStatus> stopped, Predicate<BackendServerName> eligible) {
+        return attempt.lastPosition()
+                .flatMap(last -> stopped.keySet().stream()
+                        .filter(database -> stopped.get(database).received().compareTo(last) >= 0)
+                        .filter(attempt::mayPromote)
+                        .filter(eligible)
+                        .max(preference(attempt.snapshot()))
+                        .<PromotionChoice>map(database -> new Chosen(new PromotionCandidate(
+                                database,
+                                stopped.get(database).received(),
+                                new CommitProof.PrimarySteppedDown(last)))));
+    }
+
+    private static PromotionChoice longestLog(
+            Attempt attempt, Map<BackendServerName, DatabaseStatus> stopped, Set<BackendServerName> resumable) {
+        GroupSnapshot snapshot = attempt.snapshot();
         Set<BackendServerName> proven = new HashSet<>(stopped.keySet());
         proven.removeAll(snapshot.recentlyRestarted());
         long replicas = snapshot.replicas().stream()
@@ -65,26 +103,23 @@
                     + snapshot.acknowledged().map(PromotionChoice::text).orElseThrow());
         }
         Predicate<BackendServerName> steady = target -> countSteady(proven, resumable, target) >= needed;
-        return target(snapshot, stopped, highest, steady, pendingTarget)
+        return stopped.keySet().stream()
+                .filter(database -> stopped.get(database).received().equals(highest))
+                .filter(attempt::mayPromote)
+                .filter(database -> attempt.pendingTarget().isPresent() || isEligible(snapshot, database))
+                .max(Comparator.comparing((BackendServerName database) -> isRemaining(snapshot, database))
+                        .thenComparing(steady::test)
+                        .thenComparing(BackendServerName::value))
                 .map(target -> confirm(snapshot, stopped, target, steady.test(target)))
-                .orElseGet(() -> new Insufficient(pendingTarget
+                .orElseGet(() -> new Insufficient(attempt.pendingTarget()
                         .map(pending -> "an earlier request may still promote " + pending
                                 + ", which does not have the highest position " + text(highest))
                         .orElse("no database that stays has the highest position " + text(highest))));
     }
 
-    private static Optional<BackendServerName> target(
-            GroupSnapshot snapshot,
-            Map<BackendServerName, DatabaseStatus> stopped,
-            LogPosition highest,
-            Predicate<BackendServerName> steady,
-            Optional<BackendServerName> pendingTarget) {
-        return stopped.keySet().stream()
-                .filter(database -> stopped.get(database).received().equals(highest))
-                .filter(database -> pendingTarget.map(database::equals).orElseGet(() -> isEligible(snapshot, database)))
-                .max(Comparator.comparing((BackendServerName database) -> isRemaining(snapshot, database))
-                        .thenComparing(steady::test)
-                        .thenComparing(BackendServerName::value));
+    private static Comparator<BackendServerName> preference(GroupSnapshot snapshot) {
+        return Comparator.comparing((BackendServerName database) -> isRemaining(snapshot, database))
+                .thenComparing(BackendServerName::value);
     }
 
     /**
@@ -100,22 +135,19 @@
 
     /**
      * Requires the old primary to step down if replicas may be resumed before the promotion takes effect, unless no
-     * database of the group leads. One that serves steps down in any case, because a replica that restarts receives.
+     * database of the group leads.
      */
     private static PromotionChoice confirm(
             GroupSnapshot snapshot,
             Map<BackendServerName, DatabaseStatus> stopped,
             BackendServerName target,
             boolean steady) {
-        PromotionCandidate candidate =
-                new PromotionCandidate(target, stopped.get(target).received());
-        if (snapshot.primary().isPresent()) {
-            StepDownRequirement whenSteady =
-                    primaryServes(snapshot) ? StepDownRequirement.UNLESS_UNREACHABLE : StepDownRequirement.NONE;
-            return new Chosen(candidate, steady ? whenSteady : StepDownRequirement.ALWAYS);
+        LogPosition received = stopped.get(target).received();
+        if (steady || (snapshot.primary().isEmpty() && stopped.keySet().containsAll(snapshot.replicas()))) {
+            return new Chosen(new PromotionCandidate(target, received, new CommitProof.ReplicasStopped()));
         }
-        return steady || stopped.keySet().containsAll(snapshot.replicas())
-                ? new Chosen(candidate, StepDownRequirement.NONE)
+        return snapshot.primary().isPresent()
+                ? new Chosen(new PromotionCandidate(target, received, new CommitProof.ReplicasStoppedUntilStepDown()))
                 : new Insufficient(
                         "an unanswered command may resume a replica, and a database that did not answer may lead");
     }
@@ -134,11 +166,7 @@
      * promoted or its commits are lost.
      */
     private static boolean isEligible(GroupSnapshot snapshot, BackendServerName database) {
-        return isRemaining(snapshot, database) || !primaryServes(snapshot);
-    }
-
-    private static boolean primaryServes(GroupSnapshot snapshot) {
-        return snapshot.reason().equals(Optional.of(PromotionReason.LEAVING));
+        return isRemaining(snapshot, database) || !snapshot.primaryServes();
     }
 
     private static boolean isRemaining(GroupSnapshot snapshot, BackendServerName database) {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.LogPosition;
 
 /** Phase of a promotion. */
 sealed interface PromotionPhase {
@@ -14,10 +15,41 @@
      * @param notBefore earliest time of the next attempt
      * @param noPrimarySince time since which the group has had no primary, or from which that counts
      * @param resumption replicas that may still be stopped and must be resumed
+     * @param steppedDown primary that stepped down in the last attempt, if any
      */
-    record Watching(Instant notBefore, Optional<Instant> noPrimarySince, Resumption resumption)
+    record Watching(
+            Instant notBefore,
+            Optional<Instant> noPrimarySince,
+            Resumption resumption,
+            Optional<SteppedDownPrimary> steppedDown)
             implements PromotionPhase {}
 
+    /**
+     * All databases are asked for their state while the primary serves, so that only a primary that leads is told to
+     * step down, and only when a replica can take over.
+     *
+     * @param attempt current attempt
+     * @param pending databases that have not answered
+     * @param answers status of each database that has answered
+     */
+    record Querying(Attempt attempt, Set<BackendServerName> pending, Map<BackendServerName, DatabaseStatus> answers)
+            implements PromotionPhase {
+        /** Copies the collections. */
+        public Querying {
+            pending = Set.copyOf(pending);
+            answers = Map.copyOf(answers);
+        }
+    }
+
+    /**
+     * A primary that serves is told to step down. The replicas receive meanwhile, so that one of them holds its whole
+     * log.
+     *
+     * @param attempt current attempt
+     * @param leadingTerm term in which the primary answered that it leads
+     */
+    record SteppingDown(Attempt attempt, long leadingTerm) implements PromotionPhase {}
+
     /**
      * Replicas are asked whether they receive before they are told to stop, because an earlier holder may have sent
      * them a resume command that they did not answer.
@@ -49,28 +81,25 @@
     }
 
     /**
-     * The old primary is told to step down. The replicas are queried after that, because one that restarts before may
-     * confirm another commit.
+     * The old primary is told to step down after a database was chosen. The replicas are queried after that, because
+     * one that is resumed or restarts before may confirm another commit.
      *
      * @param attempt current attempt
      * @param stopped status of each replica when it stopped
      * @param candidate chosen database
-     * @param requirement what the primary must answer
      */
-    record SteppingDown(
-            Attempt attempt,
-            Map<BackendServerName, DatabaseStatus> stopped,
-            PromotionCandidate candidate,
-            StepDownRequirement requirement)
+    record ConfirmingStepDown(
+            Attempt attempt, Map<BackendServerName, DatabaseStatus> stopped, PromotionCandidate candidate)
             implements PromotionPhase {
         /** Copies the map. */
-        public SteppingDown {
+        public ConfirmingStepDown {
             stopped = Map.copyOf(stopped);
         }
     }
 
     /**
-     * Stopped replicas are queried again just before the request, because a restarted one receives again.
+     * Stopped replicas on which the proof relies are queried again just before the request, because a restarted one
+     * receives again.
      *
      * @param attempt current attempt
      * @param pending replicas that have not answered
@@ -131,6 +160,7 @@
      * @param snapshot state of the group when the attempt began
      * @param pendingTarget database that a request of an earlier lease holder may still promote; no other one may be
      *     chosen, and the replicas stay stopped
+     * @param lastPosition last position of the old primary, if it has stepped down
      * @param startedAt start of the attempt
      */
     record Attempt(
@@ -138,7 +168,22 @@
             long term,
             GroupSnapshot snapshot,
             Optional<BackendServerName> pendingTarget,
+            Optional<LogPosition> lastPosition,
             Instant startedAt) {
+        Attempt withLastPosition(LogPosition position) {
+            return new Attempt(id, term, snapshot, pendingTarget, Optional.of(position), startedAt);
+        }
+
+        /** Returns the attempt after the supposed primary answered that it does not lead. */
+        Attempt withoutPrimary() {
+            return new Attempt(id, term, snapshot.withoutPrimary(), pendingTarget, lastPosition, startedAt);
+        }
+
+        /** Returns whether an earlier request leaves the choice of a database. */
+        boolean mayPromote(BackendServerName database) {
+            return pendingTarget.map(database::equals).orElse(true);
+        }
+
         /** Returns whether a replica reports that this attempt has stopped it. */
         boolean isStopped(DatabaseStatus status) {
             return !status.primary() && status.stoppedTerm() == term;
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionReason.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionReason.java
@@ -4,6 +4,8 @@
 public enum PromotionReason {
     /** The primary is draining. */
     LEAVING,
+    /** The notice of the primary is over, and it gets no more statements. */
+    LEFT,
     /** Several VMs get no answer or no acknowledged commit from the primary. */
     FAILING,
     /** The entry of the primary is missing in the store. */
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -76,7 +76,7 @@
                 holder,
                 0,
                 0,
-                new PromotionPhase.Watching(Instant.MIN, Optional.empty(), Resumption.ALL_REPLICAS),
+                new PromotionPhase.Watching(Instant.MIN, Optional.empty(), Resumption.ALL_REPLICAS, Optional.empty()),
                 Instant.MIN,
                 OutstandingCommands.NONE,
                 Optional.empty());
@@ -164,6 +164,9 @@
             case PromotionPhase.Watching watching -> watch(watching, snapshot, now, effects);
             case PromotionPhase.Inspecting inspecting
             when hasTimedOut(inspecting.attempt(), now) -> new AttemptSteps(inspecting.attempt(), now, effects).stop();
+            case PromotionPhase.Querying querying
+            when hasTimedOut(querying.attempt(), now) ->
+                new AttemptSteps(querying.attempt(), now, effects).decideByAnswers(querying);
             case PromotionPhase.Stopping stopping
             when hasTimedOut(stopping.attempt(), now) -> decide(stopping, now, effects);
             case PromotionPhase.Verifying verifying
@@ -189,7 +192,8 @@
             Resumption resumption = tooEarly || mayTakeEffect
                     ? watching.resumption()
                     : resume(watching.resumption(), snapshot, now, effects);
-            return new PromotionPhase.Watching(watching.notBefore(), Optional.empty(), resumption);
+            return new PromotionPhase.Watching(
+                    watching.notBefore(), Optional.empty(), resumption, watching.steppedDown());
         }
         boolean noPrimary = snapshot.reason().equals(Optional.of(PromotionReason.NONE_LEADS));
         Instant since = watching.noPrimarySince().orElse(now);
@@ -198,9 +202,10 @@
             return new PromotionPhase.Watching(
                     watching.notBefore(),
                     noPrimary ? Optional.of(since) : watching.noPrimarySince(),
-                    watching.resumption());
+                    watching.resumption(),
+                    watching.steppedDown());
         }
-        return begin(snapshot, now, effects);
+        return begin(watching, snapshot, now, effects);
     }
 
     private static Resumption resume(
@@ -211,13 +216,23 @@
         return due.isEmpty() ? resumption : resumption.queried(due, now);
     }
 
-    private PromotionPhase begin(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
+    private PromotionPhase begin(
+            PromotionPhase.Watching watching, GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         Set<BackendServerName> replicas = snapshot.replicas();
         Optional<BackendServerName> pendingTarget = snapshot.intent()
                 .filter(intent -> isPending(intent, snapshot, now))
                 .map(PromotionIntent::target);
+        Optional<LogPosition> lastPosition = watching.steppedDown()
+                .filter(_ -> snapshot.reason().equals(Optional.of(PromotionReason.NONE_LEADS)))
+                .filter(primary -> primary.isCurrent(snapshot))
+                .map(SteppedDownPrimary::lastPosition);
         Attempt attempt = new Attempt(
-                new AttemptId(holder, attempts + 1), snapshot.newestTerm() + 1, snapshot, pendingTarget, now);
+                new AttemptId(holder, attempts + 1),
+                snapshot.newestTerm() + 1,
+                snapshot,
+                pendingTarget,
+                lastPosition,
+                now);
         effects.add(new PromotionEffect.Log(
                 "replacement started",
                 "attempt=" + attempt.id() + " reason=" + snapshot.reason().get() + " term=" + attempt.term()
@@ -226,6 +241,9 @@
                         + " intent="
                         + snapshot.intent().map(intent -> intent.describe(now)).orElse("none")));
         AttemptSteps steps = new AttemptSteps(attempt, now, effects);
+        if (snapshot.isPrimaryExpectedToAnswer()) {
+            return steps.query();
+        }
         Set<BackendServerName> unknown = commands.unknown(replicas, now);
         return unknown.isEmpty() ? steps.stop() : steps.inspect(unknown);
     }
@@ -256,14 +274,22 @@
             case PromotionPhase.Inspecting inspecting
             when isAnswer(completed, inspecting.attempt(), BackendCommand.ReadStatus.class) ->
                 new AttemptSteps(inspecting.attempt(), now, effects).inspected(inspecting, completed.database());
-            case PromotionPhase.Stopping stopping
-            when isAnswer(completed, stopping.attempt(), BackendCommand.StopReceiving.class) ->
-                stopped(stopping, completed, now, effects);
+            case PromotionPhase.Querying querying
+            when isAnswer(completed, querying.attempt(), BackendCommand.ReadStatus.class) ->
+                new AttemptSteps(querying.attempt(), now, effects)
+                        .queried(querying, completed.database(), completed.result());
             case PromotionPhase.SteppingDown steppingDown
             when isAnswer(completed, steppingDown.attempt(), BackendCommand.StepDown.class) ->
                 new AttemptSteps(steppingDown.attempt(), now, effects).steppedDown(steppingDown, completed.result());
+            case PromotionPhase.Stopping stopping
+            when isAnswer(completed, stopping.attempt(), BackendCommand.StopReceiving.class) ->
+                stopped(stopping, completed, now, effects);
+            case PromotionPhase.ConfirmingStepDown confirming
+            when isAnswer(completed, confirming.attempt(), BackendCommand.StepDown.class) ->
+                new AttemptSteps(confirming.attempt(), now, effects).stepDownConfirmed(confirming, completed.result());
             case PromotionPhase.Verifying verifying
-            when isAnswer(completed, verifying.attempt(), BackendCommand.ReadStatus.class) ->
+            when isAnswer(completed, verifying.attempt(), BackendCommand.ReadStatus.class)
+                    && verifying.pending().contains(completed.database()) ->
                 new AttemptSteps(verifying.attempt(), now, effects)
                         .verified(verifying, completed.database(), completed.result(), now.isBefore(lateRequestUntil));
             default -> phase;
@@ -299,7 +325,8 @@
         return new PromotionPhase.Watching(
                 watching.notBefore(),
                 watching.noPrimarySince(),
-                watching.resumption().without(completed.database()));
+                watching.resumption().without(completed.database()),
+                watching.steppedDown());
     }
 
     private PromotionPhase stopped(
@@ -315,7 +342,11 @@
             stopped.put(completed.database(), answered.status());
         }
         PromotionPhase.Stopping next = new PromotionPhase.Stopping(attempt, pending, stopped);
-        return pending.isEmpty() ? decide(next, now, effects) : next;
+        return pending.isEmpty()
+                ? decide(next, now, effects)
+                : new AttemptSteps(attempt, now, effects)
+                        .chooseRemaining(stopped)
+                        .orElse(next);
     }
 
     private PromotionPhase decide(PromotionPhase.Stopping stopping, Instant now, List<PromotionEffect> effects) {
@@ -324,10 +355,9 @@
                 "replicas counted",
                 "attempt=" + attempt.id() + " " + attempt.snapshot().describe(stopping.stopped())));
         PromotionChoice choice = PromotionChoice.of(
-                attempt.snapshot(),
+                attempt,
                 stopping.stopped(),
-                commands.resumable(stopping.stopped().keySet(), now),
-                attempt.pendingTarget());
+                commands.resumable(stopping.stopped().keySet(), now));
         return new AttemptSteps(attempt, now, effects).choose(choice, stopping.stopped());
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
@@ -54,6 +54,14 @@
         on(new PromotionEvent.TimePassed(snapshot()));
     }
 
+    /** Begins the replacement of a primary that leaves; it leads, and a replica receives. */
+    void beginReplacementOfLeavingPrimary() {
+        reason = Optional.of(PromotionReason.LEAVING);
+        begin();
+        answer(PRIMARY, Optional.of(leading(10)));
+        answer(SECOND, Optional.of(receiving(10)));
+    }
+
     void answerStopped(long second, long third) {
         answer(SECOND, stopped(second));
         answer(THIRD, stopped(third));
@@ -66,6 +74,15 @@
         complete(database, command, Optional.of(new AttemptId("vm-1", state.attempts())), status);
     }
 
+    /** Ends the command that reads the status of a database before it is sent. */
+    void fail(BackendServerName database) {
+        on(new PromotionEvent.CommandCompleted(
+                database,
+                new BackendCommand.ReadStatus(),
+                Optional.of(new AttemptId("vm-1", state.attempts())),
+                new CommandResult.Failed("no connection to the database")));
+    }
+
     void answerResumption(BackendServerName replica) {
         Optional<AttemptId> attempt = Optional.of(new AttemptId("vm-1", state.attempts()));
         complete(replica, new BackendCommand.ResumeReceiving(), attempt, Optional.of(receiving(12)));
@@ -170,6 +187,14 @@
         return new PromotionIntent(target, TERM, PromotionIntent.Progress.OPEN, attempt, learnedAt);
     }
 
+    static DatabaseStatus leading(long position) {
+        return new DatabaseStatus(true, TERM - 1, LogPosition.of(3, position), 0);
+    }
+
+    static DatabaseStatus steppedDown(long position) {
+        return new DatabaseStatus(false, TERM - 1, LogPosition.of(3, position), 0);
+    }
+
     static DatabaseStatus receiving(long position) {
         return new DatabaseStatus(false, TERM, LogPosition.of(3, position), 0);
     }
