Count a database without an entry as one that may confirm commits

Cause: a database whose entry has been missing for 2.5 s is GONE. A promotion asked it to stop, but if the lease holder could not reach it, it counted for nothing, although the primary may reach it and acknowledge commits that it confirms. The remaining replicas then proved too little, and the longest log among them was promoted. Class: a member that does not answer was taken for one that does not exist.

Such a database now counts until its suspicion ends. Where it does not answer, the old primary is asked first, also one that is reported to fail or whose own entry has expired, because its last position is a proof without the replica. Without either proof the group waits, and the log says once which database may have confirmed commits. A database that answers that it leads, although it was asked as a replica, is announced as the primary instead of being left out of the choice.

The model of promotions plays replicas that the holder does not count: one that has no entry, one whose entry arrives at any time, one without an entry that can't be reached, and the same without a way to the primary. EXPIRED_DATABASE and STEP_DOWN_POSITION, left out, lose again.

should_proceed_without_a_suspected_database_that_does_not_answer asserted the fault; should_not_promote_while_a_suspected_database_does_not_answer and should_promote_without_a_suspected_database_when_the_primary_has_stepped_down replace it.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -133,6 +134,21 @@
         return databases.directory(group, Set.of(DatabaseAvailability.GONE)).databases();
     }
 
+    /**
+     * Returns the primary of a group. If none has an entry, this is the last one, which may still lead.
+     *
+     * @param group name of the group
+     * @return name of the primary, or empty if none is known
+     */
+    public Optional<BackendServerName> presumedPrimary(GroupName group) {
+        return members(group)
+                .primary()
+                .or(() -> databases
+                        .directory(group, EnumSet.allOf(DatabaseAvailability.class))
+                        .primary())
+                .map(DatabaseEntry::name);
+    }
+
     /**
      * Returns whether a database gets statements.
      *
--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -53,6 +53,13 @@
 
     /** Decides how to replace the primary after all databases have answered or timed out. */
     PromotionPhase decideByAnswers(PromotionPhase.Querying querying) {
+        Optional<BackendServerName> leader = attempt.snapshot().replicas().stream()
+                .filter(replica -> querying.answers().containsKey(replica)
+                        && querying.answers().get(replica).primary())
+                .findAny();
+        if (leader.isPresent()) {
+            return anotherLeads(leader.get(), querying.answers().get(leader.get()), Set.of());
+        }
         Optional<DatabaseStatus> primary =
                 attempt.snapshot().primary().map(name -> querying.answers().get(name));
         if (primary.isEmpty()) {
@@ -68,6 +75,15 @@
         return new PromotionPhase.SteppingDown(attempt, primary.get().term());
     }
 
+    /**
+     * Ends an attempt in which a database other than the supposed primary answers that it leads. It becomes the primary
+     * of the next attempt, because it may acknowledge commits.
+     */
+    PromotionPhase anotherLeads(BackendServerName database, DatabaseStatus status, Set<BackendServerName> stopped) {
+        effects.add(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(database, status.term())));
+        return abandon(stopped, "database " + database + " leads", Optional.empty());
+    }
+
     /** Returns whether the primary leads and a replica can take over. */
     private boolean isReplaceable(PromotionPhase.Querying querying) {
         boolean leads = attempt.snapshot()
@@ -249,7 +265,7 @@
      * stopped. None is resumed while an earlier request relies on them.
      */
     private PromotionPhase abandon(Set<BackendServerName> stopped, String reason, Optional<Instant> noPrimarySince) {
-        log("replacement postponed", "reason=\"" + reason + "\"");
+        effects.add(new PromotionEffect.Postpone(attempt.id(), reason));
         if (attempt.pendingTarget().isEmpty()) {
             send(stopped, new BackendCommand.ResumeReceiving());
         }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
@@ -15,7 +15,7 @@
  *
  * @param databases databases that confirm commits, including drained ones
  * @param suspected databases whose entry expired but which may still run and confirm commits
- * @param primary primary as this VM knows it
+ * @param primary primary as this VM knows it, also when its entry has expired
  * @param reason why the primary must be replaced, or empty if it stays
  * @param newestTerm newest term that any VM has seen
  * @param recentlyRestarted databases that may have lost confirmed commits in a recent restart
@@ -40,12 +40,16 @@
         recentlyRestarted = Set.copyOf(recentlyRestarted);
     }
 
-    /** Returns whether the primary is known and was not reported to fail, so that it can be told to step down first. */
-    boolean isPrimaryExpectedToAnswer() {
+    /**
+     * Returns whether the primary is asked to step down before the replicas stop. One that was reported to fail is
+     * asked first only if a replica without an entry may not answer: then the other replicas don't prove which commits
+     * were confirmed, and the last position of the primary does.
+     */
+    boolean asksPrimaryFirst() {
         return primary.isPresent()
                 && reason.filter(known -> switch (known) {
-                            case LEAVING, LEFT, MISSING -> true;
-                            case FAILING, NONE_LEADS -> false;
+                            case LEAVING, LEFT, MISSING, NONE_LEADS -> true;
+                            case FAILING -> !suspected.isEmpty();
                         })
                         .isPresent();
     }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.LogPosition;
@@ -86,13 +87,12 @@
         GroupSnapshot snapshot = attempt.snapshot();
         Set<BackendServerName> proven = new HashSet<>(stopped.keySet());
         proven.removeAll(snapshot.recentlyRestarted());
-        long replicas = snapshot.replicas().stream()
-                .filter(database -> snapshot.databases().containsKey(database) || stopped.containsKey(database))
-                .count();
+        int replicas = snapshot.replicas().size();
         int confirming = Math.max(1, snapshot.synchronousReplicas());
-        long needed = Math.max(1, replicas - confirming + 1L);
+        int needed = Math.max(1, replicas - confirming + 1);
         if (proven.size() < needed) {
-            return new Insufficient("stopped " + proven.size() + " of " + replicas + " replicas, needed " + needed);
+            return new Insufficient("stopped " + proven.size() + " of " + replicas + " replicas, needed " + needed
+                    + "; commits may have been confirmed by " + unproven(snapshot, proven));
         }
         LogPosition highest = stopped.values().stream()
                 .map(DatabaseStatus::received)
@@ -117,6 +117,14 @@
                         .orElse("no database that stays has the highest position " + text(highest))));
     }
 
+    private static String unproven(GroupSnapshot snapshot, Set<BackendServerName> proven) {
+        return snapshot.replicas().stream()
+                .filter(replica -> !proven.contains(replica))
+                .map(replica -> snapshot.suspected().containsKey(replica) ? replica + " (no entry)" : replica.value())
+                .sorted()
+                .collect(Collectors.joining(", "));
+    }
+
     private static Comparator<BackendServerName> preference(GroupSnapshot snapshot) {
         return Comparator.comparing((BackendServerName database) -> isRemaining(snapshot, database))
                 .thenComparing(BackendServerName::value);
@@ -174,6 +182,12 @@
         return entry != null && !entry.draining();
     }
 
+    /**
+     * Formats a position for the log.
+     *
+     * @param position position of a log
+     * @return term and number
+     */
     static String text(LogPosition position) {
         return position.term().number() + "." + position.position();
     }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEffect.java
@@ -46,6 +46,14 @@
      */
     record AnnouncePrimary(PrimaryClaim claim) implements PromotionEffect {}
 
+    /**
+     * Reports that an attempt ended without a promotion.
+     *
+     * @param attempt the attempt
+     * @param reason missing evidence
+     */
+    record Postpone(AttemptId attempt, String reason) implements PromotionEffect {}
+
     /**
      * Logs a decision.
      *
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -241,7 +241,7 @@
                         + " intent="
                         + snapshot.intent().map(intent -> intent.describe(now)).orElse("none")));
         AttemptSteps steps = new AttemptSteps(attempt, now, effects);
-        if (snapshot.isPrimaryExpectedToAnswer()) {
+        if (snapshot.asksPrimaryFirst()) {
             return steps.query();
         }
         Set<BackendServerName> unknown = commands.unknown(replicas, now);
@@ -337,6 +337,14 @@
         Attempt attempt = stopping.attempt();
         Set<BackendServerName> pending = new HashSet<>(stopping.pending());
         pending.remove(completed.database());
+        if (completed.result() instanceof CommandResult.Answered answered
+                && answered.status().primary()) {
+            return new AttemptSteps(attempt, now, effects)
+                    .anotherLeads(
+                            completed.database(),
+                            answered.status(),
+                            stopping.stopped().keySet());
+        }
         Map<BackendServerName, DatabaseStatus> stopped = new HashMap<>(stopping.stopped());
         if (completed.result() instanceof CommandResult.Answered answered && attempt.isStopped(answered.status())) {
             stopped.put(completed.database(), answered.status());
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -22,6 +22,7 @@
 import org.geraniumproxy.core.identity.StoreRevision;
 import org.geraniumproxy.core.promotion.PromotionModelState.Command;
 import org.geraniumproxy.core.promotion.PromotionModelState.Database;
+import org.geraniumproxy.core.promotion.PromotionModelState.Entry;
 import org.geraniumproxy.core.promotion.PromotionModelState.FaultCounts;
 import org.geraniumproxy.core.promotion.PromotionModelState.Group;
 import org.geraniumproxy.core.promotion.PromotionModelState.IntentWrite;
@@ -36,8 +37,8 @@
  * command, a request or a write of an intent whose answer is lost is carried out at any later time, also after newer
  * ones; a request only unless the platform has seen a greater token, a write only if its condition still holds. All
  * times lie within the 12 s in which that may happen. The model assumes that a holder sees the present intent and that
- * the platform sees a renewed token at once. A primary that crashed is failing, any other one is leaving, or reported
- * as failing.
+ * the platform sees a renewed token at once. A primary that crashed, or to which no command can be sent, is failing;
+ * any other one is leaving, or reported as failing.
  */
 final class PromotionModel {
     /** Rule that the model omits to show that it is needed. */
@@ -64,13 +65,18 @@
         /** A resume command without an answer counts as one that is never carried out. */
         LATE_RESUMPTION,
         /** A step-down command without an answer counts as carried out. */
-        STEP_DOWN_ANSWER
+        STEP_DOWN_ANSWER,
+        /** The old primary answers to the step-down command that its log is empty. */
+        STEP_DOWN_POSITION,
+        /** A database whose entry expired is forgotten. */
+        EXPIRED_DATABASE
     }
 
     private static final String HOLDER = "vm-1";
     private static final String NEXT_HOLDER = "vm-2";
     private static final String EARLIER_HOLDER = "vm-0";
     private static final int DATABASES = 3;
+    private static final int LAST = DATABASES - 1;
     private static final int MAXIMUM_COMMITS = 2;
     static final int NO_PRIMARY = -1;
     private static final int MAXIMUM_ATTEMPTS = 3;
@@ -89,6 +95,12 @@
     private int presumedPrimary;
     private boolean holderChanges = true;
     private PromotionReason reasonWhileRunning = PromotionReason.LEAVING;
+    private boolean lastEntryArrives;
+
+    /** Databases to which the lease holder can't send commands, while the others reach them. */
+    private Set<Integer> unreachable = Set.of();
+
+    private boolean promotes;
     private boolean lost;
 
     PromotionModel(OmittedRule omission) {
@@ -178,18 +190,25 @@
      */
     boolean losesCommitAfterUnansweredResumption() {
         holderChanges = false;
-        PromotionReason reason = reasonWhileRunning;
-        reasonWhileRunning = PromotionReason.FAILING;
-        PromotionState state = calmState(0);
-        state = state.on(new PromotionEvent.TimePassed(snapshot(idle(), NO_INTENT)), EARLY)
-                .state();
-        state = complete(state, 1, new BackendCommand.StopReceiving(2), Optional.of(stoppedStatus()));
-        state = complete(state, 2, new BackendCommand.StopReceiving(2), Optional.empty());
-        state = complete(state, 1, new BackendCommand.ResumeReceiving(), Optional.empty());
-        reasonWhileRunning = reason;
+        BackendCommand stop = new BackendCommand.StopReceiving(2);
+        BackendCommand resume = new BackendCommand.ResumeReceiving();
+        Set<OutstandingCommands.Sent> sent = Set.of(
+                new OutstandingCommands.Sent(name(1), resume, attempt(HOLDER), EARLY),
+                new OutstandingCommands.Sent(name(2), stop, attempt(HOLDER), EARLY));
+        PromotionState calm = calmState(1);
+        PromotionState state = new PromotionState(
+                HOLDER,
+                1,
+                0,
+                calm.phase(),
+                calm.lateRequestUntil(),
+                new OutstandingCommands(sent, calm.commands().receiving(), Optional.of(EARLY)),
+                Optional.empty());
+        PromotionEvent unanswered =
+                new PromotionEvent.CommandCompleted(name(1), resume, attempt(HOLDER), result(resume, Optional.empty()));
+        state = state.on(unanswered, EARLY).state();
         Set<Command> late = Set.of(
-                new Command(1, 1, new BackendCommand.ResumeReceiving(), attempt(HOLDER), false),
-                new Command(1, 2, new BackendCommand.StopReceiving(2), attempt(HOLDER), false));
+                new Command(1, 1, resume, attempt(HOLDER), false), new Command(1, 2, stop, attempt(HOLDER), false));
         List<Database> databases =
                 List.of(new Database("", true, 0), new Database("", true, 2), new Database("", true, 0));
         PromotionModelState start =
@@ -197,17 +216,46 @@
         return explore(start.with(new Network(late, Set.of(), 1)));
     }
 
-    private PromotionState complete(
-            PromotionState state, int database, BackendCommand command, Optional<DatabaseStatus> status) {
-        return state.on(
-                        new PromotionEvent.CommandCompleted(
-                                name(database), command, attempt(HOLDER), result(command, status)),
-                        EARLY)
-                .state();
+    /** As {@link #losesCommit}, without a crash, beside a replica that confirms commits and never has an entry. */
+    boolean losesCommitBesideUnlistedReplica() {
+        return exploreBeside(Entry.ABSENT, 0);
+    }
+
+    /**
+     * As {@link #losesCommitBesideUnlistedReplica}, with one commit and an entry that arrives at any time, also in an
+     * attempt.
+     */
+    boolean losesCommitBesideReplicaListedLate() {
+        lastEntryArrives = true;
+        return exploreBeside(Entry.ABSENT, MAXIMUM_COMMITS - 1);
+    }
+
+    /**
+     * As {@link #losesCommitBesideUnlistedReplica}, with an expired entry, while the lease holder has no connection to
+     * the replica.
+     */
+    boolean losesCommitBesideExpiredReplica() {
+        unreachable = Set.of(LAST);
+        return exploreBeside(Entry.EXPIRED, 0);
     }
 
-    private static DatabaseStatus stoppedStatus() {
-        return new DatabaseStatus(false, 1, LogPosition.START, 2);
+    /** As {@link #losesCommitBesideExpiredReplica}, while the lease holder has no connection to the primary either. */
+    boolean losesCommitOfUnreachablePrimaryBesideExpiredReplica() {
+        unreachable = Set.of(presumedPrimary, LAST);
+        return exploreBeside(Entry.EXPIRED, 0);
+    }
+
+    /**
+     * Explores an idle group with one lease holder and two attempts, in which no database crashes.
+     *
+     * @param lastEntry entry of the last database
+     * @param commits number of commits that count as written before
+     */
+    private boolean exploreBeside(Entry lastEntry, int commits) {
+        holderChanges = false;
+        Group group = new Group(idle().databases(), 0, 1, commits, "");
+        return explore(
+                start(group, Set.of(), NO_INTENT.with(lastEntry), newHolder(1)).with(new FaultCounts(1, 1, 0)));
     }
 
     private static Group idle() {
@@ -258,13 +306,19 @@
         return parents.size();
     }
 
+    /** Returns whether a database was promoted in some order of events. */
+    boolean promotes() {
+        return promotes;
+    }
+
     /** Returns the states that lead to the loss, for the message of a failed test. */
     String trace() {
         StringBuilder text = new StringBuilder();
         for (PromotionModelState state = stateBeforeLoss; state != null; state = parents.get(state)) {
             text.insert(
                     0,
-                    "\n" + state.group() + " " + state.network() + " holder="
+                    "\n" + state.group() + " " + state.network() + " lastEntry="
+                            + state.store().lastEntry() + " holder="
                             + state.leaseHolder().holder() + " token="
                             + state.leaseHolder().token() + " phase="
                             + state.leaseHolder().state().phase().getClass().getSimpleName());
@@ -293,12 +347,24 @@
         for (Request request : state.network().requests()) {
             carryOutRequest(state, request);
         }
-        if (state.faultCounts().attempts() < MAXIMUM_ATTEMPTS) {
-            apply(state, new PromotionEvent.TimePassed(snapshot(state.group(), state.store())), LATE);
+        passTime(state);
+        if (lastEntryArrives && state.store().lastEntry() == Entry.ABSENT) {
+            add(state.with(state.store().with(Entry.PRESENT)));
         }
         changeHolder(state);
     }
 
+    private void passTime(PromotionModelState state) {
+        PromotionEvent passed = new PromotionEvent.TimePassed(snapshot(state.group(), state.store()));
+        if (state.faultCounts().attempts() < MAXIMUM_ATTEMPTS) {
+            apply(state, passed, LATE);
+        }
+        boolean attempting = !(state.leaseHolder().state().phase() instanceof PromotionPhase.Watching);
+        if (lastEntryArrives && attempting) {
+            apply(state, passed, EARLY);
+        }
+    }
+
     private void commit(PromotionModelState state) {
         Group group = state.group();
         boolean possible =
@@ -364,6 +430,10 @@
         Group group = state.group();
         Database database = group.databases().get(command.database());
         PromotionModelState delivered = state.with(state.network().without(command));
+        if (unreachable.contains(command.database())) {
+            complete(delivered, command, new CommandResult.Failed("no connection to the database"));
+            return;
+        }
         if (!database.running()) {
             answer(delivered, command, Optional.empty());
             return;
@@ -384,7 +454,10 @@
         boolean claimsStopped = omittedRule == OmittedRule.STOPPING
                 || (omittedRule == OmittedRule.VERIFICATION && command.command() instanceof BackendCommand.ReadStatus);
         long stoppedTerm = claimsStopped ? group.term() + 1 : next.stoppedTerm();
-        LogPosition position = omittedRule == OmittedRule.INTENT_COMPARISON ? LogPosition.START : next.position();
+        boolean hidesPosition = omittedRule == OmittedRule.INTENT_COMPARISON
+                || (omittedRule == OmittedRule.STEP_DOWN_POSITION
+                        && command.command() instanceof BackendCommand.StepDown);
+        LogPosition position = hidesPosition ? LogPosition.START : next.position();
         if (claimsStopped
                 && state.leaseHolder().state().phase() instanceof PromotionPhase.Verifying verifying
                 && verifying.stopped().containsKey(name(command.database()))) {
@@ -394,6 +467,10 @@
     }
 
     private void answer(PromotionModelState state, Command command, Optional<DatabaseStatus> status) {
+        complete(state, command, result(command.command(), status));
+    }
+
+    private void complete(PromotionModelState state, Command command, CommandResult result) {
         if (!command.awaited() || command.holder() != state.leaseHolder().holder()) {
             add(state);
             return;
@@ -401,10 +478,7 @@
         apply(
                 state,
                 new PromotionEvent.CommandCompleted(
-                        name(command.database()),
-                        command.command(),
-                        command.attempt(),
-                        result(command.command(), status)),
+                        name(command.database()), command.command(), command.attempt(), result),
                 EARLY);
     }
 
@@ -425,7 +499,8 @@
     private void loseAnswer(PromotionModelState state, Command command) {
         boolean awaited =
                 command.awaited() && command.holder() == state.leaseHolder().holder();
-        if (awaited && state.faultCounts().lostAnswers() < 1) {
+        boolean reachable = !unreachable.contains(command.database());
+        if (awaited && reachable && state.faultCounts().lostAnswers() < 1) {
             PromotionModelState unanswered = state.with(state.network().withUnanswered(command))
                     .with(state.faultCounts().withLostAnswer());
             answer(unanswered, command, Optional.empty());
@@ -473,6 +548,7 @@
     }
 
     private Group promote(Group group, int target) {
+        promotes = true;
         String log = group.databases().get(target).log();
         if (entries(group.acknowledged()).stream().anyMatch(entry -> !log.contains(entry))) {
             lost = true;
@@ -515,7 +591,7 @@
                 case PromotionEffect.RequestPromotion request ->
                     requests.add(new Request(leaseHolder.holder(), index(request.target()), leaseHolder.token(), true));
                 case PromotionEffect.RenewFencingToken _ -> renewsToken = true;
-                case PromotionEffect.AnnouncePrimary _, PromotionEffect.Log _ -> {}
+                case PromotionEffect.AnnouncePrimary _, PromotionEffect.Postpone _, PromotionEffect.Log _ -> {}
             }
         }
         FaultCounts counts = state.faultCounts();
@@ -573,32 +649,24 @@
      */
     private GroupSnapshot snapshot(Group group, Store store) {
         Map<BackendServerName, DatabaseEntry> databases = new HashMap<>();
-        for (int index = 0; index < DATABASES; index++) {
-            databases.put(
-                    name(index),
-                    new DatabaseEntry(
-                            name(index),
-                            GroupName.of("entries"),
-                            "10.0.0.1:1",
-                            FailureDomain.of("a"),
-                            2,
-                            false,
-                            index == presumedPrimary,
-                            1,
-                            1,
-                            new StoreRevision(1, 1)));
+        Map<BackendServerName, DatabaseEntry> suspected = new HashMap<>();
+        for (int index = 0; index < LAST; index++) {
+            databases.put(name(index), entry(index));
+        }
+        switch (store.lastEntry()) {
+            case PRESENT -> databases.put(name(LAST), entry(LAST));
+            case EXPIRED -> suspected.put(name(LAST), entry(LAST));
+            case ABSENT -> {}
         }
         if (omittedRule == OmittedRule.DRAINED_DATABASE) {
-            databases.remove(name(DATABASES - 1));
+            databases.remove(name(LAST));
         }
+        boolean serves = group.databases().get(presumedPrimary).running() && !unreachable.contains(presumedPrimary);
         return new GroupSnapshot(
                 databases,
-                Map.of(),
+                omittedRule == OmittedRule.EXPIRED_DATABASE ? Map.of() : suspected,
                 Optional.of(name(presumedPrimary)),
-                Optional.of(
-                        group.databases().get(presumedPrimary).running()
-                                ? reasonWhileRunning
-                                : PromotionReason.FAILING),
+                Optional.of(serves ? reasonWhileRunning : PromotionReason.FAILING),
                 group.term(),
                 Set.of(),
                 omittedRule == OmittedRule.ALL_REPLICAS ? 2 : 1,
@@ -606,6 +674,20 @@
                 omittedRule == OmittedRule.INTENT ? Optional.empty() : store.intent());
     }
 
+    private DatabaseEntry entry(int index) {
+        return new DatabaseEntry(
+                name(index),
+                GroupName.of("entries"),
+                "10.0.0.1:1",
+                FailureDomain.of("a"),
+                2,
+                false,
+                index == presumedPrimary,
+                1,
+                1,
+                new StoreRevision(1, 1));
+    }
+
     private static BackendServerName name(int index) {
         return BackendServerName.of("db-" + index);
     }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModelState.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModelState.java
@@ -13,7 +13,7 @@
  *
  * @param group databases and their logs
  * @param network commands and requests that may still be carried out
- * @param store promotion intent in the store
+ * @param store promotion intent and entries in the store
  * @param leaseHolder present lease holder
  * @param faultCounts faults so far, which are limited
  */
@@ -61,13 +61,38 @@
     /** A write of an intent that the store has not answered and may do late. */
     record IntentWrite(PromotionIntent intent, long expectedRevision, long token) {}
 
-    record Store(Optional<PromotionIntent> intent, long revision, Optional<IntentWrite> lateWrite) {
+    /** Entry of a database, as the lease holder knows it. */
+    enum Entry {
+        PRESENT,
+        /** It was present and is not any more. */
+        EXPIRED,
+        /** It has never been present. */
+        ABSENT
+    }
+
+    /**
+     * Contents of the store.
+     *
+     * @param intent promotion intent of the group
+     * @param revision number of writes of the intent
+     * @param lateWrite write of an intent that the store may still do
+     * @param lastEntry entry of the last database; the others are present
+     */
+    record Store(Optional<PromotionIntent> intent, long revision, Optional<IntentWrite> lateWrite, Entry lastEntry) {
+        Store(Optional<PromotionIntent> intent, long revision, Optional<IntentWrite> lateWrite) {
+            this(intent, revision, lateWrite, Entry.PRESENT);
+        }
+
         Store with(PromotionIntent written) {
-            return new Store(Optional.of(written), revision + 1, lateWrite);
+            return new Store(Optional.of(written), revision + 1, lateWrite, lastEntry);
         }
 
         Store withLate(Optional<IntentWrite> write) {
-            return new Store(intent, revision, write);
+            return new Store(intent, revision, write, lastEntry);
+        }
+
+        Store with(Entry entry) {
+            return new Store(intent, revision, lateWrite, entry);
         }
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.geraniumproxy.core.promotion.PromotionModel.OmittedRule;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -25,6 +26,15 @@
             new Beginning("an unanswered intent", PromotionModel::losesCommitAfterUnansweredIntent);
     private static final Beginning UNANSWERED_RESUMPTION =
             new Beginning("an unanswered resumption", PromotionModel::losesCommitAfterUnansweredResumption);
+    private static final Beginning UNLISTED =
+            new Beginning("an unlisted replica", PromotionModel::losesCommitBesideUnlistedReplica);
+    private static final Beginning LISTED_LATE =
+            new Beginning("a replica listed late", PromotionModel::losesCommitBesideReplicaListedLate);
+    private static final Beginning EXPIRED =
+            new Beginning("an expired, unreachable replica", PromotionModel::losesCommitBesideExpiredReplica);
+    private static final Beginning PRIMARY_UNREACHABLE = new Beginning(
+            "an expired replica, both it and the primary unreachable",
+            PromotionModel::losesCommitOfUnreachablePrimaryBesideExpiredReplica);
 
     /** Beginning from which the model explores. */
     private record Beginning(String description, Predicate<PromotionModel> losesCommit) {
@@ -54,6 +64,19 @@
                 .map(Arguments::of);
     }
 
+    static Stream<Arguments> uncountedReplicas() {
+        return Stream.of(UNLISTED, LISTED_LATE, EXPIRED, PRIMARY_UNREACHABLE).map(Arguments::of);
+    }
+
+    static Stream<Arguments> omittedRulesBesideUncountedReplica() {
+        return Stream.of(
+                Arguments.of(OmittedRule.STEP_DOWN, UNLISTED),
+                Arguments.of(OmittedRule.STEP_DOWN_ANSWER, UNLISTED),
+                Arguments.of(OmittedRule.STEP_DOWN_POSITION, UNLISTED),
+                Arguments.of(OmittedRule.STEP_DOWN_POSITION, LISTED_LATE),
+                Arguments.of(OmittedRule.EXPIRED_DATABASE, PRIMARY_UNREACHABLE));
+    }
+
     static Stream<Arguments> omittedRules() {
         return Stream.of(
                 Arguments.of(OmittedRule.ALL_REPLICAS, IDLE),
@@ -84,4 +107,30 @@
         boolean lost = beginning.losesCommit().test(model);
         assertThat("states " + model.states(), lost, is(true));
     }
+
+    /** Guards against a choice that counts only the replicas whose entry the lease holder knows and that it reaches. */
+    @ParameterizedTest
+    @MethodSource("uncountedReplicas")
+    void should_lose_no_commit_that_only_an_uncounted_replica_confirmed(Beginning beginning) {
+        PromotionModel model = new PromotionModel(OmittedRule.NONE);
+        boolean lost = beginning.losesCommit().test(model);
+        assertThat("lost after " + model.states() + " states: " + model.trace(), lost, is(false));
+    }
+
+    /** Guards against a design that loses nothing because it never replaces a primary that can step down. */
+    @Test
+    void should_promote_beside_an_unlisted_replica() {
+        PromotionModel model = new PromotionModel(OmittedRule.NONE);
+        boolean lost = UNLISTED.losesCommit().test(model);
+        assertThat("states " + model.states() + " lost " + lost, model.promotes(), is(true));
+    }
+
+    @ParameterizedTest
+    @MethodSource("omittedRulesBesideUncountedReplica")
+    void should_lose_a_commit_of_an_uncounted_replica_when_a_rule_is_omitted(
+            OmittedRule omittedRule, Beginning beginning) {
+        PromotionModel model = new PromotionModel(omittedRule);
+        boolean lost = beginning.losesCommit().test(model);
+        assertThat("states " + model.states(), lost, is(true));
+    }
 }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
@@ -54,6 +54,14 @@
         on(new PromotionEvent.TimePassed(snapshot()));
     }
 
+    /** Begins the replacement of a failing primary beside a replica without an entry; both replicas answer. */
+    void beginWithSuspectedThird() {
+        suspected = Set.of(THIRD);
+        begin();
+        answer(SECOND, Optional.of(receiving(10)));
+        answer(THIRD, Optional.of(receiving(10)));
+    }
+
     /** Begins the replacement of a primary that leaves; it leads, and a replica receives. */
     void beginReplacementOfLeavingPrimary() {
         reason = Optional.of(PromotionReason.LEAVING);
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_lateCommand_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_lateCommand_Test.java
@@ -111,7 +111,7 @@
         reason = Optional.of(PromotionReason.NONE_LEADS);
         now = now.plus(PromotionState.ATTEMPT_RETRY_DELAY);
         begin();
-        assertThat(sent(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
+        assertThat(sent(BackendCommand.ReadStatus.class), containsInAnyOrder(PRIMARY, SECOND, THIRD));
     }
 
     /** Guards against commits that a draining primary acknowledges to the VMs that reach it. */
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.caller.BackendCommand;
+import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.junit.jupiter.api.Test;
 
@@ -85,8 +86,8 @@
     /** Guards against losing commits confirmed by a database whose entry expired during a partition from the store. */
     @Test
     void should_count_the_log_of_a_suspected_database_that_answers() {
-        suspected = Set.of(THIRD);
-        begin();
+        beginWithSuspectedThird();
+        fail(PRIMARY);
         assertThat(sent(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
         answer(SECOND, stopped(10));
         answer(THIRD, stopped(12));
@@ -95,17 +96,46 @@
         assertThat(requestedPromotions(), containsInAnyOrder(THIRD));
     }
 
+    /** Guards against losing commits confirmed by a database without an entry that only the primary reaches. */
     @Test
-    void should_proceed_without_a_suspected_database_that_does_not_answer() {
-        suspected = Set.of(THIRD);
-        begin();
+    void should_not_promote_while_a_suspected_database_does_not_answer() {
+        beginWithSuspectedThird();
+        fail(PRIMARY);
         answer(SECOND, stopped(10));
         answer(THIRD, Optional.empty());
-        answer(SECOND, stopped(10));
+        assertThat(requestedPromotions(), is(empty()));
+        assertThat(sent(BackendCommand.ResumeReceiving.class), containsInAnyOrder(SECOND));
+        assertThat(
+                effects,
+                hasItem(new PromotionEffect.Postpone(
+                        new AttemptId("vm-1", 1),
+                        "stopped 1 of 2 replicas, needed 2; commits may have been confirmed by db-3 (no entry)")));
+    }
+
+    @Test
+    void should_promote_without_a_suspected_database_when_the_primary_has_stepped_down() {
+        suspected = Set.of(THIRD);
+        begin();
+        answer(PRIMARY, Optional.of(leading(10)));
+        answer(SECOND, Optional.of(receiving(10)));
+        answerStepDown(new CommandResult.Answered(steppedDown(11)));
+        answer(SECOND, stopped(11));
+        answer(SECOND, stopped(11));
         on(new PromotionEvent.IntentRecorded(new IntentWriteResult.Recorded()));
         assertThat(requestedPromotions(), containsInAnyOrder(SECOND));
     }
 
+    /** Guards against commits of a database that leads although its entry is missing. */
+    @Test
+    void should_announce_a_database_that_answers_that_it_leads() {
+        begin();
+        answer(SECOND, stopped(10));
+        answer(THIRD, Optional.of(leading(12)));
+        assertThat(requestedPromotions(), is(empty()));
+        assertThat(effects, hasItem(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(THIRD, TERM - 1))));
+        assertThat(sent(BackendCommand.ResumeReceiving.class), containsInAnyOrder(SECOND));
+    }
+
     @Test
     void should_not_request_a_promotion_whose_intent_could_not_be_recorded() {
         stopAt(10, 10);
@@ -195,8 +225,8 @@
 
     @Test
     void should_log_the_entry_and_the_position_of_each_replica_that_is_counted() {
-        suspected = Set.of(THIRD);
-        begin();
+        beginWithSuspectedThird();
+        fail(PRIMARY);
         answer(SECOND, stopped(10));
         answer(THIRD, Optional.empty());
         assertThat(
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -11,7 +11,6 @@
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.control.Transition;
-import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.fleet.FleetEvent;
 import org.geraniumproxy.core.fleet.FleetState;
@@ -57,6 +56,7 @@
     private final DatabaseStatusDecoder statusDecoder;
     private final DecisionLog log;
     private final Map<GroupName, PromotionState> states = new HashMap<>();
+    private final Map<GroupName, String> postponedReasons = new HashMap<>();
 
     /** Decodes the status that a database reports in a reply. */
     @FunctionalInterface
@@ -114,7 +114,7 @@
         return new GroupSnapshot(
                 directory.databases(),
                 state.suspected(group.name()),
-                directory.primary().map(DatabaseEntry::name),
+                state.presumedPrimary(group.name()),
                 PrimaryReplacementPolicy.reason(state, group.name(), now),
                 state.newestTerm(group.name()),
                 state.recentlyRestartedDatabases(now),
@@ -148,6 +148,7 @@
                                 (_, failure) -> fencingTokenRenewed(group, fencingToken, failure), control::execute);
             }
             case PromotionEffect.RequestPromotion request -> {
+                postponedReasons.remove(group);
                 log(
                         group,
                         "promotion requested",
@@ -161,10 +162,21 @@
             }
             case PromotionEffect.AnnouncePrimary announcement ->
                 control.submit(new FleetEvent.PrimaryClaimed(group, announcement.claim()));
+            case PromotionEffect.Postpone postpone -> logPostponed(group, postpone);
             case PromotionEffect.Log line -> log(group, line.decision(), line.detail());
         }
     }
 
+    /** Logs why a group waits. Attempts follow each other within a second, so the same reason is logged once. */
+    private void logPostponed(GroupName group, PromotionEffect.Postpone postpone) {
+        if (!postpone.reason().equals(postponedReasons.put(group, postpone.reason()))) {
+            log(
+                    group,
+                    "replacement postponed",
+                    "attempt=" + postpone.attempt() + " reason=\"" + postpone.reason() + "\"");
+        }
+    }
+
     private void fencingTokenRenewed(GroupName group, long previousToken, Throwable failure) {
         log(
                 group,
