Decide a promotion on the evidence at the time of its request

An attempt kept the state of the group from its beginning.

Each result of an effect is now applied after a fresh state of the group. A replica that becomes known while the others stop is stopped as well. Before the intent is recorded and again before the request, the attempt ends if another database was promoted, if an acknowledged position is beyond the chosen log, or if a replica has become known that the proof did not count; the last position of a primary that stepped down covers that one. An intent whose request is withheld is marked as refused.

--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -129,7 +129,21 @@
         Set<BackendServerName> databases = new HashSet<>(attempt.snapshot().replicas());
         attempt.lastPosition().flatMap(_ -> attempt.snapshot().primary()).ifPresent(databases::add);
         send(databases, new BackendCommand.StopReceiving(attempt.term()));
-        return new PromotionPhase.Stopping(attempt, databases, Map.of());
+        return new PromotionPhase.Stopping(attempt, databases, databases, Map.of());
+    }
+
+    /** Stops databases that have become known since the others were told to stop. */
+    PromotionPhase stopNewReplicas(PromotionPhase.Stopping stopping) {
+        Set<BackendServerName> added = new HashSet<>(attempt.snapshot().replicas());
+        added.removeAll(stopping.asked());
+        if (added.isEmpty()) {
+            return stopping;
+        }
+        send(added, new BackendCommand.StopReceiving(attempt.term()));
+        Set<BackendServerName> asked = new HashSet<>(stopping.asked());
+        asked.addAll(added);
+        added.addAll(stopping.pending());
+        return new PromotionPhase.Stopping(attempt, asked, added, stopping.stopped());
     }
 
     /** Handles the answer of a database that was told to stop receiving. */
@@ -220,11 +234,42 @@
         return recordIntent(verifying.candidate());
     }
 
+    /** Records the intent, unless the evidence that has arrived since the choice contradicts it. */
     PromotionPhase recordIntent(PromotionCandidate candidate) {
+        Optional<String> contradiction = contradiction(candidate);
+        if (contradiction.isPresent()) {
+            return abandon(attempt.snapshot().replicas(), contradiction.get());
+        }
         addIntent(candidate, PromotionIntent.Progress.OPEN);
         return new PromotionPhase.RecordingIntent(attempt, candidate);
     }
 
+    /** Requests the promotion after its intent was recorded, unless newer evidence contradicts the choice. */
+    PromotionPhase requestRecorded(PromotionCandidate candidate) {
+        return contradiction(candidate)
+                .map(reason -> withdraw(candidate, reason))
+                .orElseGet(() -> request(candidate, Optional.empty()));
+    }
+
+    private Optional<String> contradiction(PromotionCandidate candidate) {
+        GroupSnapshot snapshot = attempt.snapshot();
+        if (snapshot.newestTerm() >= attempt.term()) {
+            return Optional.of("another database was promoted in term " + snapshot.newestTerm());
+        }
+        if (snapshot.synchronousReplicas() > 0
+                && snapshot.acknowledged()
+                        .filter(position -> position.compareTo(candidate.received()) > 0)
+                        .isPresent()) {
+            return Optional.of("the chosen log ends at " + PromotionChoice.text(candidate.received())
+                    + ", before the acknowledged position "
+                    + PromotionChoice.text(snapshot.acknowledged().get()));
+        }
+        Set<BackendServerName> uncounted = candidate.proof().uncounted(snapshot.replicas());
+        return uncounted.isEmpty()
+                ? Optional.empty()
+                : Optional.of("commits may have been confirmed by " + uncounted + ", which became known late");
+    }
+
     PromotionPhase request(PromotionCandidate candidate, Optional<Instant> unansweredAt) {
         effects.add(new PromotionEffect.RequestPromotion(
                 candidate.database(),
@@ -244,8 +289,12 @@
     }
 
     PromotionPhase refused(PromotionCandidate candidate) {
+        return withdraw(candidate, "the promotion request was refused");
+    }
+
+    private PromotionPhase withdraw(PromotionCandidate candidate, String reason) {
         addIntent(candidate, PromotionIntent.Progress.REFUSED);
-        return abandon(attempt.snapshot().replicas(), "the promotion request was refused");
+        return abandon(attempt.snapshot().replicas(), reason);
     }
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
@@ -59,6 +59,20 @@
         return reason.equals(Optional.of(PromotionReason.LEAVING));
     }
 
+    /** Returns the newest evidence, with the primary and the reason for which an attempt replaces it. */
+    GroupSnapshot refreshed(GroupSnapshot latest) {
+        return new GroupSnapshot(
+                latest.databases,
+                latest.suspected,
+                primary,
+                reason,
+                latest.newestTerm,
+                latest.recentlyRestarted,
+                latest.synchronousReplicas,
+                latest.acknowledged,
+                latest.intent);
+    }
+
     /** Returns the state of a group whose supposed primary is a replica. */
     GroupSnapshot withoutPrimary() {
         return new GroupSnapshot(
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -152,10 +152,12 @@
             boolean steady) {
         LogPosition received = stopped.get(target).received();
         if (steady || (snapshot.primary().isEmpty() && stopped.keySet().containsAll(snapshot.replicas()))) {
-            return new Chosen(new PromotionCandidate(target, received, new CommitProof.ReplicasStopped()));
+            return new Chosen(
+                    new PromotionCandidate(target, received, new CommitProof.ReplicasStopped(snapshot.replicas())));
         }
         return snapshot.primary().isPresent()
-                ? new Chosen(new PromotionCandidate(target, received, new CommitProof.ReplicasStoppedUntilStepDown()))
+                ? new Chosen(new PromotionCandidate(
+                        target, received, new CommitProof.ReplicasStoppedUntilStepDown(snapshot.replicas())))
                 : new Insufficient(
                         "an unanswered command may resume a replica, and a database that did not answer may lead");
     }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionEvent.java
@@ -13,6 +13,14 @@
      */
     record TimePassed(GroupSnapshot snapshot) implements PromotionEvent {}
 
+    /**
+     * The state of the group was read again before another event is applied, so that an attempt decides on present
+     * evidence.
+     *
+     * @param snapshot state of the group at this time
+     */
+    record SnapshotTaken(GroupSnapshot snapshot) implements PromotionEvent {}
+
     /**
      * A command was answered, or was given up.
      *
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -9,6 +9,28 @@
 
 /** Phase of a promotion. */
 sealed interface PromotionPhase {
+    /**
+     * Returns the phase with the newest state of the group. A promotion that was requested no longer depends on it.
+     *
+     * @param latest state of the group at this time
+     */
+    default PromotionPhase refreshed(GroupSnapshot latest) {
+        return switch (this) {
+            case Watching _, Requesting _ -> this;
+            case Inspecting phase -> new Inspecting(phase.attempt().refreshed(latest), phase.pending());
+            case Querying phase -> new Querying(phase.attempt().refreshed(latest), phase.pending(), phase.answers());
+            case SteppingDown phase -> new SteppingDown(phase.attempt().refreshed(latest), phase.leadingTerm());
+            case Stopping phase ->
+                new Stopping(phase.attempt().refreshed(latest), phase.asked(), phase.pending(), phase.stopped());
+            case ConfirmingStepDown phase ->
+                new ConfirmingStepDown(phase.attempt().refreshed(latest), phase.stopped(), phase.candidate());
+            case Verifying phase ->
+                new Verifying(phase.attempt().refreshed(latest), phase.pending(), phase.stopped(), phase.candidate());
+            case RenewingToken phase -> new RenewingToken(phase.attempt().refreshed(latest), phase.candidate());
+            case RecordingIntent phase -> new RecordingIntent(phase.attempt().refreshed(latest), phase.candidate());
+        };
+    }
+
     /**
      * No attempt is in progress.
      *
@@ -68,13 +90,19 @@
      * Replicas are told to stop receiving.
      *
      * @param attempt current attempt
-     * @param pending replicas that have not answered
+     * @param asked databases that were told to stop
+     * @param pending databases that have not answered
      * @param stopped status of each replica that has stopped
      */
-    record Stopping(Attempt attempt, Set<BackendServerName> pending, Map<BackendServerName, DatabaseStatus> stopped)
+    record Stopping(
+            Attempt attempt,
+            Set<BackendServerName> asked,
+            Set<BackendServerName> pending,
+            Map<BackendServerName, DatabaseStatus> stopped)
             implements PromotionPhase {
         /** Copies the collections. */
         public Stopping {
+            asked = Set.copyOf(asked);
             pending = Set.copyOf(pending);
             stopped = Map.copyOf(stopped);
         }
@@ -174,6 +202,11 @@
             return new Attempt(id, term, snapshot, pendingTarget, Optional.of(position), startedAt);
         }
 
+        /** Returns the attempt with the newest state of the group. */
+        Attempt refreshed(GroupSnapshot latest) {
+            return new Attempt(id, term, snapshot.refreshed(latest), pendingTarget, lastPosition, startedAt);
+        }
+
         /** Returns the attempt after the supposed primary answered that it does not lead. */
         Attempt withoutPrimary() {
             return new Attempt(id, term, snapshot.withoutPrimary(), pendingTarget, lastPosition, startedAt);
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -109,13 +109,19 @@
      * @return next state and its effects
      */
     public Transition<PromotionState, PromotionEffect> on(PromotionEvent event, Instant now) {
-        return with(commands.on(event, now)).apply(event, now);
+        PromotionPhase current = switch (event) {
+            case PromotionEvent.TimePassed passed -> phase.refreshed(passed.snapshot());
+            case PromotionEvent.SnapshotTaken taken -> phase.refreshed(taken.snapshot());
+            default -> phase;
+        };
+        return with(current, commands.on(event, now)).apply(event, now);
     }
 
     private Transition<PromotionState, PromotionEffect> apply(PromotionEvent event, Instant now) {
         List<PromotionEffect> effects = new ArrayList<>();
         PromotionPhase next = switch (event) {
             case PromotionEvent.TimePassed passed -> timePassed(passed.snapshot(), now, effects);
+            case PromotionEvent.SnapshotTaken _ -> stopNewReplicas(now, effects);
             case PromotionEvent.CommandCompleted completed -> completed(completed, now, effects);
             case PromotionEvent.IntentRecorded recorded -> intentRecorded(recorded.result(), now, effects);
             case PromotionEvent.FencingTokenRenewed renewed -> tokenRenewed(renewed.renewed(), now, effects);
@@ -155,8 +161,8 @@
         return lost.isPresent() ? Optional.empty() : promoted;
     }
 
-    private PromotionState with(OutstandingCommands next) {
-        return new PromotionState(holder, attempts, earlierAttempts, phase, lateRequestUntil, next, promoted);
+    private PromotionState with(PromotionPhase current, OutstandingCommands next) {
+        return new PromotionState(holder, attempts, earlierAttempts, current, lateRequestUntil, next, promoted);
     }
 
     private PromotionPhase timePassed(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
@@ -169,6 +175,7 @@
                 new AttemptSteps(querying.attempt(), now, effects).decideByAnswers(querying);
             case PromotionPhase.Stopping stopping
             when hasTimedOut(stopping.attempt(), now) -> decide(stopping, now, effects);
+            case PromotionPhase.Stopping _ -> stopNewReplicas(now, effects);
             case PromotionPhase.Verifying verifying
             when hasTimedOut(verifying.attempt(), now) ->
                 new AttemptSteps(verifying.attempt(), now, effects)
@@ -181,6 +188,12 @@
         };
     }
 
+    private PromotionPhase stopNewReplicas(Instant now, List<PromotionEffect> effects) {
+        return phase instanceof PromotionPhase.Stopping stopping
+                ? new AttemptSteps(stopping.attempt(), now, effects).stopNewReplicas(stopping)
+                : phase;
+    }
+
     private PromotionPhase watch(
             PromotionPhase.Watching watching, GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         boolean settling =
@@ -349,7 +362,7 @@
         if (completed.result() instanceof CommandResult.Answered answered && attempt.isStopped(answered.status())) {
             stopped.put(completed.database(), answered.status());
         }
-        PromotionPhase.Stopping next = new PromotionPhase.Stopping(attempt, pending, stopped);
+        PromotionPhase.Stopping next = new PromotionPhase.Stopping(attempt, stopping.asked(), pending, stopped);
         return pending.isEmpty()
                 ? decide(next, now, effects)
                 : new AttemptSteps(attempt, now, effects)
@@ -387,7 +400,7 @@
         Attempt attempt = recording.attempt();
         AttemptSteps steps = new AttemptSteps(attempt, now, effects);
         return switch (result) {
-            case IntentWriteResult.Recorded _ -> steps.request(recording.candidate(), Optional.empty());
+            case IntentWriteResult.Recorded _ -> steps.requestRecorded(recording.candidate());
             // The request of an earlier holder may take effect and relies on the stopped replicas.
             case IntentWriteResult.Superseded superseded
             when superseded
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
@@ -21,6 +21,7 @@
     static final BackendServerName PRIMARY = BackendServerName.of("db-1");
     static final BackendServerName SECOND = BackendServerName.of("db-2");
     static final BackendServerName THIRD = BackendServerName.of("db-3");
+    static final BackendServerName ADDED = BackendServerName.of("db-4");
     static final long TERM = 4;
     static final AttemptId OTHER_ATTEMPT = new AttemptId("vm-2", 1);
     static final Instant LONG_AGO = Instant.EPOCH.minus(Duration.ofMinutes(1));
@@ -36,6 +37,7 @@
     Optional<LogPosition> acknowledged = Optional.empty();
     Optional<BackendServerName> primary = Optional.of(PRIMARY);
     long newestTerm = TERM - 1;
+    List<BackendServerName> members = List.of(PRIMARY, SECOND, THIRD);
 
     /** Begins an attempt in which both replicas stop at the given positions. */
     void stopAt(long second, long third) {
@@ -172,7 +174,7 @@
     GroupSnapshot snapshot() {
         Map<BackendServerName, DatabaseEntry> databases = new HashMap<>();
         Map<BackendServerName, DatabaseEntry> withoutEntry = new HashMap<>();
-        for (BackendServerName name : List.of(PRIMARY, SECOND, THIRD)) {
+        for (BackendServerName name : members) {
             DatabaseEntry entry = new DatabaseEntry(
                     name,
                     GroupName.of("entries"),
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -123,6 +123,16 @@
                 platform.promotionIntent(group.name()));
     }
 
+    /** Applies the result of an effect, after what has become known since the last evaluation of the group. */
+    private void applyResult(GroupName group, PromotionEvent result) {
+        FleetState state = control.state();
+        ServiceGroup configured = state.configuration().groups().get(group);
+        if (configured != null) {
+            apply(group, new PromotionEvent.SnapshotTaken(snapshot(state, configured)));
+        }
+        apply(group, result);
+    }
+
     private void apply(GroupName group, PromotionEvent event) {
         OptionalLong fencingToken = platform.fencingToken();
         if (fencingToken.isEmpty()) {
@@ -157,7 +167,7 @@
                 var unused = platform.requestPromotion(group, request.target(), fencingToken)
                         .whenCompleteAsync(
                                 (outcome, failure) ->
-                                        apply(group, requestAnswered(group, request.attempt(), outcome, failure)),
+                                        applyResult(group, requestAnswered(group, request.attempt(), outcome, failure)),
                                 control::execute);
             }
             case PromotionEffect.AnnouncePrimary announcement ->
@@ -182,7 +192,7 @@
                 group,
                 "fencing token renewed",
                 "previous=" + previousToken + " token=" + platform.fencingToken() + " error=\"" + failure + "\"");
-        apply(group, new PromotionEvent.FencingTokenRenewed(failure == null));
+        applyResult(group, new PromotionEvent.FencingTokenRenewed(failure == null));
     }
 
     private void sendCommand(GroupName group, PromotionEffect.SendCommand send) {
@@ -195,7 +205,7 @@
                         (reply, failure) -> {
                             CommandResult result = toResult(reply, failure);
                             log(group, "command completed", command + " result=" + result);
-                            apply(
+                            applyResult(
                                     group,
                                     new PromotionEvent.CommandCompleted(
                                             send.database(), send.command(), send.attempt(), result));
@@ -229,7 +239,7 @@
                                             + effect.intent().progress() + " result=" + result + " error=\"" + failure
                                             + "\"");
                             if (effect.intent().progress() == PromotionIntent.Progress.OPEN) {
-                                apply(group, new PromotionEvent.IntentRecorded(result));
+                                applyResult(group, new PromotionEvent.IntentRecorded(result));
                             }
                         },
                         control::execute);
