Move the stand-ins and node processes of the soak of stops to a package of their own

Another run of real nodes will use them. DatabaseConnection serves any ServedDatabase, StoreStandIn asks a CloudApi about promotions, can be silent, and can remove an item. The soak of stops behaves as before: it accepts every failover and is never silent.

--- a/measure/src/main/java/org/geraniumproxy/measure/stop/DatabaseConnection.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/process/DatabaseConnection.java
@@ -1,4 +1,4 @@
-package org.geraniumproxy.measure.stop;
+package org.geraniumproxy.measure.process;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -7,34 +7,45 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import org.geraniumproxy.measure.stop.DatabaseEvent.Step;
 
 /** Connection of a node to a database stand-in, with its transaction and prepared statements. Used by one thread. */
-final class DatabaseConnection {
+public final class DatabaseConnection {
     /** Item whose name holds the work time in milliseconds and the length of the row, for example w150x7s20. */
     private static final Pattern ITEM = Pattern.compile("w(\\d+)x\\d+(?:s(\\d+))?");
 
     private static final Duration COMMIT_WORK = Duration.ofMillis(3);
 
-    private final DatabaseStandIn database;
+    private final ServedDatabase database;
     private final long number;
     private final List<String> writes = new ArrayList<>();
     private final Map<String, String> prepared = new HashMap<>();
     private boolean open;
     private boolean failed;
 
-    DatabaseConnection(DatabaseStandIn database, long number) {
+    /**
+     * Creates a connection in which nothing has happened.
+     *
+     * @param database database that is connected to
+     * @param number number of the connection at its database
+     */
+    public DatabaseConnection(ServedDatabase database, long number) {
         this.database = database;
         this.number = number;
     }
 
-    void serve(Socket socket) {
+    /**
+     * Answers statements until the connection ends, then closes it.
+     *
+     * @param socket socket of the connection
+     */
+    public void serve(Socket socket) {
         try (LineSocket lines = new LineSocket(socket, Duration.ZERO)) {
             String[] connect = lines.readLine().orElse("").split(" ", -1);
             boolean isRight = connect.length > 2
-                    && connect[1].equals(DatabaseGroup.SERVICE)
+                    && connect[1].equals(database.service())
                     && (connect.length == 3 || connect[3].equals(database.id()));
             if (!isRight) {
                 lines.write("ERROR WRONGNODE " + database.id() + "\r\n");
@@ -46,7 +57,7 @@
                 if (!query[0].equals("QUERY")) {
                     return;
                 }
-                database.record(query[1], number, Step.RECEIVED);
+                database.receive(query[1], number);
                 lines.write(answer(query[1], query[2].split(" ", -1)));
             }
         } catch (IOException e) {
@@ -66,7 +77,8 @@
             return error("MALFORMED");
         }
         return switch (words[0]) {
-            case "STATUS", "PAUSE", "UNPAUSE", "STEPDOWN" -> status();
+            case "STATUS", "PAUSE", "UNPAUSE", "STEPDOWN" ->
+                complete("ROW " + database.control(List.of(words)) + "\r\n", "-");
             case "DISCARD" -> discard();
             case "SETOPT" -> complete("", "-");
             case "PREPARE" -> {
@@ -97,7 +109,7 @@
         if (open) {
             writes.add(id);
         } else {
-            database.commit(List.of(id), number);
+            return committed(id, database.commit(List.of(id), number));
         }
         return complete("", database.id() + "." + id);
     }
@@ -113,11 +125,14 @@
     private String commit(String id) throws InterruptedException {
         boolean rolledBack = failed;
         database.work(id, number, COMMIT_WORK);
-        if (!rolledBack && !writes.isEmpty()) {
-            database.commit(List.copyOf(writes), number);
-        }
+        Optional<String> failure =
+                rolledBack || writes.isEmpty() ? Optional.empty() : database.commit(List.copyOf(writes), number);
         end();
-        return rolledBack ? error("ROLLEDBACK") : complete("", database.id() + "." + id);
+        return rolledBack ? error("ROLLEDBACK") : committed(id, failure);
+    }
+
+    private String committed(String id, Optional<String> failure) {
+        return failure.map(this::error).orElseGet(() -> complete("", database.id() + "." + id));
     }
 
     private String end() {
@@ -132,11 +147,6 @@
         return complete("", "-");
     }
 
-    private String status() {
-        String role = database.isPrimary() ? "primary" : "replica";
-        return complete("ROW " + role + " 3 " + database.position() + " 0 8 0 1\r\n", "-");
-    }
-
     private String error(String code) {
         failed = open;
         return "ERROR " + code + " x\r\n" + ready();
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/LineSocket.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/process/LineSocket.java
@@ -1,4 +1,4 @@
-package org.geraniumproxy.measure.stop;
+package org.geraniumproxy.measure.process;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -11,7 +11,7 @@
 import java.util.Optional;
 
 /** Connection that exchanges lines terminated by CR LF. Used by one thread. */
-final class LineSocket implements AutoCloseable {
+public final class LineSocket implements AutoCloseable {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final int BUFFER_BYTES = 4096;
 
@@ -22,7 +22,14 @@
     private int position;
     private int limit;
 
-    LineSocket(Socket socket, Duration pausePerRead) throws IOException {
+    /**
+     * Wraps a connection.
+     *
+     * @param socket connected socket
+     * @param pausePerRead pause before each read of 4 KiB
+     * @throws IOException if the socket is closed
+     */
+    public LineSocket(Socket socket, Duration pausePerRead) throws IOException {
         this.socket = socket;
         this.pausePerRead = pausePerRead;
         socket.setTcpNoDelay(true);
@@ -32,10 +39,12 @@
     /**
      * Connects to a port of this machine.
      *
+     * @param port port on the loopback address
      * @param pausePerRead pause before each read of 4 KiB; above zero for a client that reads slowly
+     * @return the connection
      * @throws IOException if the connection is refused or not established within 2 s
      */
-    static LineSocket connect(int port, Duration pausePerRead) throws IOException {
+    public static LineSocket connect(int port, Duration pausePerRead) throws IOException {
         Socket socket = new Socket();
         try {
             if (pausePerRead.isPositive()) {
@@ -50,21 +59,34 @@
         }
     }
 
-    void setTimeout(Duration timeout) throws IOException {
+    /**
+     * Sets how long a read may wait.
+     *
+     * @param timeout longest wait for bytes, zero for no limit
+     * @throws IOException if the socket is closed
+     */
+    public void setTimeout(Duration timeout) throws IOException {
         socket.setSoTimeout((int) timeout.toMillis());
     }
 
-    void write(String lines) throws IOException {
+    /**
+     * Writes lines.
+     *
+     * @param lines text with the terminators of its lines
+     * @throws IOException if the connection has ended
+     */
+    public void write(String lines) throws IOException {
         socket.getOutputStream().write(lines.getBytes(StandardCharsets.UTF_8));
     }
 
     /**
      * Returns the next line without its terminator, or nothing if the stream ended before a terminator.
      *
+     * @return the line
      * @throws IOException if the connection was reset or the timeout passed
      * @throws InterruptedException if the thread was interrupted during a pause
      */
-    Optional<String> readLine() throws IOException, InterruptedException {
+    public Optional<String> readLine() throws IOException, InterruptedException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         while (true) {
             if (position == limit && !fill()) {
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/NodeProcess.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/process/NodeProcess.java
@@ -1,4 +1,4 @@
-package org.geraniumproxy.measure.stop;
+package org.geraniumproxy.measure.process;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -10,7 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 /** Node of the platform as a separate process that is restarted with the same settings and ports. */
-final class NodeProcess {
+public final class NodeProcess {
     private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(1);
 
     private final String name;
@@ -22,7 +22,18 @@
     private final AtomicBoolean claimed = new AtomicBoolean();
     private volatile Process process;
 
-    NodeProcess(String name, PortAllocator ports, int storePort, Duration grace, Path folder) throws IOException {
+    /**
+     * Writes the settings of a node, which isn't started yet.
+     *
+     * @param name name of the node
+     * @param ports allocates the ports of the node
+     * @param storePort port of the store and of the cloud API
+     * @param grace time between SIGTERM and SIGKILL
+     * @param folder folder of the settings and the log
+     * @throws IOException if the files cannot be written
+     */
+    public NodeProcess(String name, PortAllocator ports, int storePort, Duration grace, Path folder)
+            throws IOException {
         this.name = name;
         this.callerPort = ports.allocate();
         this.readyPort = ports.allocate();
@@ -44,28 +55,53 @@
                         name, peerPort, peerPort, callerPort, readyPort, grace.toSeconds(), storePort, storePort));
     }
 
-    String name() {
+    /**
+     * Returns the name of the node.
+     *
+     * @return the name
+     */
+    public String name() {
         return name;
     }
 
-    int callerPort() {
+    /**
+     * Returns the port that clients connect to.
+     *
+     * @return the port
+     */
+    public int callerPort() {
         return callerPort;
     }
 
-    /** Reserves the node for one stop or start at a time. Returns false if it is reserved already. */
-    boolean claim() {
+    /**
+     * Reserves the node for one stop or start at a time.
+     *
+     * @return false if it is reserved already
+     */
+    public boolean claim() {
         return claimed.compareAndSet(false, true);
     }
 
-    void release() {
+    /** Ends the reservation of the node. */
+    public void release() {
         claimed.set(false);
     }
 
-    boolean isClaimed() {
+    /**
+     * Returns whether the node is reserved.
+     *
+     * @return true if it is
+     */
+    public boolean isClaimed() {
         return claimed.get();
     }
 
-    void start() throws IOException {
+    /**
+     * Starts the process.
+     *
+     * @throws IOException if the process cannot be started
+     */
+    public void start() throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
                         ProcessHandle.current().info().command().orElseThrow(),
                         "-Xmx96m",
@@ -83,17 +119,26 @@
     }
 
     /** Sends SIGTERM. */
-    void terminate() {
+    public void terminate() {
         process.destroy();
     }
 
-    /** Sends SIGKILL and waits for the end of the process. */
-    void kill() throws InterruptedException {
+    /**
+     * Sends SIGKILL and waits for the end of the process.
+     *
+     * @throws InterruptedException if the thread was interrupted
+     */
+    public void kill() throws InterruptedException {
         process.destroyForcibly().waitFor();
     }
 
-    /** Sends SIGHUP if the process still runs. */
-    void hangUp() throws IOException, InterruptedException {
+    /**
+     * Sends SIGHUP if the process still runs.
+     *
+     * @throws IOException if the signal cannot be sent
+     * @throws InterruptedException if the thread was interrupted
+     */
+    public void hangUp() throws IOException, InterruptedException {
         if (process.isAlive()) {
             new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
                     .redirectErrorStream(true)
@@ -103,20 +148,43 @@
         }
     }
 
-    boolean awaitEnd(Duration timeout) throws InterruptedException {
+    /**
+     * Waits for the end of the process.
+     *
+     * @param timeout longest wait
+     * @return false at the timeout
+     * @throws InterruptedException if the thread was interrupted
+     */
+    public boolean awaitEnd(Duration timeout) throws InterruptedException {
         return process.waitFor(timeout.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    boolean isAlive() {
+    /**
+     * Returns whether the process runs.
+     *
+     * @return true if it does
+     */
+    public boolean isAlive() {
         return process.isAlive();
     }
 
-    int exitCode() {
+    /**
+     * Returns the exit code of the process.
+     *
+     * @return the code, 143 after SIGTERM without a handler
+     * @throws IllegalThreadStateException if the process still runs
+     */
+    public int exitCode() {
         return process.exitValue();
     }
 
-    /** Asks as the platform does, and returns whether the answer was 200. */
-    boolean isReady() throws InterruptedException {
+    /**
+     * Asks for readiness as the platform does.
+     *
+     * @return whether the answer was 200
+     * @throws InterruptedException if the thread was interrupted
+     */
+    public boolean isReady() throws InterruptedException {
         try (LineSocket probe = LineSocket.connect(readyPort, Duration.ZERO)) {
             probe.setTimeout(PROBE_TIMEOUT);
             probe.write("GET /geraniumproxy/readyz HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n");
@@ -126,7 +194,7 @@
         }
     }
 
-    boolean acceptsCallers() {
+    private boolean acceptsCallers() {
         try (LineSocket _ = LineSocket.connect(callerPort, Duration.ZERO)) {
             return true;
         } catch (IOException e) {
@@ -135,9 +203,15 @@
     }
 
     /**
-     * Waits for readiness or, if it isn't asked for, for the first accepted connection. Returns false at the timeout.
+     * Waits for readiness or, if it isn't asked for, for the first accepted connection.
+     *
+     * @param clock clock of the run
+     * @param ready whether to wait for readiness
+     * @param timeout longest wait
+     * @return false at the timeout
+     * @throws InterruptedException if the thread was interrupted
      */
-    boolean awaitStart(Clock clock, boolean ready, Duration timeout) throws InterruptedException {
+    public boolean awaitStart(Clock clock, boolean ready, Duration timeout) throws InterruptedException {
         Instant end = clock.instant().plus(timeout);
         while (!(ready ? isReady() : acceptsCallers())) {
             if (clock.instant().isAfter(end)) {
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/PortAllocator.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/process/PortAllocator.java
@@ -1,4 +1,4 @@
-package org.geraniumproxy.measure.stop;
+package org.geraniumproxy.measure.process;
 
 import java.io.IOException;
 import java.net.DatagramSocket;
@@ -10,13 +10,14 @@
  * Allocates ports below the range of outgoing connections, so that no connection takes the port of a node while it is
  * being restarted. Allocated ports are not reused.
  */
-final class PortAllocator {
+public final class PortAllocator {
     private static final int FIRST = 20_000;
     private static final int COUNT = 11_000;
 
     private int next;
 
-    PortAllocator() {
+    /** Creates an allocator whose first port depends on this process. */
+    public PortAllocator() {
         // Soaks that run at the same time start at different ports, because a port is only bound later.
         this.next = (int) (ProcessHandle.current().pid() * 211 % COUNT);
     }
@@ -24,9 +25,10 @@
     /**
      * Returns a port that is free for TCP and UDP on the loopback address.
      *
+     * @return the port
      * @throws IllegalStateException if there is none
      */
-    synchronized int allocate() {
+    public synchronized int allocate() {
         for (int i = 0; i < COUNT; i++) {
             int port = FIRST + next;
             next = (next + 1) % COUNT;
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/StoreStandIn.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/process/StoreStandIn.java
@@ -1,4 +1,4 @@
-package org.geraniumproxy.measure.stop;
+package org.geraniumproxy.measure.process;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -19,12 +19,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
-/** Stand-in of the platform's store with leases that expire, and of the cloud API, which accepts every failover. */
-final class StoreStandIn implements AutoCloseable {
+/** Stand-in of the platform's store with leases that expire, and of the cloud API. */
+public final class StoreStandIn implements AutoCloseable {
     private static final Duration ANSWER_TIME = Duration.ofMillis(4);
 
     /** Longest time between two checks for expired leases while a watch waits. */
@@ -35,6 +36,7 @@
     private record Response(int status, JsonObject body) {}
 
     private final Clock clock;
+    private final CloudApi cloudApi;
     private final HttpServer server;
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final TreeMap<String, JsonObject> items = new TreeMap<>();
@@ -42,21 +44,69 @@
     private final Map<Long, Lease> leases = new HashMap<>();
     private long revision = 100;
     private long lastLease = 7000;
+    private Optional<Instant> silentSince = Optional.empty();
 
-    StoreStandIn(Clock clock, int port) throws IOException {
+    /**
+     * Serves a store without items.
+     *
+     * @param clock clock of the run
+     * @param port port on the loopback address
+     * @param cloudApi answers promotion requests
+     * @throws IOException if the port is in use
+     */
+    public StoreStandIn(Clock clock, int port, CloudApi cloudApi) throws IOException {
         // The JDK's server answers up to 40 ms late without this property.
         System.setProperty("sun.net.httpserver.nodelay", "true");
         this.clock = clock;
+        this.cloudApi = cloudApi;
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
         server.setExecutor(executor);
         server.createContext("/", this::respond);
         server.start();
     }
 
-    synchronized void put(String key, String text) {
+    /**
+     * Writes an item without a lease.
+     *
+     * @param key key of the item
+     * @param text value, stored as UTF-8
+     */
+    public synchronized void put(String key, String text) {
         put(key, Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)), 0);
     }
 
+    /**
+     * Removes an item if it exists.
+     *
+     * @param key key of the item
+     */
+    public synchronized void remove(String key) {
+        delete(key);
+    }
+
+    /**
+     * Withholds all answers of the store until {@link #endSilence}. Calls that arrive meanwhile are carried out then.
+     */
+    public synchronized void beginSilence() {
+        silentSince = Optional.of(clock.instant());
+    }
+
+    /** Answers again. Leases are extended by the length of the silence. */
+    public synchronized void endSilence() {
+        silentSince.map(since -> Duration.between(since, clock.instant())).ifPresent(silence -> {
+            leases.replaceAll(
+                    (_, lease) -> new Lease(lease.ttlMillis(), lease.expiry().plus(silence)));
+        });
+        silentSince = Optional.empty();
+        notifyAll();
+    }
+
+    private synchronized void awaitEndOfSilence() throws InterruptedException {
+        while (silentSince.isPresent()) {
+            wait();
+        }
+    }
+
     private void put(String key, String value, long lease) {
         revision++;
         JsonObject item = new JsonObject();
@@ -90,8 +140,11 @@
             Thread.sleep(ANSWER_TIME);
             String path = exchange.getRequestURI().getPath();
             Response response = path.equals("/failover")
-                    ? new Response(200, new JsonObject())
+                    ? new Response(requestPromotion(exchange, body), new JsonObject())
                     : answer(path.replaceFirst("^/geraniumproxy/", ""), query(exchange), body);
+            if (!path.equals("/failover")) {
+                awaitEndOfSilence();
+            }
             byte[] bytes = response.body().toString().getBytes(StandardCharsets.UTF_8);
             exchange.getResponseHeaders().add("Content-Type", "application/json");
             exchange.sendResponseHeaders(response.status(), bytes.length);
@@ -101,8 +154,18 @@
         }
     }
 
+    private int requestPromotion(HttpExchange exchange, String body) {
+        JsonObject request = JsonParser.parseString(body).getAsJsonObject();
+        return cloudApi.requestPromotion(
+                request.get("service").getAsString(),
+                request.get("id").getAsString(),
+                exchange.getRequestHeaders().getFirst("X-Lease-Holder"),
+                Long.parseLong(exchange.getRequestHeaders().getFirst("X-Fencing-Token")));
+    }
+
     private synchronized Response answer(String call, Map<String, String> query, String body)
             throws InterruptedException {
+        awaitEndOfSilence();
         expireLeases();
         String[] parts = call.split("/", -1);
         return switch (parts[0]) {
@@ -214,6 +277,9 @@
     }
 
     private void expireLeases() {
+        if (silentSince.isPresent()) {
+            return;
+        }
         Instant now = clock.instant();
         List<Long> expired = leases.entrySet().stream()
                 .filter(lease -> !lease.getValue().expiry().isAfter(now))
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/Balancer.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/Balancer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
+import org.geraniumproxy.measure.process.NodeProcess;
 
 /** Chooses the node of a new connection. Nodes leave the rotation after two missed probes and return after a 200. */
 final class Balancer {
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/ClientSession.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/ClientSession.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.geraniumproxy.measure.process.LineSocket;
+import org.geraniumproxy.measure.process.NodeProcess;
 import org.geraniumproxy.measure.stop.ClientRequest.Part;
 
 /** Session of a client with a node: one request at a time. Used by one thread. */
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/DatabaseGroup.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/DatabaseGroup.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
+import org.geraniumproxy.measure.process.PortAllocator;
+import org.geraniumproxy.measure.process.StoreStandIn;
 
 /** Stand-in of a service of one primary and two replicas, which apply each commit a few milliseconds later. */
 final class DatabaseGroup implements AutoCloseable {
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/DatabaseStandIn.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/DatabaseStandIn.java
@@ -6,13 +6,17 @@
 import java.net.Socket;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
+import org.geraniumproxy.measure.process.DatabaseConnection;
+import org.geraniumproxy.measure.process.ServedDatabase;
 import org.geraniumproxy.measure.stop.DatabaseEvent.Step;
 
 /** Stand-in of a database: accepts connections, lends its slots and records each step of a statement. */
-final class DatabaseStandIn implements AutoCloseable {
+final class DatabaseStandIn implements ServedDatabase, AutoCloseable {
     private final String id;
     private final boolean primary;
     private final DatabaseGroup group;
@@ -40,7 +44,13 @@
         executor.execute(() -> accept(executor));
     }
 
-    String id() {
+    @Override
+    public String service() {
+        return DatabaseGroup.SERVICE;
+    }
+
+    @Override
+    public String id() {
         return id;
     }
 
@@ -48,20 +58,28 @@
         return server.getLocalPort();
     }
 
-    boolean isPrimary() {
+    @Override
+    public boolean isPrimary() {
         return primary;
     }
 
-    String position() {
+    @Override
+    public String position() {
         return group.position(primary);
     }
 
-    boolean holds(String position) {
+    @Override
+    public boolean holds(String position) {
         return group.holds(primary, position);
     }
 
-    /** Takes a slot for the time that a statement works. */
-    void work(String statement, long connection, Duration time) throws InterruptedException {
+    @Override
+    public void receive(String statement, long connection) {
+        record(statement, connection, Step.RECEIVED);
+    }
+
+    @Override
+    public void work(String statement, long connection, Duration time) throws InterruptedException {
         slots.acquire();
         try {
             record(statement, connection, Step.BEGUN);
@@ -72,12 +90,19 @@
         }
     }
 
-    void commit(Iterable<String> statements, long connection) {
+    @Override
+    public Optional<String> commit(List<String> statements, long connection) {
         group.commit();
         statements.forEach(statement -> record(statement, connection, Step.COMMITTED));
+        return Optional.empty();
+    }
+
+    @Override
+    public String control(List<String> command) {
+        return (primary ? "primary 3 " : "replica 3 ") + position() + " 0 8 0 1";
     }
 
-    void record(String statement, long connection, Step step) {
+    private void record(String statement, long connection, Step step) {
         if (!statement.equals("-")) {
             journal.add(new DatabaseEvent(statement, id, connection, step, clock.instant()));
         }
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/FaultInjector.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/FaultInjector.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.random.RandomGenerator;
+import org.geraniumproxy.measure.process.NodeProcess;
 
 /** Carries out the faults of a run. Each stop and its restart have a virtual thread of their own. */
 final class FaultInjector implements AutoCloseable {
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/LoadClients.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/LoadClients.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
+import org.geraniumproxy.measure.process.NodeProcess;
 import org.geraniumproxy.measure.stop.ClientKind.Work;
 import org.geraniumproxy.measure.stop.ClientRequest.Part;
 
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/StopChecks.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/StopChecks.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.geraniumproxy.measure.process.Seconds;
 import org.geraniumproxy.measure.stop.ClientRequest.Part;
 import org.geraniumproxy.measure.stop.DatabaseEvent.Step;
 import org.geraniumproxy.measure.stop.Finding.Kind;
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/StopResult.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/StopResult.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import org.geraniumproxy.measure.process.Seconds;
 
 /**
  * Result of a run.
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/StopRun.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/StopRun.java
@@ -11,6 +11,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import org.geraniumproxy.engine.loop.MonotonicClock;
+import org.geraniumproxy.measure.process.NodeProcess;
+import org.geraniumproxy.measure.process.PortAllocator;
+import org.geraniumproxy.measure.process.StoreStandIn;
 
 /**
  * Run of real node processes with seeded faults and clients. The seed determines the faults and what the clients send.
@@ -64,7 +67,7 @@
         Files.createDirectories(folder);
         int storePort = ports.allocate();
         List<NodeProcess> nodes = new ArrayList<>();
-        try (StoreStandIn store = new StoreStandIn(clock, storePort);
+        try (StoreStandIn store = new StoreStandIn(clock, storePort, (_, _, _, _) -> 200);
                 DatabaseGroup databases = new DatabaseGroup(clock, journal, ports)) {
             store.put("op/config", configuration());
             databases.register(store);
--- a/measure/src/main/java/org/geraniumproxy/measure/stop/StopSoakMain.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/stop/StopSoakMain.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Future;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
+import org.geraniumproxy.measure.process.PortAllocator;
 import org.geraniumproxy.measure.soak.SeedRange;
 
 /**
--- a/measure/src/test/java/org/geraniumproxy/measure/stop/StopSoak_run_Test.java
+++ b/measure/src/test/java/org/geraniumproxy/measure/stop/StopSoak_run_Test.java
@@ -7,6 +7,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import org.geraniumproxy.measure.process.PortAllocator;
 import org.junit.jupiter.api.Test;
 
 /** Guards against requests that a node takes after SIGTERM and leaves without an answer when its process ends. */
