--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
@@ -0,0 +1,214 @@
+package org.geraniumproxy.measure.promotion;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.random.RandomGenerator;
+import org.geraniumproxy.measure.process.PortAllocator;
+import org.geraniumproxy.measure.process.StoreStandIn;
+import org.geraniumproxy.measure.promotion.Scenario.Departure;
+import org.geraniumproxy.measure.promotion.Scenario.Disturbance;
+
+/** Replaces the primary of a group and disturbs the group meanwhile. Used by one thread. */
+final class GroupFaults implements AutoCloseable {
+    /** Time without faults before a replacement. */
+    static final Duration SETTLING_TIME = Duration.ofMillis(1500);
+
+    /** Longest wait for a promotion; longer than every fault lasts. */
+    private static final Duration PROMOTION_TIMEOUT = Duration.ofSeconds(45);
+
+    /** Time between the entry of a new replica and the notice of the primary. */
+    private static final Duration SUCCESSOR_LEAD = Duration.ofMillis(1500);
+
+    /** Longest time until a replica other than the first to confirm has received a commit, in milliseconds. */
+    private static final int SLOW_MILLIS = 40;
+
+    private final ReplicationGroup group;
+    private final StoreStandIn store;
+    private final PortAllocator ports;
+    private final ExecutorService executor;
+    private final Clock clock;
+    private final RandomGenerator random;
+    private final Registrar registrar;
+    private final Map<String, GroupDatabase> databases = new ConcurrentHashMap<>();
+    private int lastNumber;
+
+    GroupFaults(
+            ReplicationGroup group,
+            StoreStandIn store,
+            Clock clock,
+            PortAllocator ports,
+            ExecutorService executor,
+            RandomGenerator random) {
+        this.group = group;
+        this.store = store;
+        this.clock = clock;
+        this.ports = ports;
+        this.executor = executor;
+        this.random = random;
+        this.registrar = new Registrar(group, store, clock);
+        executor.execute(registrar::run);
+    }
+
+    void addDatabases(int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            add(false);
+        }
+    }
+
+    /**
+     * Replaces the primary.
+     *
+     * @param last whether to return after the first commit of the new primary, while the old one still leaves or starts
+     * @return time from the departure of the primary to the first acknowledged commit in a later term, or nothing if
+     *     none was acknowledged
+     */
+    Optional<Duration> replace(Scenario.Name name, boolean last) throws IOException, InterruptedException {
+        Scenario scenario = name.create(random);
+        CountDownLatch ended = new CountDownLatch(2);
+        String primary = group.state().primary().orElseThrow();
+        long term = group.state().find(primary).term();
+        Instant departed = begin(scenario, primary, ended);
+        Optional<Instant> first = group.awaitAcknowledgedAfter(term, PROMOTION_TIMEOUT);
+        if (!last) {
+            ended.await();
+        }
+        return first.map(at -> Duration.between(departed, at));
+    }
+
+    /** Returns the time of the departure. */
+    private Instant begin(Scenario scenario, String primary, CountDownLatch ended)
+            throws IOException, InterruptedException {
+        switch (scenario.disturbance()) {
+            case Disturbance.None _ -> {
+                startSuccessor(scenario.departure());
+                ended.countDown();
+                return depart(scenario.departure(), primary, ended);
+            }
+            case Disturbance.UnlistedSuccessor unlisted -> {
+                store.beginSilence();
+                registrar.setSilent(true);
+                String successor = add(true);
+                confirmFirst(successor);
+                Thread.sleep(unlisted.silence());
+                registrar.setSilent(false);
+                store.endSilence();
+                later(unlisted.entryDelay(), ended, () -> {
+                    registrar.setCutOff(successor, false);
+                    confirmAlike();
+                });
+                return depart(scenario.departure(), primary, ended);
+            }
+            case Disturbance.ExpiredReplica expired -> {
+                String replica = chooseReplica(primary);
+                registrar.setCutOff(replica, true);
+                databases.get(replica).setReachable(false);
+                later(expired.length(), ended, () -> {
+                    databases.get(replica).setReachable(true);
+                    registrar.setCutOff(replica, false);
+                    confirmAlike();
+                });
+                Thread.sleep(expired.lead().minus(SUCCESSOR_LEAD));
+                startSuccessor(scenario.departure());
+                confirmFirst(replica);
+                return depart(scenario.departure(), primary, ended);
+            }
+            case Disturbance.LateCommands late -> {
+                String replica = chooseReplica(primary);
+                startSuccessor(scenario.departure());
+                confirmFirst(replica);
+                databases.get(replica).setCommandDelay(late.delay());
+                later(late.delay(), ended, () -> {
+                    databases.get(replica).setCommandDelay(Duration.ZERO);
+                    confirmAlike();
+                });
+                return depart(scenario.departure(), primary, ended);
+            }
+        }
+    }
+
+    private void startSuccessor(Departure departure) throws IOException, InterruptedException {
+        if (departure == Departure.PLANNED) {
+            add(false);
+        }
+        Thread.sleep(SUCCESSOR_LEAD);
+    }
+
+    private Instant depart(Departure departure, String primary, CountDownLatch ended) throws IOException {
+        Instant departed = clock.instant();
+        group.change(state -> state.change(
+                primary, departure == Departure.PLANNED ? DatabaseState::leaving : DatabaseState::crashed));
+        if (departure == Departure.PLANNED) {
+            later(Duration.ofMillis(random.nextInt(7500, 11_000)), ended, () -> {
+                group.change(state -> state.remove(primary));
+                databases.remove(primary).close();
+            });
+        } else {
+            databases.get(primary).setReachable(false);
+            later(Duration.ofMillis(random.nextInt(5000, 9000)), ended, () -> {
+                group.start(primary);
+                databases.get(primary).setReachable(true);
+            });
+        }
+        return departed;
+    }
+
+    private String add(boolean cutOff) throws IOException {
+        String id = "i-" + Integer.toHexString(0x9b10 + ++lastNumber);
+        GroupDatabase database = new GroupDatabase(id, group, ports.allocate(), executor);
+        databases.put(id, database);
+        group.add(id);
+        registrar.setCutOff(id, cutOff);
+        registrar.add(id, database.port());
+        return id;
+    }
+
+    private String chooseReplica(String primary) {
+        List<String> replicas = databases.keySet().stream()
+                .filter(id -> !id.equals(primary))
+                .sorted()
+                .toList();
+        return replicas.get(random.nextInt(replicas.size()));
+    }
+
+    private void confirmFirst(String replica) {
+        databases.keySet().forEach(id -> group.setDelay(id, Optional.of(id.equals(replica) ? 1 : SLOW_MILLIS)));
+    }
+
+    private void confirmAlike() {
+        databases.keySet().forEach(id -> group.setDelay(id, Optional.empty()));
+    }
+
+    private interface Step {
+        void perform() throws IOException;
+    }
+
+    private void later(Duration delay, CountDownLatch ended, Step step) {
+        executor.execute(() -> {
+            try {
+                Thread.sleep(delay);
+                step.perform();
+                ended.countDown();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (GroupDatabase database : databases.values()) {
+            database.close();
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/PromotionRun.java
@@ -0,0 +1,124 @@
+package org.geraniumproxy.measure.promotion;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.geraniumproxy.engine.loop.MonotonicClock;
+import org.geraniumproxy.measure.process.NodeProcess;
+import org.geraniumproxy.measure.process.PortAllocator;
+import org.geraniumproxy.measure.process.StoreStandIn;
+
+/**
+ * Run of real node processes beside a group whose primary is replaced again and again. The seed determines the times of
+ * the faults. The processes run in real time, so a run is not exactly repeatable.
+ */
+final class PromotionRun {
+    private static final int NODES = 3;
+    private static final Duration GRACE = Duration.ofSeconds(6);
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
+
+    private final long seed;
+    private final Scenario.Name scenario;
+    private final int replacements;
+    private final Path folder;
+    private final PortAllocator ports;
+    private final Clock clock = new MonotonicClock();
+    private final List<String> failures = new ArrayList<>();
+
+    /**
+     * Prepares a run.
+     *
+     * @param replacements number of replacements, one after the other
+     * @param folder folder of the run, which receives the settings and logs of the nodes
+     */
+    PromotionRun(long seed, Scenario.Name scenario, int replacements, Path folder, PortAllocator ports) {
+        this.seed = seed;
+        this.scenario = scenario;
+        this.replacements = replacements;
+        this.folder = folder;
+        this.ports = ports;
+    }
+
+    /**
+     * Plays the run.
+     *
+     * @return what was seen
+     * @throws IOException if the stand-ins or nodes cannot be started
+     */
+    PromotionResult play() throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        SplittableRandom random = new SplittableRandom(seed);
+        int storePort = ports.allocate();
+        List<NodeProcess> nodes = new ArrayList<>();
+        ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+        ReplicationGroup group = new ReplicationGroup(clock, executor, random.split());
+        try (StoreStandIn store = new StoreStandIn(
+                        clock,
+                        storePort,
+                        (_, database, holder, token) -> group.requestPromotion(database, holder, token));
+                GroupFaults faults = new GroupFaults(group, store, clock, ports, executor, random)) {
+            store.put("op/config", configuration());
+            faults.addDatabases(3);
+            for (int i = 1; i <= NODES; i++) {
+                NodeProcess node = new NodeProcess("edge-" + i, ports, storePort, GRACE, folder);
+                nodes.add(node);
+                node.start();
+            }
+            for (NodeProcess node : nodes) {
+                if (!node.awaitStart(clock, true, START_TIMEOUT)) {
+                    failures.add("NODE " + node.name() + " was not ready " + START_TIMEOUT + " after its start");
+                }
+            }
+            PromotionResult result = replace(nodes, group, faults);
+            Files.write(folder.resolve("findings.txt"), result.lines());
+            return result;
+        } finally {
+            executor.shutdownNow();
+            for (NodeProcess node : nodes) {
+                node.kill();
+            }
+        }
+    }
+
+    private PromotionResult replace(List<NodeProcess> nodes, ReplicationGroup group, GroupFaults faults)
+            throws IOException, InterruptedException {
+        List<Duration> gaps = new ArrayList<>();
+        Map<String, Long> outcomes;
+        try (WriteLoad load = new WriteLoad(seed, nodes)) {
+            for (int number = 1; number <= replacements; number++) {
+                Thread.sleep(GroupFaults.SETTLING_TIME);
+                Optional<Duration> gap = faults.replace(scenario, number == replacements);
+                if (gap.isPresent()) {
+                    gaps.add(gap.get());
+                } else {
+                    failures.add("NO PROMOTION in replacement " + number);
+                }
+            }
+            outcomes = load.outcomes();
+        }
+        nodes.stream()
+                .filter(node -> !node.isAlive())
+                .forEach(node -> failures.add("NODE " + node.name() + " had ended, exit code=" + node.exitCode()));
+        return new PromotionResult(seed, scenario, group.promotions(), gaps, failures, outcomes, folder);
+    }
+
+    private static String configuration() {
+        return """
+                {"version": 2, "routes": [{"name": "r-entries", "host": "%s", "prefix": "/", "kind": "primary",
+                  "timeoutMs": 800, "targetLatencyMs": 400, "maxStalenessMs": 1000, "priority": 1, "service": "%s",
+                  "maxAttempts": 2, "public": false}],
+                 "services": [{"name": "%s", "healthPath": "/healthz", "maxConns": 400, "syncReplicas": 1}],
+                 "limits": {"idleTimeoutMs": 15000, "txnIdleMs": 3000},
+                 "tenants": [{"name": "troupe", "apiKeys": ["%s"], "ratePerS": 5000, "burst": 5000}]}
+                """.formatted(WriteLoad.HOST, ReplicationGroup.SERVICE, ReplicationGroup.SERVICE, WriteLoad.KEY);
+    }
+}
