Cut single nodes off from databases in the promotion soak

The users' record shows a holder without a connection to the replica that had the lost commits, while other nodes wrote on. The store now shows each node its own address of a database, so the run can cut off the holder alone. New scenarios: a primary that the holder and another node cannot reach (PRIMARY_CUT), and the same beside an expired replica (EXPIRED_CUT).

Times without commits in ordinary replacements are compared with their bounds, median 2 s and worst 12 s.

--- a/measure/src/main/java/org/geraniumproxy/measure/process/StoreStandIn.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/process/StoreStandIn.java
@@ -23,6 +23,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.BinaryOperator;
 
 /** Stand-in of the platform's store with leases that expire, and of the cloud API. */
 public final class StoreStandIn implements AutoCloseable {
@@ -37,7 +38,7 @@
 
     private final Clock clock;
     private final CloudApi cloudApi;
-    private final HttpServer server;
+    private final List<HttpServer> servers = new ArrayList<>();
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final TreeMap<String, JsonObject> items = new TreeMap<>();
     private final List<JsonObject> events = new ArrayList<>();
@@ -59,10 +60,32 @@
         System.setProperty("sun.net.httpserver.nodelay", "true");
         this.clock = clock;
         this.cloudApi = cloudApi;
-        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
+        listen(port, (_, value) -> value);
+    }
+
+    /**
+     * Serves the same store at a further port.
+     *
+     * @param port port on the loopback address
+     * @param view returns what this port shows as the value of a key under {@code servers/}
+     * @throws IOException if the port is in use
+     */
+    public void listen(int port, BinaryOperator<String> view) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
         server.setExecutor(executor);
-        server.createContext("/", this::respond);
+        server.createContext("/", exchange -> respond(exchange, view));
         server.start();
+        servers.add(server);
+    }
+
+    /**
+     * Finds the value of a key.
+     *
+     * @param key key of the item
+     * @return value as UTF-8, empty if there is no item
+     */
+    public synchronized Optional<String> find(String key) {
+        return Optional.ofNullable(items.get(key)).map(item -> decode(item));
     }
 
     /**
@@ -72,7 +95,7 @@
      * @param text value, stored as UTF-8
      */
     public synchronized void put(String key, String text) {
-        put(key, Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)), 0);
+        put(key, encode(text), 0);
     }
 
     /**
@@ -134,7 +157,7 @@
         }
     }
 
-    private void respond(HttpExchange exchange) throws IOException {
+    private void respond(HttpExchange exchange, BinaryOperator<String> view) throws IOException {
         try (exchange) {
             String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
             Thread.sleep(ANSWER_TIME);
@@ -145,7 +168,7 @@
             if (!path.equals("/failover")) {
                 awaitEndOfSilence();
             }
-            byte[] bytes = response.body().toString().getBytes(StandardCharsets.UTF_8);
+            byte[] bytes = show(response.body(), view).toString().getBytes(StandardCharsets.UTF_8);
             exchange.getResponseHeaders().add("Content-Type", "application/json");
             exchange.sendResponseHeaders(response.status(), bytes.length);
             exchange.getResponseBody().write(bytes);
@@ -154,6 +177,30 @@
         }
     }
 
+    /** Replaces the values of the databases' entries in a response. */
+    private static JsonObject show(JsonObject body, BinaryOperator<String> view) {
+        JsonObject shown = body.deepCopy();
+        for (String name : List.of("items", "events")) {
+            list(shown, name).forEach(item -> show(view, item.getAsJsonObject()));
+        }
+        show(view, shown);
+        return shown;
+    }
+
+    private static void show(BinaryOperator<String> view, JsonObject item) {
+        if (item.has("value") && item.get("key").getAsString().startsWith("servers/")) {
+            item.addProperty("value", encode(view.apply(item.get("key").getAsString(), decode(item))));
+        }
+    }
+
+    private static String encode(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String decode(JsonObject item) {
+        return new String(Base64.getDecoder().decode(item.get("value").getAsString()), StandardCharsets.UTF_8);
+    }
+
     private int requestPromotion(HttpExchange exchange, String body) {
         JsonObject request = JsonParser.parseString(body).getAsJsonObject();
         return cloudApi.requestPromotion(
@@ -325,7 +372,7 @@
 
     @Override
     public void close() {
-        server.stop(0);
+        servers.forEach(server -> server.stop(0));
         executor.shutdownNow();
     }
 }
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupDatabase.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupDatabase.java
@@ -5,7 +5,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -13,35 +15,40 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.measure.process.DatabaseConnection;
+import org.geraniumproxy.measure.process.PortAllocator;
 import org.geraniumproxy.measure.process.ServedDatabase;
 
-/** Database of a group: accepts connections of nodes unless it has crashed or can't be reached. */
+/** Database of a group. It has an address for each node, so that some nodes can be cut off from it. */
 final class GroupDatabase implements ServedDatabase, AutoCloseable {
     private final String id;
     private final ReplicationGroup group;
-    private final ServerSocket server;
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final List<ServerSocket> servers = new ArrayList<>();
+    private final Map<Socket, Integer> nodes = new ConcurrentHashMap<>();
     private final AtomicLong lastConnection = new AtomicLong();
-    private volatile boolean reachable = true;
+    private volatile Set<Integer> cutOff = Set.of();
     private volatile Duration commandDelay = Duration.ZERO;
 
-    GroupDatabase(String id, ReplicationGroup group, int port, Executor executor) throws IOException {
+    GroupDatabase(String id, ReplicationGroup group, PortAllocator ports, Executor executor) throws IOException {
         this.id = id;
         this.group = group;
-        this.server = new ServerSocket(port, 256, InetAddress.getLoopbackAddress());
-        executor.execute(() -> accept(executor));
+        for (int node : PromotionRun.NODES) {
+            ServerSocket server = new ServerSocket(ports.allocate(), 256, InetAddress.getLoopbackAddress());
+            servers.add(server);
+            executor.execute(() -> accept(server, node, executor));
+        }
     }
 
-    int port() {
-        return server.getLocalPort();
+    /** Returns the address that a node connects to. */
+    String address(int node) {
+        return "127.0.0.1:" + servers.get(node).getLocalPort();
     }
 
-    /** Lets nodes connect, or closes their connections and all new ones. Replication goes on. */
-    void setReachable(boolean value) throws IOException {
-        reachable = value;
-        if (!value) {
-            for (Socket socket : sockets) {
-                socket.close();
+    /** Closes the connections of these nodes and all new ones, and lets the others connect. Replication goes on. */
+    void cutOff(Set<Integer> newCutOff) throws IOException {
+        cutOff = Set.copyOf(newCutOff);
+        for (Map.Entry<Socket, Integer> connection : nodes.entrySet()) {
+            if (newCutOff.contains(connection.getValue())) {
+                connection.getKey().close();
             }
         }
     }
@@ -106,40 +113,42 @@
         return state == null
                 ? "replica 0 0.0 0 0 0 0"
                 : (state.primary() ? "primary " : "replica ") + state.term() + " "
-                        + text(state.log().last()) + " " + state.heldTerm() + " 0 0 " + sockets.size();
+                        + text(state.log().last()) + " " + state.heldTerm() + " 0 0 " + nodes.size();
     }
 
     private static String text(LogPosition position) {
         return position.term().number() + "." + position.position();
     }
 
-    private void accept(Executor executor) {
+    private void accept(ServerSocket server, int node, Executor executor) {
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
-                executor.execute(() -> serve(socket));
+                executor.execute(() -> serve(socket, node));
             } catch (IOException e) {
                 return; // the server was closed
             }
         }
     }
 
-    private void serve(Socket socket) {
-        sockets.add(socket);
+    private void serve(Socket socket, int node) {
+        nodes.put(socket, node);
         try (socket) {
-            if (reachable) {
+            if (!cutOff.contains(node)) {
                 new DatabaseConnection(this, lastConnection.incrementAndGet()).serve(socket);
             }
         } catch (IOException e) {
             return; // the socket had been closed
         } finally {
-            sockets.remove(socket);
+            nodes.remove(socket);
         }
     }
 
     @Override
     public void close() throws IOException {
-        server.close();
-        setReachable(false);
+        for (ServerSocket server : servers) {
+            server.close();
+        }
+        cutOff(PromotionRun.NODES);
     }
 }
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -25,6 +26,9 @@
     /** Longest wait for a promotion; longer than every fault lasts. */
     private static final Duration PROMOTION_TIMEOUT = Duration.ofSeconds(45);
 
+    /** Wait for the promotion after a cut, which is shorter and need not lead to one. */
+    private static final Duration CUT_TIMEOUT = Duration.ofSeconds(12);
+
     /** Time between the entry of a new replica and the notice of the primary. */
     private static final Duration SUCCESSOR_LEAD = Duration.ofMillis(1500);
 
@@ -77,7 +81,8 @@
         String primary = group.state().primary().orElseThrow();
         long term = group.state().find(primary).term();
         Instant departed = begin(scenario, primary, ended);
-        Optional<Instant> first = group.awaitAcknowledgedAfter(term, PROMOTION_TIMEOUT);
+        Optional<Instant> first = group.awaitAcknowledgedAfter(
+                term, scenario.departure() == Departure.CUT ? CUT_TIMEOUT : PROMOTION_TIMEOUT);
         if (!last) {
             ended.await();
         }
@@ -110,9 +115,9 @@
             case Disturbance.ExpiredReplica expired -> {
                 String replica = chooseReplica(primary);
                 registrar.setCutOff(replica, true);
-                databases.get(replica).setReachable(false);
+                databases.get(replica).cutOff(expired.byHolderOnly() ? Set.of(holder()) : PromotionRun.NODES);
                 later(expired.length(), ended, () -> {
-                    databases.get(replica).setReachable(true);
+                    databases.get(replica).cutOff(Set.of());
                     registrar.setCutOff(replica, false);
                     confirmAlike();
                 });
@@ -144,33 +149,56 @@
 
     private Instant depart(Departure departure, String primary, CountDownLatch ended) throws IOException {
         Instant departed = clock.instant();
-        group.change(state -> state.change(
-                primary, departure == Departure.PLANNED ? DatabaseState::leaving : DatabaseState::crashed));
-        if (departure == Departure.PLANNED) {
-            later(Duration.ofMillis(random.nextInt(7500, 11_000)), ended, () -> {
-                group.change(state -> state.remove(primary));
-                databases.remove(primary).close();
-            });
-        } else {
-            databases.get(primary).setReachable(false);
-            later(Duration.ofMillis(random.nextInt(5000, 9000)), ended, () -> {
-                group.start(primary);
-                databases.get(primary).setReachable(true);
-            });
-        }
+        Step end = switch (departure) {
+            case PLANNED -> {
+                group.change(state -> state.change(primary, DatabaseState::leaving));
+                yield () -> {
+                    group.change(state -> state.remove(primary));
+                    databases.remove(primary).close();
+                };
+            }
+            case CRASH -> {
+                group.change(state -> state.change(primary, DatabaseState::crashed));
+                databases.get(primary).cutOff(PromotionRun.NODES);
+                yield () -> {
+                    group.start(primary);
+                    databases.get(primary).cutOff(Set.of());
+                };
+            }
+            case CUT -> {
+                int holder = holder();
+                databases.get(primary).cutOff(Set.of(holder, (holder + 1) % PromotionRun.NODES.size()));
+                yield () -> databases.get(primary).cutOff(Set.of());
+            }
+        };
+        later(Duration.ofMillis(random.nextInt(7000, 11_000)), ended, end);
         return departed;
     }
 
     private String add(boolean cutOff) throws IOException {
         String id = "i-" + Integer.toHexString(0x9b10 + ++lastNumber);
-        GroupDatabase database = new GroupDatabase(id, group, ports.allocate(), executor);
+        GroupDatabase database = new GroupDatabase(id, group, ports, executor);
         databases.put(id, database);
         group.add(id);
         registrar.setCutOff(id, cutOff);
-        registrar.add(id, database.port());
+        registrar.add(id);
         return id;
     }
 
+    /** Returns the value of an entry as a node sees it. */
+    String show(int node, String key, String value) {
+        GroupDatabase database = databases.get(key.substring(key.indexOf('/') + 1));
+        return database == null ? value : value.replace(Registrar.ADDRESS, database.address(node));
+    }
+
+    /** Returns the number of the node that holds the promotion lease, or any if there is none. */
+    private int holder() {
+        return store.find("duty/holder")
+                .map(value -> value.substring(PromotionRun.NODE_PREFIX.length(), value.indexOf('#')))
+                .map(Integer::valueOf)
+                .orElse(0);
+    }
+
     private String chooseReplica(String primary) {
         List<String> replicas = databases.keySet().stream()
                 .filter(id -> !id.equals(primary))
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/PromotionRun.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/PromotionRun.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -22,8 +23,16 @@
  * the faults. The processes run in real time, so a run is not exactly repeatable.
  */
 final class PromotionRun {
-    private static final int NODES = 3;
+    /** Numbers of the nodes. */
+    static final Set<Integer> NODES = Set.of(0, 1, 2);
+
+    /** Name of a node without its number. */
+    static final String NODE_PREFIX = "edge-";
+
     private static final Duration GRACE = Duration.ofSeconds(6);
+    /** Longest wait for a primary when all faults have ended. */
+    private static final Duration PRIMARY_TIMEOUT = Duration.ofSeconds(12);
+
     private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
 
     private final long seed;
@@ -68,8 +77,11 @@
                 GroupFaults faults = new GroupFaults(group, store, clock, ports, executor, random)) {
             store.put("op/config", configuration());
             faults.addDatabases(3);
-            for (int i = 1; i <= NODES; i++) {
-                NodeProcess node = new NodeProcess("edge-" + i, ports, storePort, GRACE, folder);
+            for (int i = 0; i < NODES.size(); i++) {
+                int number = i;
+                int ownStorePort = ports.allocate();
+                store.listen(ownStorePort, (key, value) -> faults.show(number, key, value));
+                NodeProcess node = new NodeProcess(NODE_PREFIX + i, ports, ownStorePort, GRACE, folder);
                 nodes.add(node);
                 node.start();
             }
@@ -96,10 +108,14 @@
         try (WriteLoad load = new WriteLoad(seed, nodes)) {
             for (int number = 1; number <= replacements; number++) {
                 Thread.sleep(GroupFaults.SETTLING_TIME);
+                if (!group.awaitPrimary(PRIMARY_TIMEOUT)) {
+                    failures.add("NO PRIMARY before replacement " + number);
+                    break;
+                }
                 Optional<Duration> gap = faults.replace(scenario, number == replacements);
                 if (gap.isPresent()) {
                     gaps.add(gap.get());
-                } else {
+                } else if (scenario.needsPromotion()) {
                     failures.add("NO PROMOTION in replacement " + number);
                 }
             }
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/PromotionSoakMain.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/PromotionSoakMain.java
@@ -20,6 +20,11 @@
     private static final int EXIT_FINDING = 1;
     private static final int EXIT_USAGE = 2;
 
+    /** Bounds of the time without commits in ordinary replacements. */
+    private static final Duration MEDIAN_GAP = Duration.ofSeconds(2);
+
+    private static final Duration WORST_GAP = Duration.ofSeconds(12);
+
     @Parameter(names = "--seeds", description = "seeds to run, for example 1..50", required = true)
     private String seeds = "1..1";
 
@@ -80,16 +85,29 @@
             results.computeIfAbsent(name, _ -> new ArrayList<>()).add(result);
         }
         results.forEach((name, runs) -> System.out.println("promotion-soak: " + summary(name, runs)));
-        return results.values().stream()
-                        .flatMap(List::stream)
-                        .allMatch(result -> result.findings().isEmpty())
+        return results.entrySet().stream().allMatch(entry -> isKept(entry.getKey(), entry.getValue()))
                 ? 0
                 : EXIT_FINDING;
     }
 
+    /** Returns whether no run has a finding and, in ordinary replacements, callers wait no longer than promised. */
+    private static boolean isKept(Scenario.Name name, List<PromotionResult> runs) {
+        List<Duration> gaps = gaps(runs);
+        boolean isSlow = name.isOrdinary()
+                && !gaps.isEmpty()
+                && (gaps.get(gaps.size() / 2).compareTo(MEDIAN_GAP) >= 0
+                        || gaps.getLast().compareTo(WORST_GAP) >= 0);
+        if (isSlow) {
+            System.out.println("promotion-soak: " + name + " is too slow");
+        }
+        return !isSlow && runs.stream().allMatch(run -> run.findings().isEmpty());
+    }
+
+    private static List<Duration> gaps(List<PromotionResult> runs) {
+        return runs.stream().flatMap(run -> run.gaps().stream()).sorted().toList();
+    }
+
     private static String summary(Scenario.Name name, List<PromotionResult> runs) {
-        List<Duration> gaps =
-                runs.stream().flatMap(run -> run.gaps().stream()).sorted().toList();
         List<Promotion> promotions =
                 runs.stream().flatMap(run -> run.promotions().stream()).toList();
         return name + " runs=" + runs.size() + " promotions=" + promotions.size() + " with loss="
@@ -102,6 +120,6 @@
                         .sum()
                 + " failures="
                 + runs.stream().mapToInt(run -> run.failures().size()).sum() + " gaps="
-                + PromotionResult.describe(gaps);
+                + PromotionResult.describe(gaps(runs));
     }
 }
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/Registrar.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/Registrar.java
@@ -15,6 +15,9 @@
  * is removed when its database has left, or after three intervals without a heartbeat.
  */
 final class Registrar {
+    /** Stands for the address in the entries, which differs between the nodes. */
+    static final String ADDRESS = "ADDRESS";
+
     private static final Duration HEARTBEAT = Duration.ofMillis(1200);
     private static final Duration EXPIRY = HEARTBEAT.multipliedBy(3);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
@@ -31,7 +34,7 @@
     private final ReplicationGroup group;
     private final StoreStandIn store;
     private final Clock clock;
-    private final Map<String, Integer> ports = new HashMap<>();
+    private final Set<String> databases = new HashSet<>();
     private final Map<String, Entry> entries = new HashMap<>();
     private final Set<String> cutOff = new HashSet<>();
     private boolean silent;
@@ -42,8 +45,8 @@
         this.clock = clock;
     }
 
-    synchronized void add(String id, int port) {
-        ports.put(id, port);
+    synchronized void add(String id) {
+        databases.add(id);
     }
 
     /** Sets whether what a database writes doesn't reach the store. */
@@ -78,8 +81,7 @@
             return;
         }
         Instant now = clock.instant();
-        for (Map.Entry<String, Integer> database : Map.copyOf(ports).entrySet()) {
-            String id = database.getKey();
+        for (String id : Set.copyOf(databases)) {
             DatabaseState newest = state.find(id);
             Entry entry = entries.get(id);
             boolean writes = newest != null && newest.running() && !cutOff.contains(id);
@@ -89,22 +91,22 @@
                             || !now.isBefore(entry.writtenAt().plus(HEARTBEAT)))) {
                 long number = entry == null ? 1 : entry.number() + 1;
                 entries.put(id, new Entry(newest, now, number));
-                store.put("servers/" + id, encode(newest, database.getValue(), number));
+                store.put("servers/" + id, encode(newest, number));
             } else if (entry != null
                     && (newest == null || !now.isBefore(entry.writtenAt().plus(EXPIRY)))) {
                 entries.remove(id);
                 store.remove("servers/" + id);
             }
             if (newest == null) {
-                ports.remove(id);
+                databases.remove(id);
             }
         }
     }
 
-    private static String encode(DatabaseState state, int port, long number) {
+    private static String encode(DatabaseState state, long number) {
         JsonObject entry = new JsonObject();
         entry.addProperty("service", ReplicationGroup.SERVICE);
-        entry.addProperty("address", "127.0.0.1:" + port);
+        entry.addProperty("address", ADDRESS);
         entry.addProperty("zone", "lima-a");
         entry.addProperty("version", "v1");
         entry.addProperty("capacity", 48);
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
@@ -174,6 +174,19 @@
         }
     }
 
+    /** Waits until a database leads. Returns false at the timeout. */
+    synchronized boolean awaitPrimary(Duration timeout) throws InterruptedException {
+        Instant end = clock.instant().plus(timeout);
+        while (state.primary().isEmpty()) {
+            Duration left = Duration.between(clock.instant(), end);
+            if (!left.isPositive()) {
+                return false;
+            }
+            wait(left.toMillis() + 1);
+        }
+        return true;
+    }
+
     /** Sends the log of the primary to replicas. */
     private void catchUp(Set<String> replicas) {
         state.primary().ifPresent(primary -> {
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/Scenario.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/Scenario.java
@@ -15,7 +15,9 @@
         /** A new replica starts, then the primary reports that it leaves, and ends some seconds later. */
         PLANNED,
         /** The primary crashes and starts again some seconds later. */
-        CRASH
+        CRASH,
+        /** The node that holds the promotion lease and one more can't reach the primary for some seconds. */
+        CUT
     }
 
     /** What happens beside a replacement. */
@@ -33,12 +35,13 @@
         record UnlistedSuccessor(Duration silence, Duration entryDelay) implements Disturbance {}
 
         /**
-         * The entry of a replica expires, and no node reaches it. It receives and confirms before the others do.
+         * The entry of a replica expires, and nodes don't reach it. It receives and confirms before the others do.
          *
          * @param lead time between its last heartbeat and the departure
          * @param length time after which it is reached and listed again
+         * @param byHolderOnly whether only the node that holds the promotion lease doesn't reach it, instead of all
          */
-        record ExpiredReplica(Duration lead, Duration length) implements Disturbance {}
+        record ExpiredReplica(Duration lead, Duration length, boolean byHolderOnly) implements Disturbance {}
 
         /**
          * A replica, which confirms before the others do, carries out commands late.
@@ -55,8 +58,20 @@
         UNLISTED_SUCCESSOR,
         EXPIRED_PLANNED,
         EXPIRED_CRASH,
+        EXPIRED_CUT,
+        PRIMARY_CUT,
         LATE_COMMANDS;
 
+        /** Returns whether callers wait for a promotion: not if the primary serves some of them and comes back. */
+        boolean needsPromotion() {
+            return this != EXPIRED_CUT && this != PRIMARY_CUT;
+        }
+
+        /** Returns whether the primary leaves or crashes while all other databases answer. */
+        boolean isOrdinary() {
+            return this == ORDINARY_PLANNED || this == ORDINARY_CRASH;
+        }
+
         /** Returns the scenario with random times. */
         Scenario create(RandomGenerator random) {
             return switch (this) {
@@ -70,6 +85,8 @@
                                     Duration.ofMillis(random.nextInt(50, 2000))));
                 case EXPIRED_PLANNED -> new Scenario(Departure.PLANNED, expired(random));
                 case EXPIRED_CRASH -> new Scenario(Departure.CRASH, expired(random));
+                case EXPIRED_CUT -> new Scenario(Departure.CUT, expired(random));
+                case PRIMARY_CUT -> new Scenario(Departure.CUT, new Disturbance.None());
                 case LATE_COMMANDS ->
                     new Scenario(
                             Departure.PLANNED,
@@ -79,7 +96,9 @@
 
         private static Disturbance expired(RandomGenerator random) {
             return new Disturbance.ExpiredReplica(
-                    Duration.ofMillis(random.nextInt(6300, 9000)), Duration.ofMillis(random.nextInt(12_000, 16_000)));
+                    Duration.ofMillis(random.nextInt(6300, 7500)),
+                    Duration.ofMillis(random.nextInt(12_000, 16_000)),
+                    random.nextBoolean());
         }
     }
 }
--- a/measure/src/test/java/org/geraniumproxy/measure/promotion/PromotionSoak_run_Test.java
+++ b/measure/src/test/java/org/geraniumproxy/measure/promotion/PromotionSoak_run_Test.java
@@ -2,7 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
-import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -28,12 +28,14 @@
 
     @Test
     void should_keep_commits_that_a_replica_without_an_entry_confirmed() throws Exception {
+        // given a leaving primary beside a new replica whose entry reaches the store late
         assertThatNothingIsLost(Scenario.Name.UNLISTED_SUCCESSOR);
     }
 
     @Test
-    void should_keep_commits_that_an_expired_replica_confirmed_before_the_primary_left() throws Exception {
-        assertThatNothingIsLost(Scenario.Name.EXPIRED_PLANNED);
+    void should_keep_commits_that_an_expired_replica_confirmed() throws Exception {
+        // given a primary and a replica that the holder can't reach, while another node writes through the primary
+        assertThatNothingIsLost(Scenario.Name.EXPIRED_CUT);
     }
 
     private static void assertThatOrdinaryReplacementIsBrief(Scenario.Name scenario) throws Exception {
@@ -46,8 +48,8 @@
     private static void assertThatNothingIsLost(Scenario.Name scenario) throws Exception {
         PromotionResult result = play(scenario);
 
+        assertThat(result.outcomes().getOrDefault("COMPLETE", 0L), is(greaterThan(1_000L)));
         assertThat(result.lines().getFirst(), result.findings(), is(empty()));
-        assertThat(result.gaps(), hasSize(1));
     }
 
     private static PromotionResult play(Scenario.Name scenario) throws Exception {
