Send commands to a database that left although the databases change

A promotion asks databases whose entry is missing. The removal now refuses the statements of callers only, and a connection on which a command waits stays.

TrafficEngine_sendCommand_Test: the new test failed before (the command was never received).

--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -99,11 +99,16 @@
     /**
      * Stops sending statements to the database: refuses queued requests, which are then placed on another database, and
      * closes idle connections. As long as requests wait, new connections would be opened in place of the closed ones.
+     * Administrative commands go on, because the database may still run.
      */
     void remove() {
         removed = true;
-        refuseQueuedRequests("the database left");
-        closeIdleConnections("the database left");
+        refuse(
+                queuedRequests.stream()
+                        .filter(request -> CallerSession.sessionIdOf(request) != AdministrativeCommands.SESSION_ID)
+                        .toList(),
+                "the database left");
+        closeIdleConnectionsIfRemoved();
     }
 
     boolean isUnused() {
@@ -315,11 +320,14 @@
     }
 
     private void refuseQueuedRequests(String reason) {
-        if (queuedRequests.isEmpty()) {
+        refuse(List.copyOf(queuedRequests), reason);
+    }
+
+    private void refuse(List<Long> refused, String reason) {
+        if (refused.isEmpty()) {
             return;
         }
-        List<Long> refused = List.copyOf(queuedRequests);
-        queuedRequests.clear();
+        queuedRequests.removeAll(refused);
         apply(new CustomerPoolEvent.RequestsCancelled(refused));
         for (long slotRequestId : refused) {
             engine.deliver(
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_sendCommand_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_sendCommand_Test.java
@@ -4,10 +4,12 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.nullValue;
 
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.service.Consistency;
@@ -65,6 +67,34 @@
         }
     }
 
+    /** Guards against a promotion that takes a database for unreachable because the databases of any group changed. */
+    @Test
+    void should_send_a_command_to_a_database_that_left_although_the_databases_change() throws Exception {
+        CountDownLatch opening = new CountDownLatch(1);
+        try (ScriptedDatabase database = new ScriptedDatabase(line -> {
+                    if (line.startsWith("open")) {
+                        await(opening);
+                    }
+                    return Optional.of("ok");
+                });
+                EngineFixture fixture =
+                        new EngineFixture().withFormerDatabase("db-1", database).configure(Consistency.PRIMARY)) {
+            CompletableFuture<Throwable> failure = fixture.startCommand("db-1", COMMAND, EngineFixture.REPLY_TIMEOUT);
+            fixture.configure(Consistency.PRIMARY);
+            opening.countDown();
+            database.awaitLine("resumereceiving");
+            assertThat(failure.get(EngineFixture.REPLY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS), is(nullValue()));
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static Optional<String> answerOpening(String line) {
         return line.startsWith("resume") ? Optional.empty() : Optional.of("ok");
     }
