Let a crash in the promotion soak end connections first and drop what was not sent

A further replacement began before the database that had started counted as caught up.

Commits that a crashed primary had not sent to a replica now stay away from it.

--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
@@ -23,6 +23,9 @@
     /** Time without faults before a replacement. */
     static final Duration SETTLING_TIME = Duration.ofMillis(1500);
 
+    /** Time after which a started database has caught up, with a margin; the settings of the nodes say 4 s. */
+    private static final Duration CATCH_UP_TIME = Duration.ofSeconds(5);
+
     /** Longest wait for a promotion; longer than every fault lasts. */
     private static final Duration PROMOTION_TIMEOUT = Duration.ofSeconds(45);
 
@@ -85,6 +88,7 @@
                 term, scenario.departure() == Departure.CUT ? CUT_TIMEOUT : PROMOTION_TIMEOUT);
         if (!last) {
             ended.await();
+            Thread.sleep(CATCH_UP_TIME); // a database that has just started proves nothing in a promotion
         }
         return first.map(at -> Duration.between(departed, at));
     }
@@ -158,8 +162,9 @@
                 };
             }
             case CRASH -> {
-                group.change(state -> state.change(primary, DatabaseState::crashed));
+                // The connections end first: an answer after the crash would say that another database leads.
                 databases.get(primary).cutOff(PromotionRun.NODES);
+                group.change(state -> state.change(primary, DatabaseState::crashed));
                 yield () -> {
                     group.start(primary);
                     databases.get(primary).cutOff(Set.of());
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupState.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupState.java
@@ -44,8 +44,12 @@
                         .anyMatch(other -> other.running() && other.log().contains(position));
     }
 
-    /** Lets a replica receive the log that the primary of a term had. */
-    GroupState receive(String id, long term, CommitLog log) {
+    /** Lets a replica receive the log that the primary of a term had, unless that has crashed or ended before. */
+    GroupState receive(String id, String from, long term, CommitLog log) {
+        DatabaseState source = databases.get(from);
+        if (source == null || !source.running()) {
+            return this;
+        }
         DatabaseState state = databases.get(id);
         boolean receives =
                 state != null && state.running() && !state.primary() && state.heldTerm() == 0 && state.term() == term;
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
@@ -196,7 +196,7 @@
                     .forEach(replica -> later(
                             Duration.ofMillis(
                                     random.nextInt(delayMillis.getOrDefault(replica, USUAL_DELAY_MILLIS)) + 1),
-                            () -> change(s -> s.receive(replica, source.term(), source.log()))));
+                            () -> change(s -> s.receive(replica, primary, source.term(), source.log()))));
         });
     }
 
