Compare the answers of primaries that the choice did not wait for

- a primary that fails for other VMs but answers the holder is asked to step down first; its answer used to arrive after the choice and was dropped.
A late answer that shows a longer log ends the attempt.
Only a primary that fails for the holder itself, which has had no answer or no acknowledged commit for some time, is still replaced by the second proof.
A draining primary that fails counts as one whose notice is over, so it is asked first, too
- a primary that leads but gets no more statements steps down also when no replica can take over, instead of going on while the replicas stop
- a remembered last position is forgotten when any database answers that it leads, or when the primary restarts
- an answer that another database leads ends the attempt while replicas are verified as well; its claim has a term above the newest one, because terms of holders run ahead of those of the databases and an equal claim is ignored
- a primary does not step down while an open request of an earlier holder allows no replica that can take over

Positions of a query are compared with what was known when it was sent, and not at all in a group that acknowledges alone.

Tests: PromotionState_stepDown_Test (4), FleetState_on_Test (2), the model with an unlisted replica beside a primary that fails for others. FleetState_on_Test.should_replace_a_primary_of_a_large_fleet_when_most_of_its_watchers_see_it_fail names the new reason.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/PrimaryReplacementPolicy.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PrimaryReplacementPolicy.java
@@ -50,11 +50,13 @@
             return Optional.of(PromotionReason.NONE_LEADS);
         }
         BackendServerName name = primary.get().name();
-        if (isFailing(state, group, name, now)) {
-            return Optional.of(PromotionReason.FAILING);
-        }
+        Optional<PromotionReason> failure = failure(state, group, name, now);
         if (primary.get().draining()) {
-            return Optional.of(state.isUsed(name) ? PromotionReason.LEAVING : PromotionReason.LEFT);
+            boolean serves = state.isUsed(name) && failure.isEmpty();
+            return Optional.of(serves ? PromotionReason.LEAVING : PromotionReason.LEFT);
+        }
+        if (failure.isPresent()) {
+            return failure;
         }
         return state.missingDuration(name, now).compareTo(MISSING_ENTRY_TIMEOUT) > 0
                 ? Optional.of(PromotionReason.MISSING)
@@ -62,23 +64,26 @@
     }
 
     /**
-     * Tells whether a primary is failing. If this VM sees it, one other VM must confirm it; if not, more than half of
-     * the reachable watchers of the group must see it, and at least two.
+     * Returns how a primary is failing, if it is. If this VM sees it, one other VM must confirm it; if not, more than
+     * half of the reachable watchers of the group must see it, and at least two.
      */
-    private static boolean isFailing(FleetState state, GroupName group, BackendServerName primary, Instant now) {
+    private static Optional<PromotionReason> failure(
+            FleetState state, GroupName group, BackendServerName primary, Instant now) {
         DatabaseHealth own = state.lastReport().health().getOrDefault(primary, DatabaseHealth.UNUSED);
         boolean ownFailing = hasLasted(own.failingSince(), FAILURE_TIMEOUT, now)
                 || hasLasted(own.commitsFailingSince(), COMMIT_FAILURE_TIMEOUT, now);
         Set<VmName> reachable = state.reachablePeers(now);
         Set<VmName> agreeing = state.peersSeeingFailure(primary, FAILURE_TIMEOUT, COMMIT_FAILURE_TIMEOUT, now);
         if (ownFailing) {
-            return !agreeing.isEmpty() || reachable.isEmpty();
+            return agreeing.isEmpty() && !reachable.isEmpty() ? Optional.empty() : Optional.of(PromotionReason.FAILING);
         }
         Set<VmName> watchers = state.watchersOf(group);
         long observing =
                 reachable.stream().filter(watchers::contains).count() + (watchers.contains(state.self()) ? 1 : 0);
         long failing = agreeing.stream().filter(watchers::contains).count();
-        return failing >= 2 && failing * 2 > observing;
+        return failing >= 2 && failing * 2 > observing
+                ? Optional.of(PromotionReason.FAILING_FOR_OTHERS)
+                : Optional.empty();
     }
 
     private static boolean hasLasted(Optional<Instant> since, Duration minimum, Instant now) {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -68,11 +68,12 @@
         if (!primary.get().primary()) {
             return new AttemptSteps(attempt.withoutPrimary(), now, effects).stop();
         }
-        if (!isReplaceable(querying)) {
+        if (attempt.snapshot().primaryServesSome() && !isReplaceable(querying)) {
             return stopWithoutPrimary("no replica that stays answers with all acknowledged commits");
         }
         sendStepDown();
-        return new PromotionPhase.SteppingDown(attempt, primary.get().term());
+        return new PromotionPhase.SteppingDown(
+                attempt.withoutLastPosition(), primary.get().term());
     }
 
     /**
@@ -80,8 +81,11 @@
      * of the next attempt, because it may acknowledge commits.
      */
     PromotionPhase anotherLeads(BackendServerName database, DatabaseStatus status, Set<BackendServerName> stopped) {
-        effects.add(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(database, status.term())));
-        return abandon(stopped, "database " + database + " leads", Optional.empty());
+        // Holders count terms on from the newest one that they know, which may be ahead of that of the databases.
+        long term = Math.max(status.term(), attempt.snapshot().newestTerm() + 1);
+        effects.add(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(database, term)));
+        return new AttemptSteps(attempt.withoutLastPosition(), now, effects)
+                .abandon(stopped, "database " + database + " leads", Optional.empty());
     }
 
     /** Returns whether the primary leads and a replica can take over. */
@@ -93,6 +97,7 @@
                 .isPresent();
         return leads
                 && querying.answers().entrySet().stream()
+                        .filter(answer -> attempt.mayPromote(answer.getKey()))
                         .anyMatch(answer -> attempt.snapshot().canTakeOver(answer.getKey(), answer.getValue()));
     }
 
@@ -146,7 +151,7 @@
         return new PromotionPhase.Stopping(attempt, asked, added, stopping.stopped());
     }
 
-    /** Handles the answer of a database that was told to stop receiving. */
+    /** Chooses a database that holds the last position of the old primary, if one that stays has answered. */
     Optional<PromotionPhase> chooseRemaining(Map<BackendServerName, DatabaseStatus> stopped) {
         return PromotionChoice.ofRemaining(attempt, stopped).map(choice -> choose(choice, stopped));
     }
@@ -186,6 +191,29 @@
                 .ifPresent(primary -> send(Set.of(primary), new BackendCommand.StepDown(attempt.term())));
     }
 
+    /**
+     * Handles the answer of a primary that was told to step down after a database was chosen, and that need not have
+     * answered. If its log goes on beyond the chosen one, a replica that was not counted may have confirmed the rest. A
+     * primary that fails for this VM is let go: it had no commit acknowledged, or gave no answer, for some time.
+     */
+    Optional<PromotionPhase> steppedDownLate(PromotionPhase.Verifying verifying, CommandResult result) {
+        Optional<LogPosition> beyond = Optional.of(result)
+                .filter(CommandResult.Answered.class::isInstance)
+                .map(answer -> ((CommandResult.Answered) answer).status())
+                .filter(status -> !status.primary())
+                .map(DatabaseStatus::received)
+                .filter(last -> last.compareTo(verifying.candidate().received()) > 0);
+        beyond.ifPresent(last -> log(
+                "primary stepped down beyond the chosen log",
+                verifying.candidate() + " lastPosition=" + PromotionChoice.text(last)));
+        return beyond.filter(_ -> !attempt.snapshot().reason().equals(Optional.of(PromotionReason.FAILING)))
+                .map(last -> new AttemptSteps(attempt.withLastPosition(last), now, effects)
+                        .abandon(
+                                verifying.stopped().keySet(),
+                                "the old primary stepped down at " + PromotionChoice.text(last)
+                                        + ", beyond the chosen log"));
+    }
+
     /**
      * Handles the answer of the old primary after a database was chosen. One that has stepped down acknowledges
      * nothing, so replicas that resume late do no harm. Without an answer it may still lead.
@@ -298,8 +326,8 @@
     }
 
     /**
-     * Ends an attempt after the primary was told to step down. If it has, no entry of a new one is on its way, so the
-     * next attempt need not wait for one.
+     * Ends an attempt in which the primary may have stepped down. If it has, no entry of a new one is on its way, so
+     * the next attempt need not wait for one.
      */
     PromotionPhase abandon(Set<BackendServerName> stopped, String reason) {
         return abandon(stopped, reason, Optional.of(withoutPrimaryDelay()));
@@ -322,7 +350,8 @@
                 now.plus(PromotionState.ATTEMPT_RETRY_DELAY),
                 attempt.lastPosition().isPresent() ? Optional.of(withoutPrimaryDelay()) : noPrimarySince,
                 Resumption.ALL_REPLICAS,
-                attempt.lastPosition().map(last -> new SteppedDownPrimary(attempt.term(), last)));
+                attempt.lastPosition()
+                        .map(last -> new SteppedDownPrimary(attempt.snapshot().primary(), attempt.term(), last)));
     }
 
     private void addIntent(PromotionCandidate candidate, PromotionIntent.Progress progress) {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
@@ -48,7 +48,7 @@
     boolean asksPrimaryFirst() {
         return primary.isPresent()
                 && reason.filter(known -> switch (known) {
-                            case LEAVING, LEFT, MISSING, NONE_LEADS -> true;
+                            case LEAVING, LEFT, FAILING_FOR_OTHERS, MISSING, NONE_LEADS -> true;
                             case FAILING -> !suspected.isEmpty();
                         })
                         .isPresent();
@@ -59,6 +59,15 @@
         return reason.equals(Optional.of(PromotionReason.LEAVING));
     }
 
+    /** Returns whether callers of some VMs still get answers from the primary. */
+    boolean primaryServesSome() {
+        return reason.filter(known -> switch (known) {
+                    case LEAVING, FAILING, FAILING_FOR_OTHERS -> true;
+                    case LEFT, MISSING, NONE_LEADS -> false;
+                })
+                .isPresent();
+    }
+
     /** Returns the newest evidence, with the primary and the reason for which an attempt replaces it. */
     GroupSnapshot refreshed(GroupSnapshot latest) {
         return new GroupSnapshot(
@@ -116,7 +125,7 @@
     }
 
     /**
-     * Returns whether a replica that is told of may replace a primary that serves: it stays, has not lost commits in a
+     * Returns whether a replica with this status may replace a primary that serves: it stays, has not lost commits in a
      * restart, and holds every commit that is known to be acknowledged.
      */
     boolean canTakeOver(BackendServerName replica, DatabaseStatus status) {
@@ -126,6 +135,7 @@
                 && !status.primary()
                 && !recentlyRestarted.contains(replica)
                 && acknowledged
+                        .filter(_ -> synchronousReplicas > 0)
                         .map(position -> status.received().compareTo(position) >= 0)
                         .orElse(true);
     }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotedLog.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotedLog.java
@@ -4,7 +4,7 @@
 import org.geraniumproxy.core.identity.LogPosition;
 
 /**
- * The log with which a promotion was requested. It tells afterwards whether the promotion lost a commit.
+ * The log with which a promotion was requested. It tells afterwards whether the promotion may have lost a commit.
  *
  * @param attempt attempt that requested the promotion
  * @param candidate database to promote and the end of its log
@@ -12,8 +12,9 @@
  */
 record PromotedLog(AttemptId attempt, PromotionCandidate candidate, long term) {
     /**
-     * Returns an acknowledged position that the log lacks although the promotion has taken effect. The first commit of
-     * the new primary is known by the position that follows the promoted log, so this position proves nothing.
+     * Returns an acknowledged position that the log lacks although the promotion has taken effect. VMs know of a commit
+     * by the successor of the position that they knew when they sent it. For the first commits of the new primary this
+     * may lie in the unacknowledged end of the old primary's log, so the loss is not certain.
      *
      * @param snapshot state of the group
      * @return the position, or empty if no loss is known
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -86,6 +86,7 @@
             Attempt attempt, Map<BackendServerName, DatabaseStatus> stopped, Set<BackendServerName> resumable) {
         GroupSnapshot snapshot = attempt.snapshot();
         Set<BackendServerName> proven = new HashSet<>(stopped.keySet());
+        proven.retainAll(snapshot.replicas());
         proven.removeAll(snapshot.recentlyRestarted());
         int replicas = snapshot.replicas().size();
         int confirming = Math.max(1, snapshot.synchronousReplicas());
@@ -106,15 +107,13 @@
         return stopped.keySet().stream()
                 .filter(database -> stopped.get(database).received().equals(highest))
                 .filter(attempt::mayPromote)
-                .filter(database -> attempt.pendingTarget().isPresent() || isEligible(snapshot, database))
                 .max(Comparator.comparing((BackendServerName database) -> isRemaining(snapshot, database))
                         .thenComparing(steady::test)
                         .thenComparing(BackendServerName::value))
                 .map(target -> confirm(snapshot, stopped, target, steady.test(target)))
-                .orElseGet(() -> new Insufficient(attempt.pendingTarget()
-                        .map(pending -> "an earlier request may still promote " + pending
-                                + ", which does not have the highest position " + text(highest))
-                        .orElse("no database that stays has the highest position " + text(highest))));
+                .orElseGet(() -> new Insufficient("an earlier request may still promote "
+                        + attempt.pendingTarget().orElseThrow() + ", which does not have the highest position "
+                        + text(highest)));
     }
 
     private static String unproven(GroupSnapshot snapshot, Set<BackendServerName> proven) {
@@ -170,15 +169,6 @@
         return acknowledged.map(position -> highest.compareTo(position) < 0).orElse(false);
     }
 
-    /**
-     * Returns whether a database may be chosen. A draining one is not needed while the primary serves, because the
-     * other replicas catch up. Without a primary they can't, so a draining database with the longest log must be
-     * promoted or its commits are lost.
-     */
-    private static boolean isEligible(GroupSnapshot snapshot, BackendServerName database) {
-        return isRemaining(snapshot, database) || !snapshot.primaryServes();
-    }
-
     private static boolean isRemaining(GroupSnapshot snapshot, BackendServerName database) {
         DatabaseEntry entry = snapshot.databases().get(database);
         return entry != null && !entry.draining();
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -10,15 +10,15 @@
 /** Phase of a promotion. */
 sealed interface PromotionPhase {
     /**
-     * Returns the phase with the newest state of the group. A promotion that was requested no longer depends on it.
+     * Returns the phase with the newest state of the group. A promotion that was requested no longer depends on it, and
+     * answers to a query are compared with what was known when it was sent.
      *
      * @param latest state of the group at this time
      */
     default PromotionPhase refreshed(GroupSnapshot latest) {
         return switch (this) {
-            case Watching _, Requesting _ -> this;
+            case Watching _, Querying _, Requesting _ -> this;
             case Inspecting phase -> new Inspecting(phase.attempt().refreshed(latest), phase.pending());
-            case Querying phase -> new Querying(phase.attempt().refreshed(latest), phase.pending(), phase.answers());
             case SteppingDown phase -> new SteppingDown(phase.attempt().refreshed(latest), phase.leadingTerm());
             case Stopping phase ->
                 new Stopping(phase.attempt().refreshed(latest), phase.asked(), phase.pending(), phase.stopped());
@@ -185,7 +185,7 @@
      *
      * @param id identifies the attempt
      * @param term term with which the replicas are stopped
-     * @param snapshot state of the group when the attempt began
+     * @param snapshot newest state of the group, with the primary and the reason of the beginning
      * @param pendingTarget database that a request of an earlier lease holder may still promote; no other one may be
      *     chosen, and the replicas stay stopped
      * @param lastPosition last position of the old primary, if it has stepped down
@@ -212,6 +212,11 @@
             return new Attempt(id, term, snapshot.withoutPrimary(), pendingTarget, lastPosition, startedAt);
         }
 
+        /** Returns the attempt after a database answered that it leads. */
+        Attempt withoutLastPosition() {
+            return new Attempt(id, term, snapshot, pendingTarget, Optional.empty(), startedAt);
+        }
+
         /** Returns whether an earlier request leaves the choice of a database. */
         boolean mayPromote(BackendServerName database) {
             return pendingTarget.map(database::equals).orElse(true);
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionReason.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionReason.java
@@ -4,10 +4,12 @@
 public enum PromotionReason {
     /** The primary is draining. */
     LEAVING,
-    /** The notice of the primary is over, and it gets no more statements. */
+    /** The primary is draining, and its notice is over or it fails. */
     LEFT,
     /** Several VMs get no answer or no acknowledged commit from the primary. */
     FAILING,
+    /** Other VMs get no answer or no acknowledged commit from the primary, while this VM does. */
+    FAILING_FOR_OTHERS,
     /** The entry of the primary is missing in the store. */
     MISSING,
     /** The group has no primary. */
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -16,13 +16,13 @@
 import org.geraniumproxy.core.promotion.PromotionPhase.Attempt;
 
 /**
- * Supervision of a group by the lease holder. An attempt stops the replicas, chooses a log that holds every
- * acknowledged commit, verifies that the replicas are still stopped, records the intent in the store and sends the
- * promotion request until it is answered. An intent of an earlier holder is no evidence for its target: it may have
- * reached the store late, or the replicas may have received since, so its target goes through the same steps. The
- * attempt resumes the replicas only if no request was sent: a request may take effect some hundred milliseconds after
- * its answer, or without one, and the promotion itself resumes the replicas. Once a primary serves again, replicas that
- * are still stopped are resumed.
+ * Supervision of a group by the lease holder. An attempt tells a primary that answers to step down, stops the replicas,
+ * chooses a log that holds every acknowledged commit, verifies that the databases on which the proof relies are still
+ * stopped, records the intent in the store and sends the promotion request until it is answered. An intent of an
+ * earlier holder is no evidence for its target: it may have reached the store late, or the replicas may have received
+ * since, so its target goes through the same steps. The attempt resumes the replicas only if no request was sent: a
+ * request may take effect some hundred milliseconds after its answer, or without one, and the promotion itself resumes
+ * the replicas. Once a primary serves again, replicas that are still stopped are resumed.
  *
  * @param holder process that holds the lease
  * @param attempts number of attempts begun so far
@@ -155,7 +155,7 @@
         }
         Optional<LogPosition> lost = promoted.get().lostPosition(passed.snapshot());
         lost.ifPresent(position -> effects.add(new PromotionEffect.Log(
-                "acknowledged commit lost",
+                "acknowledged commit may be lost",
                 "attempt=" + promoted.get().attempt() + " " + promoted.get().candidate() + " acknowledged="
                         + PromotionChoice.text(position))));
         return lost.isPresent() ? Optional.empty() : promoted;
@@ -281,6 +281,45 @@
 
     private PromotionPhase completed(
             PromotionEvent.CommandCompleted completed, Instant now, List<PromotionEffect> effects) {
+        return anotherLeads(completed, now, effects).orElseGet(() -> applyResult(completed, now, effects));
+    }
+
+    /** Ends an attempt that has stopped replicas when a database other than the old primary answers that it leads. */
+    private Optional<PromotionPhase> anotherLeads(
+            PromotionEvent.CommandCompleted completed, Instant now, List<PromotionEffect> effects) {
+        if (!(completed.result() instanceof CommandResult.Answered answered)
+                || !answered.status().primary()) {
+            return Optional.empty();
+        }
+        return switch (phase) {
+            case PromotionPhase.Stopping stopping ->
+                anotherLeads(stopping.attempt(), stopping.stopped().keySet(), completed, answered, now, effects);
+            case PromotionPhase.ConfirmingStepDown confirming ->
+                anotherLeads(confirming.attempt(), confirming.stopped().keySet(), completed, answered, now, effects);
+            case PromotionPhase.Verifying verifying ->
+                anotherLeads(verifying.attempt(), verifying.stopped().keySet(), completed, answered, now, effects);
+            default -> Optional.empty();
+        };
+    }
+
+    private static Optional<PromotionPhase> anotherLeads(
+            Attempt attempt,
+            Set<BackendServerName> stopped,
+            PromotionEvent.CommandCompleted completed,
+            CommandResult.Answered answered,
+            Instant now,
+            List<PromotionEffect> effects) {
+        boolean another = completed.attempt().equals(Optional.of(attempt.id()))
+                && !completed.command().equals(new BackendCommand.ReadStatus())
+                && !attempt.snapshot().primary().equals(Optional.of(completed.database()));
+        return another
+                ? Optional.of(new AttemptSteps(attempt, now, effects)
+                        .anotherLeads(completed.database(), answered.status(), stopped))
+                : Optional.empty();
+    }
+
+    private PromotionPhase applyResult(
+            PromotionEvent.CommandCompleted completed, Instant now, List<PromotionEffect> effects) {
         return switch (phase) {
             case PromotionPhase.Watching watching
             when completed.attempt().isEmpty() -> resumed(watching, completed, now, effects);
@@ -301,6 +340,11 @@
             when isAnswer(completed, confirming.attempt(), BackendCommand.StepDown.class) ->
                 new AttemptSteps(confirming.attempt(), now, effects).stepDownConfirmed(confirming, completed.result());
             case PromotionPhase.Verifying verifying
+            when isAnswer(completed, verifying.attempt(), BackendCommand.StepDown.class) ->
+                new AttemptSteps(verifying.attempt(), now, effects)
+                        .steppedDownLate(verifying, completed.result())
+                        .orElse(verifying);
+            case PromotionPhase.Verifying verifying
             when isAnswer(completed, verifying.attempt(), BackendCommand.ReadStatus.class)
                     && verifying.pending().contains(completed.database()) ->
                 new AttemptSteps(verifying.attempt(), now, effects)
@@ -350,14 +394,6 @@
         Attempt attempt = stopping.attempt();
         Set<BackendServerName> pending = new HashSet<>(stopping.pending());
         pending.remove(completed.database());
-        if (completed.result() instanceof CommandResult.Answered answered
-                && answered.status().primary()) {
-            return new AttemptSteps(attempt, now, effects)
-                    .anotherLeads(
-                            completed.database(),
-                            answered.status(),
-                            stopping.stopped().keySet());
-        }
         Map<BackendServerName, DatabaseStatus> stopped = new HashMap<>(stopping.stopped());
         if (completed.result() instanceof CommandResult.Answered answered && attempt.isStopped(answered.status())) {
             stopped.put(completed.database(), answered.status());
--- a/core/src/test/java/org/geraniumproxy/core/fleet/FleetState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/fleet/FleetState_on_Test.java
@@ -392,7 +392,34 @@
         on(new FleetEvent.PeerMessageReceived(messageOf(watchers.get(0), Map.of(PRIMARY, Duration.ofMillis(400)))));
         assertThat(PrimaryReplacementPolicy.reason(state, GROUP, now), is(Optional.empty()));
         on(new FleetEvent.PeerMessageReceived(messageOf(watchers.get(1), Map.of(PRIMARY, Duration.ofMillis(400)))));
-        assertThat(PrimaryReplacementPolicy.reason(state, GROUP, now), is(Optional.of(PromotionReason.FAILING)));
+        assertThat(
+                PrimaryReplacementPolicy.reason(state, GROUP, now),
+                is(Optional.of(PromotionReason.FAILING_FOR_OTHERS)));
+    }
+
+    /** Guards against a draining primary that is waited for although it fails. */
+    @Test
+    void should_not_wait_for_a_draining_primary_that_fails() {
+        learnBoth();
+        on(listed(Map.of(PEER, "10.0.0.2:1")));
+        on(new FleetEvent.DatabaseEntryChanged(entry(PRIMARY, true, true, 9)));
+        Instant since = now;
+        now = now.plusMillis(900);
+        DatabaseHealth health = new DatabaseHealth(Optional.of(now), Optional.empty(), Optional.of(since));
+        on(new FleetEvent.TrafficReported(Map.of(PRIMARY, health), Map.of(), Map.of()));
+        on(new FleetEvent.PeerMessageReceived(message(0, Map.of(), Map.of(PRIMARY, Duration.ofMillis(900)))));
+        assertThat(PrimaryReplacementPolicy.reason(state, GROUP, now), is(Optional.of(PromotionReason.LEFT)));
+    }
+
+    /** Guards against a primary that acknowledges commits while nobody tells it to step down. */
+    @Test
+    void should_presume_the_last_primary_when_no_database_with_an_entry_leads() {
+        learnBoth();
+        on(new FleetEvent.DatabaseEntryMissing(PRIMARY));
+        advance(Duration.ofMillis(5100));
+        assertThat(state.members(GROUP).primary(), is(Optional.empty()));
+        assertThat(state.presumedPrimary(GROUP), is(Optional.of(PRIMARY)));
+        assertThat(state.isUsed(PRIMARY), is(false));
     }
 
     @Test
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -117,6 +117,12 @@
         return this;
     }
 
+    /** Lets other VMs report a primary as failing that the holder reaches. */
+    PromotionModel reportedByOthers() {
+        reasonWhileRunning = PromotionReason.FAILING_FOR_OTHERS;
+        return this;
+    }
+
     /**
      * Explores all orders of events of an idle group until a commit is lost or the maximum number of states is reached.
      */
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
@@ -38,6 +38,12 @@
 
     /** Beginning from which the model explores. */
     private record Beginning(String description, Predicate<PromotionModel> losesCommit) {
+        Beginning withPrimaryFailingForOthers() {
+            return new Beginning(
+                    description + ", a primary that fails for other VMs",
+                    model -> losesCommit.test(model.reportedByOthers()));
+        }
+
         Beginning withFailingPrimary() {
             return new Beginning(
                     description + ", a primary that is reported as failing",
@@ -65,7 +71,8 @@
     }
 
     static Stream<Arguments> uncountedReplicas() {
-        return Stream.of(UNLISTED, LISTED_LATE, EXPIRED, PRIMARY_UNREACHABLE).map(Arguments::of);
+        return Stream.of(UNLISTED, UNLISTED.withPrimaryFailingForOthers(), LISTED_LATE, EXPIRED, PRIMARY_UNREACHABLE)
+                .map(Arguments::of);
     }
 
     static Stream<Arguments> omittedRulesBesideUncountedReplica() {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -132,7 +132,7 @@
         answer(SECOND, stopped(10));
         answer(THIRD, Optional.of(leading(12)));
         assertThat(requestedPromotions(), is(empty()));
-        assertThat(effects, hasItem(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(THIRD, TERM - 1))));
+        assertThat(effects, hasItem(new PromotionEffect.AnnouncePrimary(new PrimaryClaim(THIRD, TERM))));
         assertThat(sent(BackendCommand.ResumeReceiving.class), containsInAnyOrder(SECOND));
     }
 
@@ -215,12 +215,12 @@
         reason = Optional.empty();
         acknowledged = Optional.of(LogPosition.of(3, 13));
         begin();
-        assertThat(loggedDecisions(), not(hasItem("acknowledged commit lost")));
+        assertThat(loggedDecisions(), not(hasItem("acknowledged commit may be lost")));
         acknowledged = Optional.of(LogPosition.of(3, 14));
         begin();
-        assertThat(loggedDecisions(), hasItem("acknowledged commit lost"));
+        assertThat(loggedDecisions(), hasItem("acknowledged commit may be lost"));
         begin();
-        assertThat(loggedDecisions(), not(hasItem("acknowledged commit lost")));
+        assertThat(loggedDecisions(), not(hasItem("acknowledged commit may be lost")));
     }
 
     @Test
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_stepDown_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_stepDown_Test.java
@@ -93,4 +93,55 @@
         assertThat(sent(BackendCommand.StepDown.class), is(empty()));
         assertThat(state.phase() instanceof PromotionPhase.Watching, is(true));
     }
+
+    /** Guards against commits of a primary that no longer gets statements but still leads. */
+    @Test
+    void should_step_down_a_primary_whose_notice_is_over_although_no_replica_can_take_over() {
+        acknowledged = Optional.of(LogPosition.of(3, 11));
+        reason = Optional.of(PromotionReason.LEFT);
+        begin();
+        answer(PRIMARY, Optional.of(leading(11)));
+        answer(SECOND, Optional.of(receiving(10)));
+        answer(THIRD, Optional.of(receiving(10)));
+        assertThat(sent(BackendCommand.StepDown.class), containsInAnyOrder(PRIMARY));
+        assertThat(sent(BackendCommand.StopReceiving.class), is(empty()));
+    }
+
+    @Test
+    void should_not_promote_a_log_that_a_late_answer_of_the_old_primary_shows_to_be_short() {
+        reason = Optional.of(PromotionReason.FAILING_FOR_OTHERS);
+        begin();
+        answer(SECOND, Optional.of(receiving(10)));
+        answer(THIRD, Optional.of(receiving(10)));
+        fail(PRIMARY);
+        answerStopped(10, 10);
+        answerStepDown(new CommandResult.Answered(steppedDown(13)));
+        assertThat(state.phase() instanceof PromotionPhase.Watching, is(true));
+    }
+
+    /** Guards against a last position that is remembered although the database leads again. */
+    @Test
+    void should_forget_the_last_position_when_another_database_leads() {
+        beginReplacementOfLeavingPrimary();
+        answerStepDown(new CommandResult.Answered(steppedDown(13)));
+        answer(THIRD, stopped(13));
+        complete(
+                SECOND,
+                new BackendCommand.StopReceiving(TERM),
+                Optional.of(new AttemptId("vm-1", 1)),
+                Optional.of(leading(15)));
+        assertThat(((PromotionPhase.Watching) state.phase()).steppedDown(), is(Optional.empty()));
+        assertThat(requestedPromotions(), is(empty()));
+    }
+
+    @Test
+    void should_not_step_down_the_primary_while_an_earlier_request_allows_no_other_replica() {
+        intent = Optional.of(openIntent(THIRD, Optional.of(OTHER_ATTEMPT)));
+        reason = Optional.of(PromotionReason.LEAVING);
+        begin();
+        answer(PRIMARY, Optional.of(leading(10)));
+        answer(SECOND, Optional.of(receiving(10)));
+        answer(THIRD, Optional.empty());
+        assertThat(sent(BackendCommand.StepDown.class), is(empty()));
+    }
 }
