Repeat a query that a primary in use did not answer

A primary that fails for other VMs, or that is to leave, and that serves this VM was replaced by the proof of the stopped replicas when one answer was lost: of the primary, of the only replica that can take over, or of the old primary when it was told to stop receiving. Such an attempt now ends and is repeated. A dead primary is not waited for: the next command can't be sent to it. A log that ends before a known last position is no longer chosen in the attempt in which the primary stepped down.

--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -37,7 +37,7 @@
         Set<BackendServerName> databases = new HashSet<>(attempt.snapshot().replicas());
         attempt.snapshot().primary().ifPresent(databases::add);
         send(databases, new BackendCommand.ReadStatus());
-        return new PromotionPhase.Querying(attempt, databases, Map.of());
+        return new PromotionPhase.Querying(attempt, databases, Map.of(), Set.of());
     }
 
     /** Handles the answer of a database that was asked for its state. */
@@ -46,12 +46,19 @@
         if (result instanceof CommandResult.Answered answered) {
             answers.put(database, answered.status());
         }
+        Set<BackendServerName> unanswered = new HashSet<>(querying.unanswered());
+        if (result instanceof CommandResult.Unanswered) {
+            unanswered.add(database);
+        }
         PromotionPhase.Querying next =
-                new PromotionPhase.Querying(attempt, without(querying.pending(), database), answers);
+                new PromotionPhase.Querying(attempt, without(querying.pending(), database), answers, unanswered);
         return next.pending().isEmpty() || isReplaceable(next) ? decideByAnswers(next) : next;
     }
 
-    /** Decides how to replace the primary after all databases have answered or timed out. */
+    /**
+     * Decides how to replace the primary after all databases have answered or timed out. One that fails for other VMs
+     * only is asked again when an answer is lost; if it is dead, the next command can't be sent to it.
+     */
     PromotionPhase decideByAnswers(PromotionPhase.Querying querying) {
         Optional<BackendServerName> leader = attempt.snapshot().replicas().stream()
                 .filter(replica -> querying.answers().containsKey(replica)
@@ -63,13 +70,18 @@
         Optional<DatabaseStatus> primary =
                 attempt.snapshot().primary().map(name -> querying.answers().get(name));
         if (primary.isEmpty()) {
-            return stopWithoutPrimary("the primary does not answer");
+            boolean repeats = attempt.snapshot().reason().equals(Optional.of(PromotionReason.FAILING_FOR_OTHERS))
+                    && querying.unanswered()
+                            .containsAll(attempt.snapshot().primary().stream().toList());
+            return repeats
+                    ? abandon(Set.of(), "the primary did not answer", Optional.empty())
+                    : stopWithoutPrimary("the primary does not answer");
         }
         if (!primary.get().primary()) {
             return new AttemptSteps(attempt.withoutPrimary(), now, effects).stop();
         }
         if (attempt.snapshot().primaryServesSome() && !isReplaceable(querying)) {
-            return stopWithoutPrimary("no replica that stays answers with all acknowledged commits");
+            return abandon(Set.of(), "no replica that stays answers with all acknowledged commits", Optional.empty());
         }
         sendStepDown();
         return new PromotionPhase.SteppingDown(
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -49,7 +49,7 @@
         if (holder.isPresent()) {
             return holder.get();
         }
-        if (attempt.lastPosition().isPresent() && attempt.snapshot().primaryServes()) {
+        if (attempt.lastPosition().isPresent() && attempt.snapshot().primary().isPresent()) {
             return new Insufficient("no database that stopped has the last position "
                     + text(attempt.lastPosition().get()) + " of the old primary");
         }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -53,13 +53,19 @@
      * @param attempt current attempt
      * @param pending databases that have not answered
      * @param answers status of each database that has answered
+     * @param unanswered databases that did not answer although the command was sent
      */
-    record Querying(Attempt attempt, Set<BackendServerName> pending, Map<BackendServerName, DatabaseStatus> answers)
+    record Querying(
+            Attempt attempt,
+            Set<BackendServerName> pending,
+            Map<BackendServerName, DatabaseStatus> answers,
+            Set<BackendServerName> unanswered)
             implements PromotionPhase {
         /** Copies the collections. */
         public Querying {
             pending = Set.copyOf(pending);
             answers = Map.copyOf(answers);
+            unanswered = Set.copyOf(unanswered);
         }
     }
 
