--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -295,7 +295,7 @@
 
     /**
      * Logs the acknowledged position that this VM knows of when it learns of a primary. If the promoted log ends before
-     * it, the promotion lost a commit.
+     * it, the promotion may have lost a commit.
      */
     private void logAcknowledgedAtClaims(
             Map<GroupName, PrimaryClaim> previous, Instant now, List<FleetEffect> effects) {
