Await the end of the drain before a forwarded request is served

Cause: the handler started the work on another thread and only then registered what closes the guard at the end of the drain. If the drain ended in between, nothing kept the request from being sent. The caller got a true answer, but a request could be sent after the end of the drain. Load only made the window likely. It is registered first now.

should_send_nothing_when_drain_is_over_before_the_handler_returns serves on the calling thread, so the order is the same in each run; it failed before with the same exception. The other users of orWhenEnded do not depend on the order: they have no guard to close.

--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorHandler.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/CoordinatorHandler.java
@@ -72,10 +72,12 @@
             return CompletableFuture.completedFuture(GroupResult.unserved(stopping(), request.session()));
         }
         SendGuard guard = new SendGuard(request.repeatable());
-        return ticket.get()
-                .orWhenEnded(
-                        CompletableFuture.supplyAsync(() -> serve(request, ticket.get(), guard), context.executor()),
-                        () -> GroupResult.unserved(ended(guard), request.session()));
+        CompletableFuture<GroupResult> served = new CompletableFuture<>();
+        // The end of the drain is awaited before the request is served, so that it always closes the guard.
+        CompletableFuture<GroupResult> result =
+                ticket.get().orWhenEnded(served, () -> GroupResult.unserved(ended(guard), request.session()));
+        served.completeAsync(() -> serve(request, ticket.get(), guard), context.executor());
+        return result;
     }
 
     private static Outcome ended(SendGuard guard) {
--- a/proxy/src/test/java/org/geraniumproxy/proxy/traffic/CoordinatorRig.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/traffic/CoordinatorRig.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -65,6 +66,7 @@
     private Optional<Runnable> whileRunning = Optional.empty();
     private Runnable whileQueued = () -> {};
     private Runnable onAwaitedChange = () -> {};
+    private ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private GroupView view = view(TERM, 10, 10, NOW.minusMillis(20));
     private final AtomicInteger held = new AtomicInteger();
 
@@ -106,6 +108,12 @@
         return this;
     }
 
+    /** Serves the request before the handler returns. */
+    CoordinatorRig servingAtOnce() {
+        executor = new CallingThreadExecutor();
+        return this;
+    }
+
     CoordinatorRig onAwaitedChange(Runnable action) {
         onAwaitedChange = action;
         return this;
@@ -116,7 +124,7 @@
                 this::snapshot,
                 Clock.fixed(NOW, ZoneOffset.UTC),
                 _ -> new CompletableFuture<>(),
-                Executors.newVirtualThreadPerTaskExecutor(),
+                executor,
                 Tracing.disabled(),
                 new TrafficMetrics(new PrometheusRegistry()),
                 inFlight);
--- a/proxy/src/test/java/org/geraniumproxy/proxy/traffic/Coordinator_handle_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/traffic/Coordinator_handle_Test.java
@@ -195,6 +195,20 @@
         assertThat(rig.sentTo, empty());
     }
 
+    @Test
+    void should_send_nothing_when_drain_is_over_before_the_handler_returns() {
+        // given
+        CoordinatorRig rig = new CoordinatorRig(completed(TERM, 11)).servingAtOnce();
+        rig.whileQueued(rig.inFlight::endAll);
+
+        // when
+        GroupResult result = rig.handle(write());
+
+        // then
+        assertThat(reason(result), equalTo(NotRunReason.NOT_COORDINATOR));
+        assertThat(rig.sentTo, empty());
+    }
+
     @Test
     void should_refuse_unsent_when_token_is_ahead_of_new_report() {
         // given
