Log commits that are acknowledged beyond an open promotion

A promotion takes effect up to 12 s after its request. The logs did not show what happened in between: which commits a node passed on although it knew the open intent, which databases and positions became known at the holder after its request, and what the next holder knew of an intent that it found open.

* The intent names the end of the chosen log (fifth word of duty/order/GROUP).
Every VM derives from the intents that it reads which commits a promoted log holds (PromotionFences) and publishes that to its traffic thread.
* 'promotion fence changed' tells when a VM learned of an open promotion and when it ended for this VM.

Nothing is decided by these yet.

--- a/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
@@ -2,6 +2,9 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import org.geraniumproxy.core.directory.PromotionFences;
+import org.geraniumproxy.core.identity.LogPosition;
 
 /** Handles the replies of a database to the commands of a session. */
 final class ReplyHandler {
@@ -108,6 +111,7 @@
             }
             if (commits && wrote) {
                 SlotEffects.recordAcknowledgedCommit(session, slot, effects);
+                logCommitBeyondPromotion(session, slot, reply.position(), context, effects);
             }
             SlotEffects.releaseSlot(slot, replies.getLast().transactionState(), effects);
             CallerSession ended = session.withoutTransaction();
@@ -124,6 +128,24 @@
         return StatementCompletion.finish(session.with(open), reply.rows(), reply.result(), reply.position(), effects);
     }
 
+    private static void logCommitBeyondPromotion(
+            CallerSession session,
+            SessionProgress.HeldSlot slot,
+            Optional<LogPosition> position,
+            SessionContext context,
+            List<SessionEffect> effects) {
+        CurrentStatement current = session.currentStatement().orElseThrow();
+        PromotionFences fences = context.view().fencesOf(current.route().group());
+        if (!fences.mayAcknowledge(slot.placement().database(), position)) {
+            effects.add(new SessionEffect.Log(
+                    current.requestId(),
+                    "commit acknowledged beyond a promotion",
+                    "database=" + slot.placement().database() + " position="
+                            + position.map(LogPosition::toString).orElse("unknown") + " open=" + fences.open()
+                            + " fence=" + fences.newest().orElseThrow()));
+        }
+    }
+
     private static CallerSession autocommitFailed(
             CallerSession session,
             SessionProgress.HeldSlot slot,
--- a/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.directory.PromotionFences;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.service.ServiceConfiguration;
@@ -20,6 +21,7 @@
  * @param vmCount number of VMs that share the connections of a database, at least 1
  * @param watchedGroups groups whose primaries this VM probes
  * @param positionSources VMs that tell the positions of the other primaries
+ * @param promotionFences bounds that promotions set on the commits of each group
  */
 public record TrafficView(
         ServiceConfiguration configuration,
@@ -28,10 +30,11 @@
         Optional<CallerDrain> drain,
         int vmCount,
         Set<GroupName> watchedGroups,
-        List<PositionSource> positionSources) {
+        List<PositionSource> positionSources,
+        Map<GroupName, PromotionFences> promotionFences) {
     /** The view before any configuration is known. */
-    public static final TrafficView NONE =
-            new TrafficView(ServiceConfiguration.NONE, Map.of(), Map.of(), Optional.empty(), 1, Set.of(), List.of());
+    public static final TrafficView NONE = new TrafficView(
+            ServiceConfiguration.NONE, Map.of(), Map.of(), Optional.empty(), 1, Set.of(), List.of(), Map.of());
 
     /** Makes unmodifiable copies of the collections. */
     public TrafficView {
@@ -39,6 +42,7 @@
         formerDatabases = Map.copyOf(formerDatabases);
         watchedGroups = Set.copyOf(watchedGroups);
         positionSources = List.copyOf(positionSources);
+        promotionFences = Map.copyOf(promotionFences);
     }
 
     /**
@@ -50,4 +54,14 @@
     public GroupDirectory directoryOf(GroupName group) {
         return groups.getOrDefault(group, GroupDirectory.EMPTY);
     }
+
+    /**
+     * Returns the bounds that promotions set on the commits of a group.
+     *
+     * @param group name of the group
+     * @return the bounds, none if no promotion of the group is known
+     */
+    public PromotionFences fencesOf(GroupName group) {
+        return promotionFences.getOrDefault(group, PromotionFences.NONE);
+    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -11,7 +11,9 @@
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.RegionName;
+import org.geraniumproxy.core.identity.StoreRevision;
 import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.promotion.PromotionIntent;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 
 /** Inputs of the control thread. */
@@ -112,6 +114,16 @@
      */
     record WriteRefusedByReplica(GroupName group, BackendServerName database) implements FleetEvent {}
 
+    /**
+     * This VM learned a promotion intent of a group.
+     *
+     * @param group group of the intent
+     * @param intent newest intent
+     * @param revision revision of the store at which it was recorded
+     */
+    record PromotionIntentLearned(GroupName group, PromotionIntent intent, StoreRevision revision)
+            implements FleetEvent {}
+
     /**
      * This VM learned the primary of a group from its own promotion or from a database.
      *
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -37,6 +37,7 @@
  * @param exchange last messages to the other VMs
  * @param ownership last published owners of the customers' rates
  * @param drain times by which sessions must have ended because this VM stops, or empty while it doesn't stop
+ * @param promotions promotion intents of the groups
  */
 public record FleetState(
         VmName self,
@@ -47,7 +48,8 @@
         FleetEvent.TrafficReported lastReport,
         PeerExchange exchange,
         RateOwnership ownership,
-        Optional<CallerDrain> drain) {
+        Optional<CallerDrain> drain,
+        TrackedPromotions promotions) {
     /**
      * Time for which a promotion requires a database that holds the last acknowledged commits. A crashed primary
      * usually returns with its log within seconds; after this time the group continues without it.
@@ -76,7 +78,8 @@
                 new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of()),
                 PeerExchange.initial(self),
                 RateOwnership.alone(self),
-                Optional.empty());
+                Optional.empty(),
+                TrackedPromotions.NONE);
     }
 
     /**
@@ -90,7 +93,7 @@
         List<FleetEffect> effects = new ArrayList<>();
         FleetState applied = apply(event, now, effects);
         applied.logAcknowledgedAtClaims(databases.claims(), now, effects);
-        FleetState next = applied.with(applied.databases.refresh(now, effects));
+        FleetState next = applied.with(applied.databases.refresh(now, effects)).refreshPromotions(now, effects);
         RateOwnership owners = next.peers.ownership(self, now);
         if (!next.hasSameViewAs(this)) {
             effects.add(new FleetEffect.PublishView(next.view(), owners));
@@ -289,7 +292,10 @@
                         lastReport,
                         exchange,
                         ownership,
-                        Optional.of(signalled.drain()));
+                        Optional.of(signalled.drain()),
+                        promotions);
+            case FleetEvent.PromotionIntentLearned learned ->
+                with(promotions.learn(learned.group(), learned.intent(), learned.revision()));
         };
     }
 
@@ -320,7 +326,8 @@
         }
         effects.add(new FleetEffect.Log(
                 "configuration in force", "version=" + newest.version() + " previous=" + configuration.version()));
-        return new FleetState(self, newest, databases, peers, acknowledged, lastReport, exchange, ownership, drain);
+        return new FleetState(
+                self, newest, databases, peers, acknowledged, lastReport, exchange, ownership, drain, promotions);
     }
 
     private FleetState receive(PeerMessage message, Instant now, List<FleetEffect> effects) {
@@ -339,28 +346,42 @@
         Map<GroupName, AcknowledgedPosition> next = new HashMap<>(acknowledged);
         positions.forEach((group, position) ->
                 next.merge(group, new AcknowledgedPosition(position, now), AcknowledgedPosition::laterOf));
-        return new FleetState(self, configuration, databases, peers, next, lastReport, exchange, ownership, drain);
+        return new FleetState(
+                self, configuration, databases, peers, next, lastReport, exchange, ownership, drain, promotions);
     }
 
     private FleetState with(FleetEvent.TrafficReported next) {
-        return new FleetState(self, configuration, databases, peers, acknowledged, next, exchange, ownership, drain);
+        return new FleetState(
+                self, configuration, databases, peers, acknowledged, next, exchange, ownership, drain, promotions);
     }
 
     private FleetState with(RateOwnership next) {
-        return new FleetState(self, configuration, databases, peers, acknowledged, lastReport, exchange, next, drain);
+        return new FleetState(
+                self, configuration, databases, peers, acknowledged, lastReport, exchange, next, drain, promotions);
     }
 
     private FleetState with(TrackedDatabases next) {
-        return new FleetState(self, configuration, next, peers, acknowledged, lastReport, exchange, ownership, drain);
+        return new FleetState(
+                self, configuration, next, peers, acknowledged, lastReport, exchange, ownership, drain, promotions);
     }
 
     private FleetState with(TrackedPeers next) {
         return new FleetState(
-                self, configuration, databases, next, acknowledged, lastReport, exchange, ownership, drain);
+                self, configuration, databases, next, acknowledged, lastReport, exchange, ownership, drain, promotions);
+    }
+
+    private FleetState refreshPromotions(Instant now, List<FleetEffect> effects) {
+        return with(promotions.refresh(this::members, this::newestTerm, now, effects));
+    }
+
+    private FleetState with(TrackedPromotions next) {
+        return new FleetState(
+                self, configuration, databases, peers, acknowledged, lastReport, exchange, ownership, drain, next);
     }
 
     private FleetState with(PeerExchange next) {
-        return new FleetState(self, configuration, databases, peers, acknowledged, lastReport, next, ownership, drain);
+        return new FleetState(
+                self, configuration, databases, peers, acknowledged, lastReport, next, ownership, drain, promotions);
     }
 
     /**
@@ -371,6 +392,7 @@
                 && databases.equals(other.databases)
                 && peers.addresses().equals(other.peers.addresses())
                 && peers.regions().equals(other.peers.regions())
+                && promotions.fences().equals(other.promotions.fences())
                 && drain.equals(other.drain);
     }
 
@@ -383,7 +405,8 @@
                 drain,
                 peers.addresses().size() + 1,
                 watchers().watchedBySelf(names),
-                watchers().sources(names));
+                watchers().sources(names),
+                promotions.fences());
     }
 
     private GroupWatchers watchers() {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -291,7 +291,7 @@
                 .orElseGet(() -> request(candidate, Optional.empty()));
     }
 
-    private Optional<String> contradiction(PromotionCandidate candidate) {
+    Optional<String> contradiction(PromotionCandidate candidate) {
         GroupSnapshot snapshot = attempt.snapshot();
         if (snapshot.newestTerm() >= attempt.term()) {
             return Optional.of("another database was promoted in term " + snapshot.newestTerm());
@@ -367,8 +367,13 @@
     }
 
     private void addIntent(PromotionCandidate candidate, PromotionIntent.Progress progress) {
-        effects.add(new PromotionEffect.RecordIntent(
-                new PromotionIntent(candidate.database(), attempt.term(), progress, Optional.of(attempt.id()), now)));
+        effects.add(new PromotionEffect.RecordIntent(new PromotionIntent(
+                candidate.database(),
+                attempt.term(),
+                progress,
+                Optional.of(candidate.received()),
+                Optional.of(attempt.id()),
+                now)));
     }
 
     private void send(Set<BackendServerName> databases, BackendCommand command) {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.geraniumproxy.core.directory.PromotionFence;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.LogPosition;
 
 /**
  * A promotion that is recorded in the store before the platform is asked for it. A request without an answer may still
@@ -13,11 +15,17 @@
  * @param target database to promote
  * @param term term with which the replicas were stopped
  * @param progress outcome of the request so far
+ * @param lastPosition end of the target's log when it was chosen, or empty if an earlier release recorded the intent
  * @param attempt attempt that chose the database, or empty if an earlier release recorded the intent
  * @param learnedAt time at which this VM learned of this progress; the request is sent shortly before or after it
  */
 public record PromotionIntent(
-        BackendServerName target, long term, Progress progress, Optional<AttemptId> attempt, Instant learnedAt) {
+        BackendServerName target,
+        long term,
+        Progress progress,
+        Optional<LogPosition> lastPosition,
+        Optional<AttemptId> attempt,
+        Instant learnedAt) {
     /** Outcome of a promotion request. */
     public enum Progress {
         /** The request may be sent from now on and has no answer yet. */
@@ -43,8 +51,28 @@
      * more.
      */
     boolean hasTakenEffect(GroupSnapshot snapshot) {
-        boolean leads = snapshot.primary().equals(Optional.of(target));
-        return leads ? snapshot.newestTerm() >= term : snapshot.newestTerm() > term;
+        return hasTakenEffect(snapshot.primary(), snapshot.newestTerm());
+    }
+
+    /**
+     * Returns whether the group shows that this promotion has taken effect.
+     *
+     * @param primary primary of the group as this VM knows it
+     * @param newestTerm newest term that any VM has seen
+     * @return true if its request changes nothing any more
+     */
+    public boolean hasTakenEffect(Optional<BackendServerName> primary, long newestTerm) {
+        boolean leads = primary.equals(Optional.of(target));
+        return leads ? newestTerm >= term : newestTerm > term;
+    }
+
+    /**
+     * Returns the bound that this promotion sets on the commits of the group.
+     *
+     * @return the bound, identified by the attempt
+     */
+    public PromotionFence fence() {
+        return new PromotionFence(attempt.map(AttemptId::toString).orElse("term-" + term), target, lastPosition);
     }
 
     /** Returns whether the promotion may be in progress, so that another attempt would interfere with it. */
@@ -67,9 +95,15 @@
         };
     }
 
-    /** Returns the intent with its age at this VM, for the log. */
-    String describe(Instant now) {
-        return "\"" + target + " term=" + term + " " + progress + " attempt="
+    /**
+     * Returns the intent with its age at this VM, for the log.
+     *
+     * @param now current time
+     * @return quoted text
+     */
+    public String describe(Instant now) {
+        return "\"" + target + " term=" + term + " " + progress + " lastPosition="
+                + lastPosition.map(PromotionChoice::text).orElse("unknown") + " attempt="
                 + attempt.map(AttemptId::toString).orElse("unknown") + " age="
                 + Duration.between(learnedAt, now).toMillis() + "ms\"";
     }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -10,14 +10,14 @@
 /** Phase of a promotion. */
 sealed interface PromotionPhase {
     /**
-     * Returns the phase with the newest state of the group. A promotion that was requested no longer depends on it, and
-     * answers to a query are compared with what was known when it was sent.
+     * Returns the phase with the newest state of the group. Answers to a query are compared with what was known when it
+     * was sent.
      *
      * @param latest state of the group at this time
      */
     default PromotionPhase refreshed(GroupSnapshot latest) {
         return switch (this) {
-            case Watching _, Querying _, Requesting _ -> this;
+            case Watching _, Querying _ -> this;
             case Inspecting phase -> new Inspecting(phase.attempt().refreshed(latest), phase.pending());
             case SteppingDown phase -> new SteppingDown(phase.attempt().refreshed(latest), phase.leadingTerm());
             case Stopping phase ->
@@ -28,6 +28,9 @@
                 new Verifying(phase.attempt().refreshed(latest), phase.pending(), phase.stopped(), phase.candidate());
             case RenewingToken phase -> new RenewingToken(phase.attempt().refreshed(latest), phase.candidate());
             case RecordingIntent phase -> new RecordingIntent(phase.attempt().refreshed(latest), phase.candidate());
+            case Requesting phase ->
+                new Requesting(
+                        phase.attempt().refreshed(latest), phase.candidate(), phase.retryAt(), phase.unansweredAt());
         };
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -114,7 +114,31 @@
             case PromotionEvent.SnapshotTaken taken -> phase.refreshed(taken.snapshot());
             default -> phase;
         };
-        return with(current, commands.on(event, now)).apply(event, now);
+        Transition<PromotionState, PromotionEffect> transition =
+                with(current, commands.on(event, now)).apply(event, now);
+        List<PromotionEffect> effects = new ArrayList<>(transition.effects());
+        logEvidenceAfterRequest(current, now, effects);
+        return Transition.to(transition.state(), effects);
+    }
+
+    /** Logs evidence that contradicts a request which has been sent, when it arrives. */
+    private void logEvidenceAfterRequest(PromotionPhase current, Instant now, List<PromotionEffect> effects) {
+        if (!(phase instanceof PromotionPhase.Requesting before)
+                || !(current instanceof PromotionPhase.Requesting after)) {
+            return;
+        }
+        Optional<String> contradiction =
+                new AttemptSteps(after.attempt(), now, effects).contradiction(after.candidate());
+        boolean isNew = !contradiction.equals(
+                new AttemptSteps(before.attempt(), now, effects).contradiction(before.candidate()));
+        contradiction
+                .filter(_ -> isNew)
+                .ifPresent(reason -> effects.add(new PromotionEffect.Log(
+                        "evidence changed after the request",
+                        "attempt=" + after.attempt().id() + " age="
+                                + Duration.between(after.attempt().startedAt(), now)
+                                        .toMillis() + "ms reason=\"" + reason
+                                + "\"")));
     }
 
     private Transition<PromotionState, PromotionEffect> apply(PromotionEvent event, Instant now) {
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -11,6 +11,7 @@
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.directory.PromotionFences;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.FailureDomain;
@@ -40,6 +41,7 @@
     private boolean keyConfigured = true;
     private Duration statementTimeout = TIMEOUT;
     private Optional<CallerDrain> drain = Optional.empty();
+    private Map<GroupName, PromotionFences> promotionFences = Map.of();
     private CallerSession session = CallerSession.create(1, Instant.EPOCH);
     private List<SessionEffect> effects = List.of();
 
@@ -78,6 +80,11 @@
         return this;
     }
 
+    CallerSessionFixture learnsPromotion(PromotionFences fences) {
+        promotionFences = Map.of(GROUP, fences);
+        return this;
+    }
+
     CallerSessionFixture advance(Duration duration) {
         now = now.plus(duration);
         return this;
@@ -172,7 +179,14 @@
         GroupDirectory directory =
                 new GroupDirectory(Map.of(PRIMARY, primary, REPLICA, replica), Optional.empty(), Map.of());
         TrafficView view = new TrafficView(
-                configuration(), Map.of(GROUP, directory), Map.of(), drain, 1, Set.of(GROUP), List.of());
+                configuration(),
+                Map.of(GROUP, directory),
+                Map.of(),
+                drain,
+                1,
+                Set.of(GROUP),
+                List.of(),
+                promotionFences);
         return new SessionContext(view, primaryHistory, Map.of(), now);
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -171,7 +171,8 @@
                 LATE.plus(PromotionState.LATE_REQUEST_TIMEOUT),
                 calm.commands(),
                 Optional.empty());
-        PromotionIntent taken = new PromotionIntent(name(1), 2, PromotionIntent.Progress.TAKEN, attempt(HOLDER), EARLY);
+        PromotionIntent taken = new PromotionIntent(
+                name(1), 2, PromotionIntent.Progress.TAKEN, Optional.empty(), attempt(HOLDER), EARLY);
         Group group = new Group(idle().databases(), 1, 2, 0, "");
         Store store = new Store(Optional.of(taken), 2, Optional.empty());
         return explore(start(group, Set.of(new Request(1, 1, 1, false)), store, new LeaseHolder(1, 1, state)));
@@ -183,7 +184,8 @@
      */
     boolean losesCommitAfterUnansweredIntent() {
         holderChanges = false;
-        PromotionIntent taken = new PromotionIntent(name(0), 2, PromotionIntent.Progress.TAKEN, attempt(HOLDER), EARLY);
+        PromotionIntent taken = new PromotionIntent(
+                name(0), 2, PromotionIntent.Progress.TAKEN, Optional.empty(), attempt(HOLDER), EARLY);
         IntentWrite late = new IntentWrite(openIntent(1, HOLDER), 0, 1);
         Store store = new Store(Optional.of(taken), 2, Optional.of(late));
         Group group = new Group(idle().databases(), 0, 2, 0, "");
@@ -287,7 +289,8 @@
     }
 
     private static PromotionIntent openIntent(int target, String holder) {
-        return new PromotionIntent(name(target), 2, PromotionIntent.Progress.OPEN, attempt(holder), EARLY);
+        return new PromotionIntent(
+                name(target), 2, PromotionIntent.Progress.OPEN, Optional.empty(), attempt(holder), EARLY);
     }
 
     private static Optional<AttemptId> attempt(String holder) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
@@ -194,7 +194,7 @@
 
     PromotionIntent openIntent(BackendServerName target, Optional<AttemptId> attempt) {
         Instant learnedAt = now.minus(PromotionState.SETTLING_TIME);
-        return new PromotionIntent(target, TERM, PromotionIntent.Progress.OPEN, attempt, learnedAt);
+        return new PromotionIntent(target, TERM, PromotionIntent.Progress.OPEN, Optional.empty(), attempt, learnedAt);
     }
 
     static DatabaseStatus leading(long position) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_on_Test.java
@@ -240,7 +240,8 @@
     /** Guards against a second attempt that stops replicas while the first promotion is in progress. */
     @Test
     void should_not_begin_an_attempt_while_the_last_promotion_is_settling() {
-        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.TAKEN, Optional.empty(), now));
+        intent = Optional.of(new PromotionIntent(
+                SECOND, TERM, PromotionIntent.Progress.TAKEN, Optional.empty(), Optional.empty(), now));
         begin();
         assertThat(sent(BackendCommand.StopReceiving.class), is(empty()));
         now = now.plus(PromotionState.SETTLING_TIME);
@@ -292,7 +293,8 @@
     /** Guards against a new holder that learns of the new primary from another VM before the promotion takes effect. */
     @Test
     void should_not_resume_replicas_while_a_request_of_an_earlier_holder_is_open() {
-        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.OPEN, Optional.empty(), now));
+        intent = Optional.of(new PromotionIntent(
+                SECOND, TERM, PromotionIntent.Progress.OPEN, Optional.empty(), Optional.empty(), now));
         reason = Optional.empty();
         now = now.plus(PromotionState.SETTLING_TIME);
         begin();
@@ -304,7 +306,8 @@
 
     @Test
     void should_not_resume_replicas_while_the_last_promotion_is_settling() {
-        intent = Optional.of(new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.TAKEN, Optional.empty(), now));
+        intent = Optional.of(new PromotionIntent(
+                SECOND, TERM, PromotionIntent.Progress.TAKEN, Optional.empty(), Optional.empty(), now));
         reason = Optional.empty();
         begin();
         assertThat(sent(BackendCommand.ReadStatus.class), is(empty()));
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_openIntent_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_openIntent_Test.java
@@ -33,8 +33,8 @@
 
     @Test
     void should_choose_freely_when_the_request_of_an_open_intent_has_taken_effect() {
-        intent = Optional.of(
-                new PromotionIntent(PRIMARY, TERM - 1, PromotionIntent.Progress.OPEN, Optional.of(OTHER_ATTEMPT), now));
+        intent = Optional.of(new PromotionIntent(
+                PRIMARY, TERM - 1, PromotionIntent.Progress.OPEN, Optional.empty(), Optional.of(OTHER_ATTEMPT), now));
         now = now.plus(PromotionState.SETTLING_TIME);
         requestAt(10, 12);
         assertThat(requestedPromotions(), containsInAnyOrder(THIRD));
@@ -83,8 +83,8 @@
     void should_write_the_intent_again_when_the_present_one_has_ended() {
         stopAt(12, 10);
         answerStopped(12, 10);
-        PromotionIntent earlier =
-                new PromotionIntent(THIRD, TERM - 1, PromotionIntent.Progress.TAKEN, Optional.of(OTHER_ATTEMPT), now);
+        PromotionIntent earlier = new PromotionIntent(
+                THIRD, TERM - 1, PromotionIntent.Progress.TAKEN, Optional.empty(), Optional.of(OTHER_ATTEMPT), now);
         on(new PromotionEvent.IntentRecorded(new IntentWriteResult.Superseded(Optional.of(earlier))));
         assertThat(effects.getFirst() instanceof PromotionEffect.RecordIntent, is(true));
         on(new PromotionEvent.IntentRecorded(new IntentWriteResult.Recorded()));
@@ -93,8 +93,8 @@
 
     @Test
     void should_choose_again_when_the_last_request_was_answered() {
-        intent = Optional.of(
-                new PromotionIntent(SECOND, TERM, PromotionIntent.Progress.TAKEN, Optional.empty(), LONG_AGO));
+        intent = Optional.of(new PromotionIntent(
+                SECOND, TERM, PromotionIntent.Progress.TAKEN, Optional.empty(), Optional.empty(), LONG_AGO));
         begin();
         assertThat(requestedPromotions(), is(empty()));
         assertThat(sent(BackendCommand.StopReceiving.class), containsInAnyOrder(SECOND, THIRD));
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -57,6 +57,7 @@
     private final DecisionLog log;
     private final Map<GroupName, PromotionState> states = new HashMap<>();
     private final Map<GroupName, String> postponedReasons = new HashMap<>();
+    private final Map<GroupName, PromotionIntent> loggedIntents = new HashMap<>();
 
     /** Decodes the status that a database reports in a reply. */
     @FunctionalInterface
@@ -104,7 +105,26 @@
         }
         FleetState state = control.state();
         for (ServiceGroup group : state.configuration().groups().values()) {
-            apply(group.name(), new PromotionEvent.TimePassed(snapshot(state, group)));
+            GroupSnapshot snapshot = snapshot(state, group);
+            logOpenIntent(group.name(), snapshot);
+            apply(group.name(), new PromotionEvent.TimePassed(snapshot));
+        }
+    }
+
+    /** Logs an intent that another holder left open, and what this holder knows of the group, once. */
+    private void logOpenIntent(GroupName group, GroupSnapshot snapshot) {
+        Optional<PromotionIntent> open =
+                snapshot.intent().filter(intent -> intent.progress() == PromotionIntent.Progress.OPEN);
+        boolean foreign = open.flatMap(PromotionIntent::attempt)
+                .filter(attempt -> attempt.holder().equals(platform.holder()))
+                .isEmpty();
+        if (open.isPresent() && foreign && !open.get().equals(loggedIntents.put(group, open.get()))) {
+            log(
+                    group,
+                    "open promotion intent of another holder",
+                    "intent=" + open.get().describe(clock.instant()) + " primary=" + snapshot.primary() + " reason="
+                            + snapshot.reason() + " newestTerm=" + snapshot.newestTerm() + " acknowledged="
+                            + snapshot.acknowledged());
         }
     }
 
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -214,7 +214,8 @@
                 Optional.empty(),
                 1,
                 Set.of(GROUP),
-                List.of());
+                List.of(),
+                Map.of());
     }
 
     /** Begins a stop in which transactions and statements have more time than any test takes. */
@@ -233,7 +234,8 @@
                 Optional.of(new CallerDrain(now, end, end)),
                 view.vmCount(),
                 view.watchedGroups(),
-                view.positionSources());
+                view.positionSources(),
+                view.promotionFences());
         engine.update(draining, RateOwnership.alone(VmName.of("vm-1")));
         var unused = engine.whenSessionsEnd();
     }
