Compare promoted logs with the commits that callers were told of

The promotion soak counted a commit as lost once its database had acknowledged it, also if the node answered the caller with INDOUBT or TIMEOUT, or was killed before it answered. Such a commit is not promised to anybody, and a node that withholds an acknowledgement would have been counted as one that loses it.

A promoted log is compared with the same commits as before, and a missing one counts if a caller was told that it is complete, at any time of the run, also after the promotion. Every commit that a caller was told of is still compared: its signature names the database and the statement.

--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupDatabase.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupDatabase.java
@@ -101,7 +101,7 @@
 
     @Override
     public Optional<String> commit(List<String> statements, long connection) throws InterruptedException {
-        return group.commit(id);
+        return group.commit(id, id + "." + statements.getLast());
     }
 
     @Override
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/Promotion.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/Promotion.java
@@ -30,10 +30,11 @@
      *
      * @param position position of the commit
      * @param database database that acknowledged it
+     * @param signature signature by which a caller is told of it
      * @param at time of the acknowledgement
      * @param holders databases that held the commit then
      */
-    record Acknowledgement(LogPosition position, String database, Instant at, List<String> holders) {
+    record Acknowledgement(LogPosition position, String database, String signature, Instant at, List<String> holders) {
         Acknowledgement {
             holders = List.copyOf(holders);
         }
@@ -48,6 +49,11 @@
         lost = List.copyOf(lost);
     }
 
+    /** Returns the promotion with other lost commits. */
+    Promotion withLost(List<Acknowledgement> newLost) {
+        return new Promotion(database, term, log, holder, requestedAt, at, newLost);
+    }
+
     /** Describes the lost commits, with times relative to the request. */
     String describeLoss() {
         return "LOST " + lost.size() + " commits: group=" + ReplicationGroup.SERVICE + " promoted=" + database
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
@@ -40,6 +40,7 @@
     private final SplittableRandom random;
     private final Map<String, Integer> delayMillis = new HashMap<>();
     private final List<Acknowledgement> acknowledged = new ArrayList<>();
+    private final Set<String> told = new HashSet<>();
     private final List<Promotion> promotions = new ArrayList<>();
     private final Map<Long, Instant> firstAcknowledged = new HashMap<>();
     private GroupState state = new GroupState(Map.of());
@@ -56,7 +57,16 @@
     }
 
     synchronized List<Promotion> promotions() {
-        return List.copyOf(promotions);
+        return promotions.stream()
+                .map(promotion -> promotion.withLost(promotion.lost().stream()
+                        .filter(commit -> told.contains(commit.signature()))
+                        .toList()))
+                .toList();
+    }
+
+    /** Records that a caller was told that a commit is complete. Others may be lost. */
+    synchronized void tell(String signature) {
+        told.add(signature);
     }
 
     /** Adds a database: the primary if there is none, otherwise a replica that holds the log of the primary. */
@@ -92,8 +102,13 @@
         catchUp(Set.of(id));
     }
 
-    /** Commits at a database. Returns the code of an error, or nothing once the commit is acknowledged. */
-    synchronized Optional<String> commit(String id) throws InterruptedException {
+    /**
+     * Commits at a database.
+     *
+     * @param signature signature by which a caller is told of the commit
+     * @return code of an error, or nothing once the database may acknowledge the commit
+     */
+    synchronized Optional<String> commit(String id, String signature) throws InterruptedException {
         if (!state.leads(id)) {
             return Optional.of("READONLY");
         }
@@ -113,7 +128,7 @@
                 .map(Map.Entry::getKey)
                 .sorted()
                 .toList();
-        acknowledged.add(new Acknowledgement(position, id, clock.instant(), holders));
+        acknowledged.add(new Acknowledgement(position, id, signature, clock.instant(), holders));
         firstAcknowledged.putIfAbsent(position.term().number(), clock.instant());
         notifyAll();
         return Optional.empty();
