Cut off the nodes that a cut names in the promotion soak

A database stand-in opened one address for each node in the order of a set, which differs from one start of the VM to the next, and looked the addresses up by the number of the node.

--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupDatabase.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupDatabase.java
@@ -31,7 +31,9 @@
     GroupDatabase(String id, ReplicationGroup group, PortAllocator ports, Executor executor) throws IOException {
         this.id = id;
         this.group = group;
-        for (int node : PromotionRun.NODES) {
+        // The list of servers is indexed by node, and the iteration order of a set is not defined.
+        for (int i = 0; i < PromotionRun.NODES.size(); i++) {
+            int node = i;
             ServerSocket server = new ServerSocket(ports.allocate(), 256, InetAddress.getLoopbackAddress());
             servers.add(server);
             executor.execute(() -> accept(server, node, executor));
