Reproduce commits that are lost while the request for a promotion stays open

The promotion soak had a platform that carries out each request at once. Meanwhile a replica joins, or crashes and comes back under a new id, whose entry reaches the store 200 ms after it receives; the holder is killed or frozen by SIGSTOP.

A run of these waits until the faults have ended and all copies have been carried out, and fails if no commit is acknowledged in the 12 s after that.

--- a/measure/src/main/java/org/geraniumproxy/measure/process/CloudApi.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/process/CloudApi.java
@@ -1,6 +1,6 @@
 package org.geraniumproxy.measure.process;
 
-/** Answers requests to promote a database. */
+/** Answers requests to promote a database. May take as long as a late platform does. */
 @FunctionalInterface
 public interface CloudApi {
     /**
@@ -11,6 +11,7 @@
      * @param holder name of the node that holds the duty
      * @param fencingToken number that increases with the holders of the duty
      * @return HTTP status of the answer: 200, or 409 if the request is refused
+     * @throws InterruptedException if the thread was interrupted before the request was handled
      */
-    int requestPromotion(String service, String database, String holder, long fencingToken);
+    int requestPromotion(String service, String database, String holder, long fencingToken) throws InterruptedException;
 }
--- a/measure/src/main/java/org/geraniumproxy/measure/process/NodeProcess.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/process/NodeProcess.java
@@ -139,8 +139,32 @@
      * @throws InterruptedException if the thread was interrupted
      */
     public void hangUp() throws IOException, InterruptedException {
+        signal("HUP");
+    }
+
+    /**
+     * Sends SIGSTOP if the process still runs. It does nothing until {@link #unfreeze}, and can be killed.
+     *
+     * @throws IOException if the signal cannot be sent
+     * @throws InterruptedException if the thread was interrupted
+     */
+    public void freeze() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
+    /**
+     * Sends SIGCONT if the process still runs.
+     *
+     * @throws IOException if the signal cannot be sent
+     * @throws InterruptedException if the thread was interrupted
+     */
+    public void unfreeze() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
         if (process.isAlive()) {
-            new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                     .start()
--- a/measure/src/main/java/org/geraniumproxy/measure/process/StoreStandIn.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/process/StoreStandIn.java
@@ -201,7 +201,7 @@
         return new String(Base64.getDecoder().decode(item.get("value").getAsString()), StandardCharsets.UTF_8);
     }
 
-    private int requestPromotion(HttpExchange exchange, String body) {
+    private int requestPromotion(HttpExchange exchange, String body) throws InterruptedException {
         JsonObject request = JsonParser.parseString(body).getAsJsonObject();
         return cloudApi.requestPromotion(
                 request.get("service").getAsString(),
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
@@ -10,13 +10,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Phaser;
 import java.util.random.RandomGenerator;
+import org.geraniumproxy.measure.process.NodeProcess;
 import org.geraniumproxy.measure.process.PortAllocator;
 import org.geraniumproxy.measure.process.StoreStandIn;
 import org.geraniumproxy.measure.promotion.Scenario.Departure;
 import org.geraniumproxy.measure.promotion.Scenario.Disturbance;
+import org.geraniumproxy.measure.promotion.Scenario.HolderFault;
 
 /** Replaces the primary of a group and disturbs the group meanwhile. Used by one thread. */
 final class GroupFaults implements AutoCloseable {
@@ -32,6 +34,9 @@
     /** Wait for the promotion after a cut, which is shorter and need not lead to one. */
     private static final Duration CUT_TIMEOUT = Duration.ofSeconds(12);
 
+    /** Wait for the promotion after an open request, and for the request itself. */
+    private static final Duration OPEN_REQUEST_TIMEOUT = Duration.ofSeconds(15);
+
     /** Time between the entry of a new replica and the notice of the primary. */
     private static final Duration SUCCESSOR_LEAD = Duration.ofMillis(1500);
 
@@ -40,6 +45,8 @@
 
     private final ReplicationGroup group;
     private final StoreStandIn store;
+    private final LateCloudApi cloudApi;
+    private final List<NodeProcess> nodes;
     private final PortAllocator ports;
     private final ExecutorService executor;
     private final Clock clock;
@@ -51,12 +58,16 @@
     GroupFaults(
             ReplicationGroup group,
             StoreStandIn store,
+            LateCloudApi cloudApi,
+            List<NodeProcess> nodes,
             Clock clock,
             PortAllocator ports,
             ExecutorService executor,
             RandomGenerator random) {
         this.group = group;
         this.store = store;
+        this.cloudApi = cloudApi;
+        this.nodes = nodes;
         this.clock = clock;
         this.ports = ports;
         this.executor = executor;
@@ -80,26 +91,34 @@
      */
     Optional<Duration> replace(Scenario.Name name, boolean last) throws IOException, InterruptedException {
         Scenario scenario = name.create(random);
-        CountDownLatch ended = new CountDownLatch(2);
+        Phaser ended = new Phaser(1);
         String primary = group.state().primary().orElseThrow();
         long term = group.state().find(primary).term();
         Instant departed = begin(scenario, primary, ended);
-        Optional<Instant> first = group.awaitAcknowledgedAfter(
-                term, scenario.departure() == Departure.CUT ? CUT_TIMEOUT : PROMOTION_TIMEOUT);
+        Optional<Instant> first = group.awaitAcknowledgedAfter(term, timeout(scenario, name));
+        if (name.hasOpenRequest()) {
+            ended.arriveAndAwaitAdvance();
+            cloudApi.awaitAllCarriedOut(); // a request that is still open may lose commits
+        }
         if (!last) {
-            ended.await();
+            ended.arriveAndAwaitAdvance();
             Thread.sleep(CATCH_UP_TIME); // a database that has just started proves nothing in a promotion
         }
         return first.map(at -> Duration.between(departed, at));
     }
 
+    private static Duration timeout(Scenario scenario, Scenario.Name name) {
+        return switch (scenario.departure()) {
+            case PLANNED, CRASH -> PROMOTION_TIMEOUT;
+            case CUT -> name.hasOpenRequest() ? OPEN_REQUEST_TIMEOUT : CUT_TIMEOUT;
+        };
+    }
+
     /** Returns the time of the departure. */
-    private Instant begin(Scenario scenario, String primary, CountDownLatch ended)
-            throws IOException, InterruptedException {
+    private Instant begin(Scenario scenario, String primary, Phaser ended) throws IOException, InterruptedException {
         switch (scenario.disturbance()) {
             case Disturbance.None _ -> {
                 startSuccessor(scenario.departure());
-                ended.countDown();
                 return depart(scenario.departure(), primary, ended);
             }
             case Disturbance.UnlistedSuccessor unlisted -> {
@@ -141,9 +160,76 @@
                 });
                 return depart(scenario.departure(), primary, ended);
             }
+            case Disturbance.OpenRequest open -> {
+                cloudApi.beginLateness(open.lateness());
+                Instant departed = cutOff(primary);
+                keepRequestOpen(open, primary, ended);
+                return departed;
+            }
+        }
+    }
+
+    /** Waits for a request and lets a replica appear while it is open. */
+    private void keepRequestOpen(Disturbance.OpenRequest open, String primary, Phaser ended)
+            throws IOException, InterruptedException {
+        Optional<LateCloudApi.Request> request = cloudApi.awaitFirst(OPEN_REQUEST_TIMEOUT);
+        if (request.isEmpty()) {
+            cloudApi.endLateness();
+            heal(primary);
+            return;
+        }
+        if (open.arrival().replacesReplica()) {
+            crashReplica(primary, request.get().database());
+        }
+        later(open.arrival().delay(), ended, () -> {
+            String joined = add(true);
+            confirmFirst(joined);
+            later(open.arrival().entryDelay(), ended, () -> registrar.setCutOff(joined, false));
+        });
+        later(open.lateness().longest(), ended, () -> {
+            cloudApi.endLateness();
+            confirmAlike();
+        });
+        NodeProcess holder = nodes.get(number(request.get().holder()));
+        switch (open.fault()) {
+            case HolderFault.None _ ->
+                later(Duration.ofMillis(random.nextInt(7000, 11_000)), ended, () -> heal(primary));
+            case HolderFault.Killed killed -> {
+                later(killed.delay(), ended, holder::kill);
+                later(killed.delay().plus(killed.healing()), ended, () -> heal(primary));
+                later(killed.delay().plus(killed.downtime()), ended, holder::start);
+            }
+            case HolderFault.Frozen frozen -> {
+                later(frozen.delay(), ended, holder::freeze);
+                later(frozen.delay().plus(frozen.healing()), ended, () -> heal(primary));
+                later(frozen.delay().plus(frozen.length()), ended, holder::unfreeze);
+            }
         }
     }
 
+    /** Crashes a replica other than the requested one. It doesn't come back under its identifier. */
+    private void crashReplica(String primary, String requested) throws IOException {
+        String replica = databases.keySet().stream()
+                .filter(id -> !id.equals(primary) && !id.equals(requested))
+                .filter(id -> group.state().find(id).running())
+                .sorted()
+                .findFirst()
+                .orElseThrow();
+        databases.get(replica).close();
+        group.change(state -> state.change(replica, DatabaseState::crashed));
+    }
+
+    /** Cuts the primary off from the holder and one more node. Returns the time. */
+    private Instant cutOff(String primary) throws IOException {
+        int holder = holder();
+        databases.get(primary).cutOff(Set.of(holder, (holder + 1) % PromotionRun.NODES.size()));
+        return clock.instant();
+    }
+
+    private void heal(String database) throws IOException {
+        databases.get(database).cutOff(Set.of());
+    }
+
     private void startSuccessor(Departure departure) throws IOException, InterruptedException {
         if (departure == Departure.PLANNED) {
             add(false);
@@ -151,7 +237,7 @@
         Thread.sleep(SUCCESSOR_LEAD);
     }
 
-    private Instant depart(Departure departure, String primary, CountDownLatch ended) throws IOException {
+    private Instant depart(Departure departure, String primary, Phaser ended) throws IOException {
         Instant departed = clock.instant();
         Step end = switch (departure) {
             case PLANNED -> {
@@ -171,9 +257,8 @@
                 };
             }
             case CUT -> {
-                int holder = holder();
-                databases.get(primary).cutOff(Set.of(holder, (holder + 1) % PromotionRun.NODES.size()));
-                yield () -> databases.get(primary).cutOff(Set.of());
+                cutOff(primary);
+                yield () -> heal(primary);
             }
         };
         later(Duration.ofMillis(random.nextInt(7000, 11_000)), ended, end);
@@ -199,11 +284,14 @@
     /** Returns the number of the node that holds the promotion lease, or any if there is none. */
     private int holder() {
         return store.find("duty/holder")
-                .map(value -> value.substring(PromotionRun.NODE_PREFIX.length(), value.indexOf('#')))
-                .map(Integer::valueOf)
+                .map(value -> number(value.substring(0, value.indexOf('#'))))
                 .orElse(0);
     }
 
+    private static int number(String node) {
+        return Integer.parseInt(node.substring(PromotionRun.NODE_PREFIX.length()));
+    }
+
     private String chooseReplica(String primary) {
         List<String> replicas = databases.keySet().stream()
                 .filter(id -> !id.equals(primary))
@@ -221,19 +309,21 @@
     }
 
     private interface Step {
-        void perform() throws IOException;
+        void perform() throws IOException, InterruptedException;
     }
 
-    private void later(Duration delay, CountDownLatch ended, Step step) {
+    private void later(Duration delay, Phaser ended, Step step) {
+        ended.register();
         executor.execute(() -> {
             try {
                 Thread.sleep(delay);
                 step.perform();
-                ended.countDown();
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
+            } finally {
+                ended.arriveAndDeregister();
             }
         });
     }
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/PromotionRun.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/PromotionRun.java
@@ -70,11 +70,9 @@
         List<NodeProcess> nodes = new ArrayList<>();
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
         ReplicationGroup group = new ReplicationGroup(clock, executor, random.split());
-        try (StoreStandIn store = new StoreStandIn(
-                        clock,
-                        storePort,
-                        (_, database, holder, token) -> group.requestPromotion(database, holder, token));
-                GroupFaults faults = new GroupFaults(group, store, clock, ports, executor, random)) {
+        LateCloudApi cloudApi = new LateCloudApi(group, clock, new SplittableRandom(~seed));
+        try (StoreStandIn store = new StoreStandIn(clock, storePort, cloudApi);
+                GroupFaults faults = new GroupFaults(group, store, cloudApi, nodes, clock, ports, executor, random)) {
             store.put("op/config", configuration());
             faults.addDatabases(3);
             for (int i = 0; i < NODES.size(); i++) {
@@ -118,6 +116,9 @@
                 } else if (scenario.needsPromotion()) {
                     failures.add("NO PROMOTION in replacement " + number);
                 }
+                if (scenario.hasOpenRequest() && !group.awaitTold(PRIMARY_TIMEOUT)) {
+                    failures.add("NO COMMIT after the faults of replacement " + number);
+                }
             }
             outcomes = load.outcomes();
         }
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
@@ -41,6 +41,7 @@
     private final Map<String, Integer> delayMillis = new HashMap<>();
     private final List<Acknowledgement> acknowledged = new ArrayList<>();
     private final Set<String> told = new HashSet<>();
+    private Instant lastTold = Instant.MIN;
     private final List<Promotion> promotions = new ArrayList<>();
     private final Map<Long, Instant> firstAcknowledged = new HashMap<>();
     private GroupState state = new GroupState(Map.of());
@@ -67,6 +68,21 @@
     /** Records that a caller was told that a commit is complete. Others may be lost. */
     synchronized void tell(String signature) {
         told.add(signature);
+        lastTold = clock.instant();
+        notifyAll();
+    }
+
+    /** Waits until a caller is told of a commit. Returns false at the timeout. */
+    synchronized boolean awaitTold(Duration timeout) throws InterruptedException {
+        Instant begin = clock.instant();
+        while (!lastTold.isAfter(begin)) {
+            Duration left = Duration.between(clock.instant(), begin.plus(timeout));
+            if (!left.isPositive()) {
+                return false;
+            }
+            wait(left.toMillis() + 1);
+        }
+        return true;
     }
 
     /** Adds a database: the primary if there is none, otherwise a replica that holds the log of the primary. */
@@ -143,15 +159,14 @@
         return state.find(id);
     }
 
-    /** Handles a request for a promotion, which takes effect 300 ms later. */
-    synchronized int requestPromotion(String id, String holder, long token) {
+    /** Carries out a request for a promotion that was sent at a time. It takes effect 300 ms later. */
+    synchronized int requestPromotion(String id, String holder, long token, Instant requestedAt) {
         DatabaseState target = state.find(id);
         if (token < newestToken || target == null || !target.running()) {
             return CONFLICT;
         }
         newestToken = token;
         if (!target.primary()) {
-            Instant requestedAt = clock.instant();
             later(PROMOTION_DELAY, () -> promote(id, holder, token, requestedAt));
         }
         return OK;
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/Scenario.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/Scenario.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.random.RandomGenerator;
+import org.geraniumproxy.measure.promotion.LateCloudApi.Lateness;
 
 /**
  * Replacement of a primary and what happens beside it.
@@ -49,6 +50,49 @@
          * @param delay time between a command and its effect
          */
         record LateCommands(Duration delay) implements Disturbance {}
+
+        /**
+         * The request for the promotion stays open. Before it takes effect, a replica appears that receives, and
+         * confirms before the others do.
+         *
+         * @param lateness how late requests are
+         * @param arrival the replica that appears
+         * @param fault what happens to the node that sent the request
+         */
+        record OpenRequest(Lateness lateness, Arrival arrival, HolderFault fault) implements Disturbance {}
+    }
+
+    /**
+     * Replica that appears while a request is open.
+     *
+     * @param delay time between the request and its start
+     * @param entryDelay time between its start and its entry
+     * @param replacesReplica whether a replica that is not the requested one crashes when the request is sent
+     */
+    record Arrival(Duration delay, Duration entryDelay, boolean replacesReplica) {}
+
+    /** What happens to the node that sent an open request. */
+    sealed interface HolderFault {
+        /** It can't reach the primary for some seconds. */
+        record None() implements HolderFault {}
+
+        /**
+         * It is killed. Soon after, the primary is reached by all.
+         *
+         * @param delay time between the request and its end
+         * @param downtime time until it is started again
+         * @param healing time between its end and the moment from which the primary is reached by all
+         */
+        record Killed(Duration delay, Duration downtime, Duration healing) implements HolderFault {}
+
+        /**
+         * It is stopped by SIGSTOP and goes on later. Soon after the stop, the primary is reached by all.
+         *
+         * @param delay time between the request and the stop
+         * @param length time until it goes on
+         * @param healing time between the stop and the moment from which the primary is reached by all
+         */
+        record Frozen(Duration delay, Duration length, Duration healing) implements HolderFault {}
     }
 
     /** Names of the scenarios. */
@@ -60,11 +104,24 @@
         EXPIRED_CRASH,
         EXPIRED_CUT,
         PRIMARY_CUT,
-        LATE_COMMANDS;
+        LATE_COMMANDS,
+        OPEN_REQUEST_JOIN,
+        OPEN_REQUEST_HOLDER_KILLED,
+        OPEN_REQUEST_HOLDER_FROZEN,
+        OPEN_REQUEST_RESTART;
 
         /** Returns whether callers wait for a promotion: not if the primary serves some of them and comes back. */
         boolean needsPromotion() {
-            return this != EXPIRED_CUT && this != PRIMARY_CUT;
+            return this != EXPIRED_CUT && this != PRIMARY_CUT && !hasOpenRequest();
+        }
+
+        /** Returns whether the request for the promotion stays open. */
+        boolean hasOpenRequest() {
+            return switch (this) {
+                case OPEN_REQUEST_JOIN, OPEN_REQUEST_HOLDER_KILLED, OPEN_REQUEST_HOLDER_FROZEN, OPEN_REQUEST_RESTART ->
+                    true;
+                default -> false;
+            };
         }
 
         /** Returns whether the primary leaves or crashes while all other databases answer. */
@@ -91,9 +148,39 @@
                     new Scenario(
                             Departure.PLANNED,
                             new Disturbance.LateCommands(Duration.ofMillis(random.nextInt(2000, 12_000))));
+                case OPEN_REQUEST_JOIN -> openRequest(seconds(random, 3, 8), false, new HolderFault.None(), random);
+                case OPEN_REQUEST_RESTART -> openRequest(seconds(random, 3, 8), true, new HolderFault.None(), random);
+                case OPEN_REQUEST_HOLDER_KILLED ->
+                    openRequest(
+                            new Lateness(millis(random, 3000, 6000), Duration.ofSeconds(6), Duration.ofSeconds(12)),
+                            false,
+                            new HolderFault.Killed(
+                                    millis(random, 300, 1000), millis(random, 3000, 6000), millis(random, 200, 800)),
+                            random);
+                case OPEN_REQUEST_HOLDER_FROZEN ->
+                    openRequest(
+                            new Lateness(millis(random, 3000, 6000), Duration.ofSeconds(6), Duration.ofSeconds(12)),
+                            false,
+                            new HolderFault.Frozen(
+                                    millis(random, 300, 1000), Duration.ofSeconds(4), millis(random, 200, 800)),
+                            random);
             };
         }
 
+        private static Scenario openRequest(
+                Lateness lateness, boolean replacesReplica, HolderFault fault, RandomGenerator random) {
+            Arrival arrival = new Arrival(millis(random, 200, 1000), Duration.ofMillis(200), replacesReplica);
+            return new Scenario(Departure.CUT, new Disturbance.OpenRequest(lateness, arrival, fault));
+        }
+
+        private static Lateness seconds(RandomGenerator random, int shortest, int longest) {
+            return new Lateness(millis(random, 2000, 6000), Duration.ofSeconds(shortest), Duration.ofSeconds(longest));
+        }
+
+        private static Duration millis(RandomGenerator random, int shortest, int longest) {
+            return Duration.ofMillis(random.nextInt(shortest, longest));
+        }
+
         private static Disturbance expired(RandomGenerator random) {
             return new Disturbance.ExpiredReplica(
                     Duration.ofMillis(random.nextInt(6300, 7500)),
--- a/measure/src/test/java/org/geraniumproxy/measure/promotion/PromotionSoak_run_Test.java
+++ b/measure/src/test/java/org/geraniumproxy/measure/promotion/PromotionSoak_run_Test.java
@@ -38,6 +38,24 @@
         assertThatNothingIsLost(Scenario.Name.EXPIRED_CUT);
     }
 
+    @Test
+    void should_keep_commits_that_a_joining_replica_confirmed_while_the_request_is_open() throws Exception {
+        // given a request that takes effect seconds late, while another node writes through the primary
+        assertThatNothingIsLost(Scenario.Name.OPEN_REQUEST_JOIN);
+    }
+
+    @Test
+    void should_keep_commits_that_a_restarted_replica_confirmed_while_the_request_is_open() throws Exception {
+        // given a stopped replica that comes back under a new id and receives before the request takes effect
+        assertThatNothingIsLost(Scenario.Name.OPEN_REQUEST_RESTART);
+    }
+
+    @Test
+    void should_keep_commits_that_were_acknowledged_after_the_holder_of_an_open_request_was_killed() throws Exception {
+        // given a primary that all nodes reach again before the request takes effect
+        assertThatNothingIsLost(Scenario.Name.OPEN_REQUEST_HOLDER_KILLED);
+    }
+
     private static void assertThatOrdinaryReplacementIsBrief(Scenario.Name scenario) throws Exception {
         PromotionResult result = play(scenario);
 
