Let open requests overlap in the promotion soak

OPEN_REQUEST_SERIES plays three of the scenarios with open requests in one replacement. The next begins up to 1.5 s after the first commit of the new primary, while copies of the earlier request are open, the killed holder is still down or the frozen one has just gone on. A run with an open request fails if the platform received no request, because it shows nothing then.

--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
@@ -40,6 +40,9 @@
     /** Time between the entry of a new replica and the notice of the primary. */
     private static final Duration SUCCESSOR_LEAD = Duration.ofMillis(1500);
 
+    /** Longest pause between replacements whose faults overlap, in milliseconds. */
+    private static final int LONGEST_OVERLAP_PAUSE_MILLIS = 1500;
+
     /** Longest time until a replica other than the first to confirm has received a commit, in milliseconds. */
     private static final int SLOW_MILLIS = 40;
 
@@ -90,12 +93,14 @@
      *     none was acknowledged
      */
     Optional<Duration> replace(Scenario.Name name, boolean last) throws IOException, InterruptedException {
-        Scenario scenario = name.create(random);
         Phaser ended = new Phaser(1);
-        String primary = group.state().primary().orElseThrow();
-        long term = group.state().find(primary).term();
-        Instant departed = begin(scenario, primary, ended);
-        Optional<Instant> first = group.awaitAcknowledgedAfter(term, timeout(scenario, name));
+        Optional<Duration> gap = replaceBeside(name, ended);
+        for (int i = 1; i < name.overlappingReplacements(); i++) {
+            Thread.sleep(random.nextInt(LONGEST_OVERLAP_PAUSE_MILLIS));
+            if (group.awaitPrimary(OPEN_REQUEST_TIMEOUT)) {
+                gap = replaceBeside(name, ended);
+            }
+        }
         if (name.hasOpenRequest()) {
             ended.arriveAndAwaitAdvance();
             cloudApi.awaitAllCarriedOut(); // a request that is still open may lose commits
@@ -104,7 +109,17 @@
             ended.arriveAndAwaitAdvance();
             Thread.sleep(CATCH_UP_TIME); // a database that has just started proves nothing in a promotion
         }
-        return first.map(at -> Duration.between(departed, at));
+        return gap;
+    }
+
+    /** Replaces the primary, and waits for the first commit afterwards but not for the end of the faults. */
+    private Optional<Duration> replaceBeside(Scenario.Name name, Phaser ended)
+            throws IOException, InterruptedException {
+        Scenario scenario = name.create(random);
+        String primary = group.state().primary().orElseThrow();
+        long term = group.state().find(primary).term();
+        Instant departed = begin(scenario, primary, ended);
+        return group.awaitAcknowledgedAfter(term, timeout(scenario, name)).map(at -> Duration.between(departed, at));
     }
 
     private static Duration timeout(Scenario scenario, Scenario.Name name) {
@@ -174,7 +189,7 @@
             throws IOException, InterruptedException {
         Optional<LateCloudApi.Request> request = cloudApi.awaitFirst(OPEN_REQUEST_TIMEOUT);
         if (request.isEmpty()) {
-            cloudApi.endLateness();
+            cloudApi.endLateness(open.lateness());
             heal(primary);
             return;
         }
@@ -187,7 +202,7 @@
             later(open.arrival().entryDelay(), ended, () -> registrar.setCutOff(joined, false));
         });
         later(open.lateness().longest(), ended, () -> {
-            cloudApi.endLateness();
+            cloudApi.endLateness(open.lateness());
             confirmAlike();
         });
         NodeProcess holder = nodes.get(number(request.get().holder()));
@@ -209,14 +224,15 @@
 
     /** Crashes a replica other than the requested one. It doesn't come back under its identifier. */
     private void crashReplica(String primary, String requested) throws IOException {
-        String replica = databases.keySet().stream()
+        Optional<String> replica = databases.keySet().stream()
                 .filter(id -> !id.equals(primary) && !id.equals(requested))
                 .filter(id -> group.state().find(id).running())
                 .sorted()
-                .findFirst()
-                .orElseThrow();
-        databases.get(replica).close();
-        group.change(state -> state.change(replica, DatabaseState::crashed));
+                .findFirst();
+        if (replica.isPresent()) {
+            databases.get(replica.get()).close();
+            group.change(state -> state.change(replica.get(), DatabaseState::crashed));
+        }
     }
 
     /** Cuts the primary off from the holder and one more node. Returns the time. */
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/LateCloudApi.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/LateCloudApi.java
@@ -55,9 +55,14 @@
         first = Optional.empty();
     }
 
-    /** Carries out new requests at once. Those that are open stay late. */
-    synchronized void endLateness() {
-        lateness = Optional.empty();
+    /** Carries out new requests at once, unless another lateness has begun. Those that are open stay late. */
+    synchronized void endLateness(Lateness ended) {
+        lateness = lateness.filter(current -> !current.equals(ended));
+    }
+
+    /** Returns whether a request was received since the beginning of the last lateness. */
+    synchronized boolean hasReceivedRequest() {
+        return first.isPresent();
     }
 
     /** Waits for the first request since the beginning of the lateness. Returns nothing at the timeout. */
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/PromotionRun.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/PromotionRun.java
@@ -88,7 +88,7 @@
                     failures.add("NODE " + node.name() + " was not ready " + START_TIMEOUT + " after its start");
                 }
             }
-            PromotionResult result = replace(nodes, group, faults);
+            PromotionResult result = replace(nodes, group, cloudApi, faults);
             Files.write(folder.resolve("findings.txt"), result.lines());
             return result;
         } finally {
@@ -99,7 +99,8 @@
         }
     }
 
-    private PromotionResult replace(List<NodeProcess> nodes, ReplicationGroup group, GroupFaults faults)
+    private PromotionResult replace(
+            List<NodeProcess> nodes, ReplicationGroup group, LateCloudApi cloudApi, GroupFaults faults)
             throws IOException, InterruptedException {
         List<Duration> gaps = new ArrayList<>();
         Map<String, Long> outcomes;
@@ -116,6 +117,9 @@
                 } else if (scenario.needsPromotion()) {
                     failures.add("NO PROMOTION in replacement " + number);
                 }
+                if (scenario.hasOpenRequest() && !cloudApi.hasReceivedRequest()) {
+                    failures.add("NO REQUEST in replacement " + number);
+                }
                 if (scenario.hasOpenRequest() && !group.awaitTold(PRIMARY_TIMEOUT)) {
                     failures.add("NO COMMIT after the faults of replacement " + number);
                 }
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/Scenario.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/Scenario.java
@@ -1,6 +1,7 @@
 package org.geraniumproxy.measure.promotion;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.random.RandomGenerator;
 import org.geraniumproxy.measure.promotion.LateCloudApi.Lateness;
 
@@ -108,7 +109,8 @@
         OPEN_REQUEST_JOIN,
         OPEN_REQUEST_HOLDER_KILLED,
         OPEN_REQUEST_HOLDER_FROZEN,
-        OPEN_REQUEST_RESTART;
+        OPEN_REQUEST_RESTART,
+        OPEN_REQUEST_SERIES;
 
         /** Returns whether callers wait for a promotion: not if the primary serves some of them and comes back. */
         boolean needsPromotion() {
@@ -118,12 +120,20 @@
         /** Returns whether the request for the promotion stays open. */
         boolean hasOpenRequest() {
             return switch (this) {
-                case OPEN_REQUEST_JOIN, OPEN_REQUEST_HOLDER_KILLED, OPEN_REQUEST_HOLDER_FROZEN, OPEN_REQUEST_RESTART ->
-                    true;
+                case OPEN_REQUEST_JOIN,
+                        OPEN_REQUEST_HOLDER_KILLED,
+                        OPEN_REQUEST_HOLDER_FROZEN,
+                        OPEN_REQUEST_RESTART,
+                        OPEN_REQUEST_SERIES -> true;
                 default -> false;
             };
         }
 
+        /** Returns how many replacements follow each other, the next before the faults of the last have ended. */
+        int overlappingReplacements() {
+            return this == OPEN_REQUEST_SERIES ? 3 : 1;
+        }
+
         /** Returns whether the primary leaves or crashes while all other databases answer. */
         boolean isOrdinary() {
             return this == ORDINARY_PLANNED || this == ORDINARY_CRASH;
@@ -164,9 +174,14 @@
                             new HolderFault.Frozen(
                                     millis(random, 300, 1000), Duration.ofSeconds(4), millis(random, 200, 800)),
                             random);
+                case OPEN_REQUEST_SERIES ->
+                    SERIES.get(random.nextInt(SERIES.size())).create(random);
             };
         }
 
+        private static final List<Name> SERIES = List.of(
+                OPEN_REQUEST_JOIN, OPEN_REQUEST_HOLDER_KILLED, OPEN_REQUEST_HOLDER_FROZEN, OPEN_REQUEST_RESTART);
+
         private static Scenario openRequest(
                 Lateness lateness, boolean replacesReplica, HolderFault fault, RandomGenerator random) {
             Arrival arrival = new Arrival(millis(random, 200, 1000), Duration.ofMillis(200), replacesReplica);
