Model databases that confirm commits between a promotion request and its effect

Callers saw acknowledged commits missing after a promotion whose request stayed open for seconds. The model did not reach it: no database joined, none restarted after its verification beside a primary that fails, and the next holder always saw a reason to replace the primary.

New beginnings: a database that joins beside a request, or beside a repeated one; a replica that restarts after its verification; and the last two beside a request of an earlier holder and a primary that serves.

--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -72,6 +72,15 @@
         EXPIRED_DATABASE
     }
 
+    /** Time at which a database joins that the holder does not know and that is not stopped. */
+    private enum Joining {
+        NEVER,
+        /** A request may take effect. */
+        BESIDE_REQUEST,
+        /** A request has been repeated without an answer, and each copy may take effect. */
+        BESIDE_REPEATED_REQUEST
+    }
+
     private static final String HOLDER = "vm-1";
     private static final String NEXT_HOLDER = "vm-2";
     private static final String EARLIER_HOLDER = "vm-0";
@@ -96,6 +105,11 @@
     private boolean holderChanges = true;
     private PromotionReason reasonWhileRunning = PromotionReason.LEAVING;
     private boolean lastEntryArrives;
+    private Joining joining = Joining.NEVER;
+    private boolean restartsOnlyAfterVerification;
+
+    /** The holder sees no reason to replace a primary that runs. */
+    private boolean primaryServes;
 
     /** Databases to which the lease holder can't send commands, while the others reach them. */
     private Set<Integer> unreachable = Set.of();
@@ -253,6 +267,64 @@
         return exploreBeside(Entry.EXPIRED, 0);
     }
 
+    /**
+     * As {@link #losesCommit}, with one lease holder, which takes a primary that runs for one that fails, while a
+     * database joins between the request and its effect.
+     */
+    boolean losesCommitBesideDatabaseThatJoins() {
+        return exploreJoining(Joining.BESIDE_REQUEST);
+    }
+
+    /** As {@link #losesCommitBesideDatabaseThatJoins}, after the request was repeated without an answer. */
+    boolean losesCommitBesideDatabaseThatJoinsAfterRepeatedRequest() {
+        return exploreJoining(Joining.BESIDE_REPEATED_REQUEST);
+    }
+
+    /**
+     * As {@link #losesCommit}, with one lease holder, which takes a primary that runs for one that fails, while a
+     * replica restarts between its verification and the effect of the request.
+     */
+    boolean losesCommitBesideReplicaThatRestarts() {
+        holderChanges = false;
+        restartsOnlyAfterVerification = true;
+        return explore(
+                start(idle(), Set.of(), NO_INTENT, newHolder(1)).with(new FaultCounts(MAXIMUM_ATTEMPTS - 1, 0, 1)));
+    }
+
+    /**
+     * As {@link #losesCommitBesideDatabaseThatJoins}, from the time at which the holder has lost the lease while its
+     * request is in flight, and the next one sees that the primary serves.
+     */
+    boolean losesCommitOfServingPrimaryBesideDatabaseThatJoins() {
+        joining = Joining.BESIDE_REQUEST;
+        lastEntryArrives = true;
+        return exploreServing(Entry.NOT_JOINED, 1);
+    }
+
+    /** As {@link #losesCommitOfServingPrimaryBesideDatabaseThatJoins}, while a stopped replica restarts instead. */
+    boolean losesCommitOfServingPrimaryBesideReplicaThatRestarts() {
+        restartsOnlyAfterVerification = true;
+        return exploreServing(Entry.PRESENT, 0);
+    }
+
+    private boolean exploreJoining(Joining time) {
+        holderChanges = false;
+        lastEntryArrives = true;
+        joining = time;
+        Group group = idle().with(LAST, new Database("", false, 0));
+        return explore(start(group, Set.of(), NO_INTENT.with(Entry.NOT_JOINED), newHolder(1))
+                .with(new FaultCounts(MAXIMUM_ATTEMPTS - 2, 1, 0)));
+    }
+
+    private boolean exploreServing(Entry lastEntry, int crashes) {
+        holderChanges = false;
+        primaryServes = true;
+        Group group = lastEntry == Entry.NOT_JOINED ? stopped(0).with(LAST, new Database("", false, 0)) : stopped(0);
+        Store store = new Store(Optional.of(openIntent(1, HOLDER)), 1, Optional.empty(), lastEntry);
+        return explore(start(group, Set.of(new Request(1, 1, 1, false)), store, newHolder(2))
+                .with(new FaultCounts(0, crashes, 0)));
+    }
+
     /**
      * Explores an idle group with one lease holder and two attempts, in which no database crashes.
      *
@@ -357,12 +429,27 @@
             carryOutRequest(state, request);
         }
         passTime(state);
+        join(state);
         if (lastEntryArrives && state.store().lastEntry() == Entry.ABSENT) {
             add(state.with(state.store().with(Entry.PRESENT)));
         }
         changeHolder(state);
     }
 
+    /** Starts the last database, which receives and confirms commits from then on. Its entry follows. */
+    private void join(PromotionModelState state) {
+        int requests = state.network().requests().size();
+        boolean joins = switch (joining) {
+            case NEVER -> false;
+            case BESIDE_REQUEST -> requests > 0;
+            case BESIDE_REPEATED_REQUEST -> requests > 1;
+        };
+        if (joins && state.store().lastEntry() == Entry.NOT_JOINED) {
+            add(state.with(state.group().with(LAST, new Database("", true, 0)))
+                    .with(state.store().with(Entry.ABSENT)));
+        }
+    }
+
     private void passTime(PromotionModelState state) {
         PromotionEvent passed = new PromotionEvent.TimePassed(snapshot(state.group(), state.store()));
         if (state.faultCounts().attempts() < MAXIMUM_ATTEMPTS) {
@@ -405,7 +492,11 @@
     }
 
     private void crashOrRestart(PromotionModelState state, int index) {
-        if (reasonWhileRunning == PromotionReason.FAILING && isVerificationBegun(state)) {
+        boolean begun = isVerificationBegun(state);
+        if (restartsOnlyAfterVerification ? !begun : reasonWhileRunning == PromotionReason.FAILING && begun) {
+            return;
+        }
+        if (index == LAST && state.store().lastEntry() == Entry.NOT_JOINED) {
             return;
         }
         Group group = state.group();
@@ -665,17 +756,19 @@
         switch (store.lastEntry()) {
             case PRESENT -> databases.put(name(LAST), entry(LAST));
             case EXPIRED -> suspected.put(name(LAST), entry(LAST));
-            case ABSENT -> {}
+            case ABSENT, NOT_JOINED -> {}
         }
         if (omittedRule == OmittedRule.DRAINED_DATABASE) {
             databases.remove(name(LAST));
         }
         boolean serves = group.databases().get(presumedPrimary).running() && !unreachable.contains(presumedPrimary);
+        Optional<PromotionReason> reason =
+                serves ? Optional.of(reasonWhileRunning) : Optional.of(PromotionReason.FAILING);
         return new GroupSnapshot(
                 databases,
                 omittedRule == OmittedRule.EXPIRED_DATABASE ? Map.of() : suspected,
                 Optional.of(name(presumedPrimary)),
-                Optional.of(serves ? reasonWhileRunning : PromotionReason.FAILING),
+                serves && primaryServes ? Optional.empty() : reason,
                 group.term(),
                 Set.of(),
                 omittedRule == OmittedRule.ALL_REPLICAS ? 2 : 1,
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModelState.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModelState.java
@@ -67,7 +67,9 @@
         /** It was present and is not any more. */
         EXPIRED,
         /** It has never been present. */
-        ABSENT
+        ABSENT,
+        /** It has never been present, and the database does not run yet. */
+        NOT_JOINED
     }
 
     /**
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
@@ -35,6 +35,19 @@
     private static final Beginning PRIMARY_UNREACHABLE = new Beginning(
             "an expired replica, both it and the primary unreachable",
             PromotionModel::losesCommitOfUnreachablePrimaryBesideExpiredReplica);
+    private static final Beginning JOINS =
+            new Beginning("a database that joins beside a request", PromotionModel::losesCommitBesideDatabaseThatJoins);
+    private static final Beginning JOINS_AFTER_REPETITION = new Beginning(
+            "a database that joins beside a repeated request",
+            PromotionModel::losesCommitBesideDatabaseThatJoinsAfterRepeatedRequest);
+    private static final Beginning RESTARTS =
+            new Beginning("a replica that restarts", PromotionModel::losesCommitBesideReplicaThatRestarts);
+    private static final Beginning SERVES_JOINS = new Beginning(
+            "a request of an earlier holder, a primary that serves and a database that joins",
+            PromotionModel::losesCommitOfServingPrimaryBesideDatabaseThatJoins);
+    private static final Beginning SERVES_RESTARTS = new Beginning(
+            "a request of an earlier holder, a primary that serves and a replica that restarts",
+            PromotionModel::losesCommitOfServingPrimaryBesideReplicaThatRestarts);
 
     /** Beginning from which the model explores. */
     private record Beginning(String description, Predicate<PromotionModel> losesCommit) {
@@ -75,6 +88,16 @@
                 .map(Arguments::of);
     }
 
+    static Stream<Arguments> openRequests() {
+        return Stream.of(
+                        JOINS.withFailingPrimary(),
+                        JOINS_AFTER_REPETITION.withFailingPrimary(),
+                        RESTARTS.withFailingPrimary(),
+                        SERVES_JOINS,
+                        SERVES_RESTARTS)
+                .map(Arguments::of);
+    }
+
     static Stream<Arguments> omittedRulesBesideUncountedReplica() {
         return Stream.of(
                 Arguments.of(OmittedRule.STEP_DOWN, UNLISTED),
@@ -124,6 +147,18 @@
         assertThat("lost after " + model.states() + " states: " + model.trace(), lost, is(false));
     }
 
+    /**
+     * Guards against a promotion whose proof ends with its request: a database that joins or restarts until the effect
+     * confirms commits that the promoted log lacks.
+     */
+    @ParameterizedTest
+    @MethodSource("openRequests")
+    void should_keep_commits_that_are_confirmed_between_request_and_effect(Beginning beginning) {
+        PromotionModel model = new PromotionModel(OmittedRule.NONE);
+        boolean lost = beginning.losesCommit().test(model);
+        assertThat("lost after " + model.states() + " states: " + model.trace(), lost, is(false));
+    }
+
     /** Guards against a design that loses nothing because it never replaces a primary that can step down. */
     @Test
     void should_promote_beside_an_unlisted_replica() {
