Tell callers of no commit that a promotion in progress may lack

Callers saw writes acknowledged that the promoted database did not have. A database that joins or restarts in between confirms further commits of the old primary, and nodes passed them on although they had read the open intent.

A node now enforces the promotions that it knows of. Open means until the target is known to lead, the request was refused, or no copy of it can take effect any more. So the evidence of the choice stays true whichever databases confirm, and no list of them is needed.

--- a/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
@@ -2,9 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
-import org.geraniumproxy.core.directory.PromotionFences;
-import org.geraniumproxy.core.identity.LogPosition;
 
 /** Handles the replies of a database to the commands of a session. */
 final class ReplyHandler {
@@ -99,11 +96,15 @@
         boolean commits = current.isCommit() || (autocommit && !current.isRead());
         boolean wrote = session.transaction().map(OpenTransaction::hasWritten).orElse(false)
                 || !(current.isRead() || current.isCommit());
+        boolean lacking = commits && wrote && PromotionHold.isLacking(session, slot, reply.position(), context);
         Duration latency = Duration.between(slot.sentAt(), context.now());
         SlotEffects.reportObservation(
                 session,
-                new DatabaseObservation.Answered(slot.placement().database(), latency, commits && wrote),
+                new DatabaseObservation.Answered(slot.placement().database(), latency, commits && wrote && !lacking),
                 effects);
+        if (lacking) {
+            return PromotionHold.withhold(session, slot, replies, context, effects);
+        }
         if (autocommit || current.isCommit()) {
             if (autocommit) {
                 SlotEffects.recordPrimaryPosition(
@@ -111,7 +112,6 @@
             }
             if (commits && wrote) {
                 SlotEffects.recordAcknowledgedCommit(session, slot, effects);
-                logCommitBeyondPromotion(session, slot, reply.position(), context, effects);
             }
             SlotEffects.releaseSlot(slot, replies.getLast().transactionState(), effects);
             CallerSession ended = session.withoutTransaction();
@@ -128,24 +128,6 @@
         return StatementCompletion.finish(session.with(open), reply.rows(), reply.result(), reply.position(), effects);
     }
 
-    private static void logCommitBeyondPromotion(
-            CallerSession session,
-            SessionProgress.HeldSlot slot,
-            Optional<LogPosition> position,
-            SessionContext context,
-            List<SessionEffect> effects) {
-        CurrentStatement current = session.currentStatement().orElseThrow();
-        PromotionFences fences = context.view().fencesOf(current.route().group());
-        if (!fences.mayAcknowledge(slot.placement().database(), position)) {
-            effects.add(new SessionEffect.Log(
-                    current.requestId(),
-                    "commit acknowledged beyond a promotion",
-                    "database=" + slot.placement().database() + " position="
-                            + position.map(LogPosition::toString).orElse("unknown") + " open=" + fences.open()
-                            + " fence=" + fences.newest().orElseThrow()));
-        }
-    }
-
     private static CallerSession autocommitFailed(
             CallerSession session,
             SessionProgress.HeldSlot slot,
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
@@ -29,6 +29,9 @@
             return StatementCompletion.failWithRollback(
                     session, ErrorCode.UNKNOWN_KEY, "the key was withdrawn before the statement was sent", effects);
         }
+        if (PromotionHold.isHeld(session, context)) {
+            return PromotionHold.hold(session, context, effects);
+        }
         Optional<OpenTransaction.PinnedConnection> pinned =
                 session.transaction().flatMap(OpenTransaction::pinnedConnection);
         if (pinned.isPresent()) {
@@ -67,6 +70,10 @@
         }
         CurrentStatement current = session.currentStatement().orElseThrow();
         Placement placement = waiting.placement();
+        if (PromotionHold.isHeld(session, context)) {
+            returnUnusedSlot(session, granted, placement, effects);
+            return PromotionHold.hold(session, context, effects);
+        }
         ConnectionState.Synchronization synchronization =
                 granted.connectionState().synchronizeWith(session.sessionState(), current.template());
         List<BackendCommand> commands = new ArrayList<>(synchronization.commands());
@@ -95,6 +102,16 @@
         return session.with(new SessionProgress.PreparingConnection(slot, beginsTransaction));
     }
 
+    /** Releases a granted slot. The connection of a transaction stays pinned. */
+    private static void returnUnusedSlot(
+            CallerSession session, SessionEvent.SlotGranted granted, Placement placement, List<SessionEffect> effects) {
+        effects.add(new SessionEffect.ReleaseSlot(placement.database(), granted.slotRequestId()));
+        if (session.transaction().flatMap(OpenTransaction::pinnedConnection).isEmpty()) {
+            effects.add(new SessionEffect.ReturnConnection(
+                    placement.database(), granted.connectionId(), granted.connectionState(), false));
+        }
+    }
+
     static CallerSession slotRefused(
             CallerSession session,
             SessionEvent.SlotRefused refused,
--- a/core/src/main/java/org/geraniumproxy/core/directory/PromotionFence.java
+++ b/core/src/main/java/org/geraniumproxy/core/directory/PromotionFence.java
@@ -21,9 +21,14 @@
         Objects.requireNonNull(lastPosition, "lastPosition");
     }
 
-    /** Returns whether the promoted log holds the commits up to a position. */
+    /**
+     * Returns whether the promoted log is known to hold the commits up to a position. It need not hold all commits of
+     * earlier terms, of which another promotion may have cut off the end.
+     */
     boolean covers(Optional<LogPosition> position) {
-        return position.flatMap(known -> lastPosition.filter(last -> known.compareTo(last) <= 0))
+        return position.filter(known -> lastPosition
+                        .filter(last -> last.term().equals(known.term()) && last.compareTo(known) >= 0)
+                        .isPresent())
                 .isPresent();
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/directory/PromotionFences.java
+++ b/core/src/main/java/org/geraniumproxy/core/directory/PromotionFences.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.core.directory;
 
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import org.geraniumproxy.core.identity.BackendServerName;
@@ -11,11 +12,11 @@
  * acknowledged, whichever databases confirm it.
  *
  * @param fences decided promotions that were not refused, oldest first
- * @param open whether the newest one may still take effect
+ * @param openSince time at which this VM learned of the newest one, if that may still take effect
  */
-public record PromotionFences(List<PromotionFence> fences, boolean open) {
+public record PromotionFences(List<PromotionFence> fences, Optional<Instant> openSince) {
     /** No promotion is known. */
-    public static final PromotionFences NONE = new PromotionFences(List.of(), false);
+    public static final PromotionFences NONE = new PromotionFences(List.of(), Optional.empty());
 
     /**
      * Copies the list.
@@ -24,11 +25,20 @@
      */
     public PromotionFences {
         fences = List.copyOf(fences);
-        if (open && fences.isEmpty()) {
+        if (openSince.isPresent() && fences.isEmpty()) {
             throw new IllegalArgumentException("no promotion can be open because none is known");
         }
     }
 
+    /**
+     * Returns whether the newest promotion may still take effect.
+     *
+     * @return true until it is known to have taken effect or to have been refused
+     */
+    public boolean isOpen() {
+        return openSince.isPresent();
+    }
+
     /**
      * Returns the newest promotion.
      *
@@ -50,7 +60,7 @@
     public boolean mayAcknowledge(BackendServerName database, Optional<LogPosition> position) {
         for (int index = fences.size() - 1; index >= 0; index--) {
             PromotionFence fence = fences.get(index);
-            boolean undecided = open && index == fences.size() - 1;
+            boolean undecided = isOpen() && index == fences.size() - 1;
             if (fence.target().equals(database) && !undecided) {
                 return true;
             }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotion.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotion.java
@@ -16,12 +16,12 @@
  *
  * @param intent newest intent
  * @param revision revision of the store at which it was recorded
- * @param earlier fences of earlier promotions that were not refused, oldest first
+ * @param earlier earlier intents that were not refused, oldest first
  */
-record TrackedPromotion(PromotionIntent intent, StoreRevision revision, List<PromotionFence> earlier) {
+record TrackedPromotion(PromotionIntent intent, StoreRevision revision, List<PromotionIntent> earlier) {
     /**
-     * Number of earlier promotions that are remembered. An answer of a database that has lost the lead arrives within
-     * the time limit of a statement, in which a group changes its primary once or twice.
+     * Number of earlier intents that are remembered. An answer of a database that has lost the lead arrives within the
+     * time limit of a statement, in which a group changes its primary once or twice.
      */
     private static final int MAXIMUM_EARLIER = 8;
 
@@ -35,37 +35,52 @@
 
     /** Returns the state after a newer intent of the group was recorded. */
     TrackedPromotion replacedBy(PromotionIntent next, StoreRevision nextRevision) {
-        List<PromotionFence> fences = new ArrayList<>(earlier);
-        if (intent.progress() != PromotionIntent.Progress.REFUSED) {
-            fences.add(intent.fence());
+        List<PromotionIntent> remaining = new ArrayList<>(earlier);
+        remaining.add(intent);
+        remaining.removeIf(known -> known.progress() == PromotionIntent.Progress.REFUSED
+                || known.fence().promotion().equals(next.fence().promotion()));
+        if (next.progress() == PromotionIntent.Progress.REFUSED) {
+            // An intent is refused only when no copy of an earlier request can take effect any more.
+            remaining = onlyTaken(remaining);
         }
-        fences.removeIf(fence -> fence.promotion().equals(next.fence().promotion()));
-        if (fences.size() > MAXIMUM_EARLIER) {
-            fences = fences.subList(fences.size() - MAXIMUM_EARLIER, fences.size());
-        }
-        return new TrackedPromotion(next, nextRevision, fences);
-    }
-
-    /** Returns whether the request may still take effect and is not known to have done so. */
-    boolean isOpen(GroupDirectory directory, long newestTerm, Instant now) {
-        return intent.progress() == PromotionIntent.Progress.OPEN
-                && intent.mayTakeEffect(now)
-                && !hasTakenEffect(directory, newestTerm);
+        int first = Math.max(0, remaining.size() - MAXIMUM_EARLIER);
+        return new TrackedPromotion(next, nextRevision, remaining.subList(first, remaining.size()));
     }
 
     /** Returns the bounds on the commits of the group at this time. */
     PromotionFences fences(GroupDirectory directory, long newestTerm, Instant now) {
-        boolean open = isOpen(directory, newestTerm, now);
-        boolean inForce = switch (intent.progress()) {
-            case OPEN -> open || hasTakenEffect(directory, newestTerm);
-            case TAKEN -> true;
-            case REFUSED -> false;
+        return switch (intent.progress()) {
+            case REFUSED -> settled(earlier);
+            case TAKEN -> isOvertaken(directory) ? PromotionFences.NONE : settled(withIntent());
+            case OPEN -> {
+                if (hasTakenEffect(directory, newestTerm)) {
+                    yield settled(withIntent());
+                }
+                yield intent.mayTakeEffect(now)
+                        ? new PromotionFences(toFences(withIntent()), Optional.of(intent.learnedAt()))
+                        : settled(onlyTaken(earlier));
+            }
         };
-        List<PromotionFence> fences = new ArrayList<>(earlier);
-        if (inForce) {
-            fences.add(intent.fence());
-        }
-        return new PromotionFences(fences, open);
+    }
+
+    private static PromotionFences settled(List<PromotionIntent> intents) {
+        return new PromotionFences(toFences(intents), Optional.empty());
+    }
+
+    private List<PromotionIntent> withIntent() {
+        List<PromotionIntent> all = new ArrayList<>(earlier);
+        all.add(intent);
+        return all;
+    }
+
+    private static List<PromotionIntent> onlyTaken(List<PromotionIntent> intents) {
+        return intents.stream()
+                .filter(known -> known.progress() == PromotionIntent.Progress.TAKEN)
+                .toList();
+    }
+
+    private static List<PromotionFence> toFences(List<PromotionIntent> intents) {
+        return intents.stream().map(PromotionIntent::fence).toList();
     }
 
     /**
@@ -79,4 +94,13 @@
                 .isPresent();
         return reported || intent.hasTakenEffect(directory.primary().map(DatabaseEntry::name), newestTerm);
     }
+
+    /** Returns whether another database was found to lead since the promotion was accepted. */
+    private boolean isOvertaken(GroupDirectory directory) {
+        return directory
+                .claim()
+                .filter(claim -> claim.term() > intent.term())
+                .filter(claim -> !claim.database().equals(intent.target()))
+                .isPresent();
+    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
@@ -55,9 +55,9 @@
             if (!changed.equals(previous)) {
                 effects.add(new FleetEffect.Log(
                         "promotion fence changed",
-                        "group=" + group + " open=" + changed.open() + " fence="
+                        "group=" + group + " open=" + changed.isOpen() + " fence="
                                 + changed.newest().map(PromotionFence::toString).orElse("none") + " previouslyOpen="
-                                + previous.open()));
+                                + previous.isOpen()));
             }
         });
         return new TrackedPromotions(byGroup, next);
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
@@ -55,15 +55,15 @@
     }
 
     /**
-     * Returns whether the group shows that this promotion has taken effect.
+     * Returns whether the group shows that this promotion has taken effect. A greater term of another database is no
+     * evidence, because holders count terms on from the newest one that they know.
      *
      * @param primary primary of the group as this VM knows it
      * @param newestTerm newest term that any VM has seen
      * @return true if its request changes nothing any more
      */
     public boolean hasTakenEffect(Optional<BackendServerName> primary, long newestTerm) {
-        boolean leads = primary.equals(Optional.of(target));
-        return leads ? newestTerm >= term : newestTerm > term;
+        return primary.equals(Optional.of(target)) && newestTerm >= term;
     }
 
     /**
--- a/core/src/test/java/org/geraniumproxy/core/directory/PromotionFences_mayAcknowledge_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/directory/PromotionFences_mayAcknowledge_Test.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import org.geraniumproxy.core.identity.BackendServerName;
@@ -35,6 +36,12 @@
         assertThat(mayAcknowledge(open(TO_NEXT), OLD, 1, 26), is(false));
     }
 
+    /** Guards against a VM that knows only the second of two promotions, because it started in between. */
+    @Test
+    void should_withhold_a_commit_of_an_earlier_term_than_the_chosen_log() {
+        assertThat(mayAcknowledge(settled(TO_THIRD), OLD, 1, 25), is(false));
+    }
+
     @Test
     void should_withhold_a_commit_without_a_position() {
         assertThat(open(TO_NEXT).mayAcknowledge(OLD, Optional.empty()), is(false));
@@ -80,11 +87,11 @@
     }
 
     private static PromotionFences open(PromotionFence... fences) {
-        return new PromotionFences(List.of(fences), true);
+        return new PromotionFences(List.of(fences), Optional.of(Instant.EPOCH));
     }
 
     private static PromotionFences settled(PromotionFence... fences) {
-        return new PromotionFences(List.of(fences), false);
+        return new PromotionFences(List.of(fences), Optional.empty());
     }
 
     private static PromotionFence fence(String promotion, BackendServerName target, LogPosition lastPosition) {
