--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEffect.java
@@ -44,6 +44,9 @@
      */
     record FetchConfiguration(VmName vm, String address, long version) implements FleetEffect {}
 
+    /** Evaluates the promotions in progress, because a VM has confirmed that it enforces one, or is out of contact. */
+    record EvaluatePromotions() implements FleetEffect {}
+
     /**
      * Logs a change of the known state.
      *
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -92,17 +92,20 @@
      * @param health how each database has responded to this VM
      * @param newestTerms newest term of each group that a primary reported
      * @param acknowledged last position of each group that was acknowledged to callers of this VM
+     * @param enforced newest promotion of each group that the traffic thread enforces
      */
     record TrafficReported(
             Map<BackendServerName, DatabaseHealth> health,
             Map<GroupName, Long> newestTerms,
-            Map<GroupName, LogPosition> acknowledged)
+            Map<GroupName, LogPosition> acknowledged,
+            Map<GroupName, String> enforced)
             implements FleetEvent {
         /** Copies the maps. */
         public TrafficReported {
             health = Map.copyOf(health);
             newestTerms = Map.copyOf(newestTerms);
             acknowledged = Map.copyOf(acknowledged);
+            enforced = Map.copyOf(enforced);
         }
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,6 +23,7 @@
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.limit.RateOwnership;
+import org.geraniumproxy.core.promotion.PromotionIntent;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 
 /**
@@ -75,7 +77,7 @@
                 TrackedDatabases.empty(timing),
                 TrackedPeers.EMPTY,
                 Map.of(),
-                new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of()),
+                new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of(), Map.of()),
                 PeerExchange.initial(self),
                 RateOwnership.alone(self),
                 Optional.empty(),
@@ -101,7 +103,10 @@
             effects.add(new FleetEffect.PublishOwnership(owners));
         }
         next = next.with(owners);
-        if (event instanceof FleetEvent.TrafficReported) {
+        if (!next.enforcements(now).equals(enforcements(now))) {
+            effects.add(new FleetEffect.EvaluatePromotions());
+        }
+        if (event instanceof FleetEvent.TrafficReported || !next.notices(now).equals(notices(now))) {
             next = next.with(next.exchange.send(next.createMessage(now), next.peers, now, effects));
         }
         return Transition.to(next, effects);
@@ -339,7 +344,15 @@
         for (Map.Entry<GroupName, PrimaryClaim> claim : message.claims().entrySet()) {
             updated = updated.addClaim(claim.getKey(), claim.getValue(), effects);
         }
-        return with(peers.receive(message, now)).with(updated).withAcknowledged(message.acknowledged(), now);
+        TrackedPromotions learned = promotions;
+        for (Map.Entry<GroupName, PromotionNotice> entry : message.promotions().entrySet()) {
+            PromotionNotice notice = entry.getValue();
+            learned = learned.learn(entry.getKey(), notice.intent().learnedAt(now), notice.revision());
+        }
+        return with(peers.receive(message, now))
+                .with(updated)
+                .with(learned)
+                .withAcknowledged(message.acknowledged(), now);
     }
 
     private FleetState withAcknowledged(Map<GroupName, LogPosition> positions, Instant now) {
@@ -430,7 +443,62 @@
                 commitsFailing,
                 lastReport.newestTerms(),
                 positions,
-                databases.claims());
+                databases.claims(),
+                notices(now));
+    }
+
+    private Map<GroupName, PromotionNotice> notices(Instant now) {
+        return promotions.notices(lastReport.enforced(), now);
+    }
+
+    /** Returns the VMs in contact that enforce an open promotion, by promotion. */
+    private Map<String, Set<VmName>> enforcements(Instant now) {
+        Map<String, Set<VmName>> enforcements = new HashMap<>();
+        promotions
+                .fences()
+                .forEach((group, fences) -> fences.newest()
+                        .filter(_ -> fences.isOpen())
+                        .ifPresent(fence ->
+                                enforcements.put(fence.promotion(), enforcing(group, fence.promotion(), now))));
+        return enforcements;
+    }
+
+    private Set<VmName> enforcing(GroupName group, String promotion, Instant now) {
+        Set<VmName> enforcing = peers.reachable(now).stream()
+                .map(TimestampedPeerMessage::message)
+                .filter(message -> message.enforces(group, promotion))
+                .map(PeerMessage::sender)
+                .collect(Collectors.toSet());
+        if (promotion.equals(lastReport.enforced().get(group))) {
+            enforcing.add(self);
+        }
+        return enforcing;
+    }
+
+    /**
+     * Returns a promotion intent with what this VM knows of its effect.
+     *
+     * @param group group of the intent
+     * @param intent intent as it stands in the store
+     * @return the intent, as taken if its target was seen to lead by it
+     */
+    public PromotionIntent withEffect(GroupName group, PromotionIntent intent) {
+        return promotions.isInEffect(group, intent) ? intent.taken() : intent;
+    }
+
+    /**
+     * Returns the VMs in contact, this one included, that have not confirmed that they enforce a promotion.
+     *
+     * @param group group of the promotion
+     * @param promotion identifies the promotion
+     * @param now current time
+     * @return names of VMs that may tell callers of commits that the promotion does not cover
+     */
+    public Set<VmName> unfenced(GroupName group, String promotion, Instant now) {
+        Set<VmName> unfenced = new HashSet<>(reachablePeers(now));
+        unfenced.add(self);
+        unfenced.removeAll(enforcing(group, promotion, now));
+        return unfenced;
     }
 
     private static boolean isAtLeast(Duration duration, Duration minimum) {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/PeerExchange.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PeerExchange.java
@@ -58,7 +58,10 @@
         return new PeerExchange(holder, lastReport, lastHeartbeat, informed, claimsChangedAt);
     }
 
-    /** Sends the messages that are due. Failing databases are reported each time, because a promotion waits for it. */
+    /**
+     * Sends the messages that are due. Failing databases and open promotions are reported each time, because a
+     * promotion waits for it. The lease holder tells all VMs of a promotion at once.
+     */
     PeerExchange send(PeerMessage message, TrackedPeers peers, Instant now, List<FleetEffect> effects) {
         PeerExchange next = this;
         if (!message.claims().equals(lastReport.message().claims())) {
@@ -70,7 +73,10 @@
     private PeerExchange sendReport(PeerMessage message, TrackedPeers peers, Instant now, List<FleetEffect> effects) {
         Set<VmName> concerned = concerned(message.sender(), peers);
         boolean changed = message.hasSignificantChangeSince(lastReport.message()) || !informed.containsAll(concerned);
-        boolean due = message.reportsFailures() || isDue(lastReport, changed, peers, now);
+        boolean urgent = message.reportsFailures()
+                || message.reportsOpenPromotion()
+                || !message.promotions().equals(lastReport.message().promotions());
+        boolean due = urgent || isDue(lastReport, changed, peers, now);
         if (!due) {
             return this;
         }
@@ -86,10 +92,14 @@
         Duration repetition = peers.messageInterval().multipliedBy(CLAIM_REPETITIONS);
         boolean claimsAreNew = claimsChangedAt.isAfter(now.minus(repetition));
         PeerMessage heartbeat = message.toHeartbeat(claimsAreNew);
+        boolean promotionsChanged =
+                !heartbeat.promotions().equals(lastHeartbeat.message().promotions());
         boolean changed = !heartbeat.hasSameHeaderAs(lastHeartbeat.message())
+                || promotionsChanged
                 || (claimsAreNew
                         && !heartbeat.claims().equals(lastHeartbeat.message().claims()));
-        if (!isDue(lastHeartbeat, changed, peers, now)) {
+        boolean urgent = promotionsChanged && leaseHolder.equals(Optional.of(message.sender()));
+        if (!urgent && !isDue(lastHeartbeat, changed, peers, now)) {
             return this;
         }
         addEffect(heartbeat, others, peers, effects);
--- a/core/src/main/java/org/geraniumproxy/core/fleet/PeerMessage.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.promotion.PromotionIntent;
 
 /**
  * State that a VM sends to other VMs at regular intervals. Each message is complete, so the next one makes up for a
@@ -20,6 +21,7 @@
  * @param newestTerms newest term of each group that a primary reported to the sender
  * @param acknowledged last acknowledged position of each group that the sender knows
  * @param claims newest primary claim of each group that the sender knows
+ * @param promotions promotions of groups that may be in progress
  */
 public record PeerMessage(
         VmName sender,
@@ -29,7 +31,8 @@
         Map<BackendServerName, Duration> commitsFailingFor,
         Map<GroupName, Long> newestTerms,
         Map<GroupName, LogPosition> acknowledged,
-        Map<GroupName, PrimaryClaim> claims) {
+        Map<GroupName, PrimaryClaim> claims,
+        Map<GroupName, PromotionNotice> promotions) {
     /** Copies the maps. */
     public PeerMessage {
         failingFor = Map.copyOf(failingFor);
@@ -37,11 +40,12 @@
         newestTerms = Map.copyOf(newestTerms);
         acknowledged = Map.copyOf(acknowledged);
         claims = Map.copyOf(claims);
+        promotions = Map.copyOf(promotions);
     }
 
     /** Returns an empty message, which stands for the last sent one at process start. */
     static PeerMessage initial(VmName sender) {
-        return new PeerMessage(sender, 0, false, Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+        return new PeerMessage(sender, 0, false, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
     }
 
     /** Returns the message without the state of the groups, with the claims only if they are new. */
@@ -54,7 +58,8 @@
                 Map.of(),
                 Map.of(),
                 Map.of(),
-                withClaims ? claims : Map.of());
+                withClaims ? claims : Map.of(),
+                promotions);
     }
 
     /** Returns whether both messages have the same configuration version and registration. */
@@ -62,6 +67,20 @@
         return configurationVersion == other.configurationVersion && registered == other.registered;
     }
 
+    /** Returns whether a promotion of which the recipients may wait for a confirmation may take effect. */
+    boolean reportsOpenPromotion() {
+        return promotions.values().stream()
+                .anyMatch(notice -> notice.intent().progress() == PromotionIntent.Progress.OPEN);
+    }
+
+    /** Returns whether the sender enforces a promotion. */
+    boolean enforces(GroupName group, String promotion) {
+        PromotionNotice notice = promotions.get(group);
+        return notice != null
+                && notice.enforced()
+                && notice.intent().fence().promotion().equals(promotion);
+    }
+
     /** Returns whether any database fails for the sender. */
     boolean reportsFailures() {
         return !failingFor.isEmpty() || !commitsFailingFor.isEmpty();
@@ -71,6 +90,7 @@
     boolean hasSignificantChangeSince(PeerMessage earlier) {
         return !hasSameHeaderAs(earlier)
                 || !claims.equals(earlier.claims)
+                || !promotions.equals(earlier.promotions)
                 || !failingFor.keySet().equals(earlier.failingFor.keySet())
                 || !commitsFailingFor.keySet().equals(earlier.commitsFailingFor.keySet());
     }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotion.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotion.java
@@ -17,8 +17,10 @@
  * @param intent newest intent
  * @param revision revision of the store at which it was recorded
  * @param earlier earlier intents that were not refused, oldest first
+ * @param inEffect whether the target was known to lead by the newest intent
  */
-record TrackedPromotion(PromotionIntent intent, StoreRevision revision, List<PromotionIntent> earlier) {
+record TrackedPromotion(
+        PromotionIntent intent, StoreRevision revision, List<PromotionIntent> earlier, boolean inEffect) {
     /**
      * Number of earlier intents that are remembered. An answer of a database that has lost the lead arrives within the
      * time limit of a statement, in which a group changes its primary once or twice.
@@ -30,7 +32,7 @@
     }
 
     static TrackedPromotion of(PromotionIntent intent, StoreRevision revision) {
-        return new TrackedPromotion(intent, revision, List.of());
+        return new TrackedPromotion(intent, revision, List.of(), false);
     }
 
     /** Returns the state after a newer intent of the group was recorded. */
@@ -44,21 +46,31 @@
             remaining = onlyTaken(remaining);
         }
         int first = Math.max(0, remaining.size() - MAXIMUM_EARLIER);
-        return new TrackedPromotion(next, nextRevision, remaining.subList(first, remaining.size()));
+        return new TrackedPromotion(next, nextRevision, remaining.subList(first, remaining.size()), false);
     }
 
-    /** Returns the bounds on the commits of the group at this time. */
-    PromotionFences fences(GroupDirectory directory, long newestTerm, Instant now) {
+    /** Returns the state with the newest evidence of the primary. A target that led may restart under another name. */
+    TrackedPromotion refreshed(GroupDirectory directory, long newestTerm) {
+        boolean leads = inEffect || hasTakenEffect(directory, newestTerm);
+        return leads == inEffect ? this : new TrackedPromotion(intent, revision, earlier, leads);
+    }
+
+    /**
+     * Returns the bounds on the commits of the group at this time. An answer that a database gave before it lost the
+     * lead arrives within the time limit of a statement, so they end when no copy of the request can take effect.
+     */
+    PromotionFences fences(GroupDirectory directory, Instant now) {
+        if (!intent.isRecent(now)) {
+            return PromotionFences.NONE;
+        }
         return switch (intent.progress()) {
             case REFUSED -> settled(earlier);
             case TAKEN -> isOvertaken(directory) ? PromotionFences.NONE : settled(withIntent());
             case OPEN -> {
-                if (hasTakenEffect(directory, newestTerm)) {
+                if (inEffect) {
                     yield settled(withIntent());
                 }
-                yield intent.mayTakeEffect(now)
-                        ? new PromotionFences(toFences(withIntent()), Optional.of(intent.learnedAt()))
-                        : settled(onlyTaken(earlier));
+                yield new PromotionFences(toFences(withIntent()), Optional.of(intent.learnedAt()));
             }
         };
     }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
@@ -44,22 +44,54 @@
             ToLongFunction<GroupName> newestTerms,
             Instant now,
             List<FleetEffect> effects) {
+        Map<GroupName, TrackedPromotion> refreshed = new HashMap<>(byGroup);
         Map<GroupName, PromotionFences> next = new HashMap<>();
-        byGroup.forEach((group, promotion) ->
-                next.put(group, promotion.fences(directories.apply(group), newestTerms.applyAsLong(group), now)));
-        if (next.equals(fences)) {
+        byGroup.forEach((group, promotion) -> {
+            if (promotion.intent().isRecent(now)) {
+                GroupDirectory directory = directories.apply(group);
+                TrackedPromotion latest = promotion.refreshed(directory, newestTerms.applyAsLong(group));
+                refreshed.put(group, latest);
+                next.put(group, latest.fences(directory, now));
+            }
+        });
+        if (next.equals(fences) && refreshed.equals(byGroup)) {
             return this;
         }
-        next.forEach((group, changed) -> {
-            PromotionFences previous = fences.getOrDefault(group, PromotionFences.NONE);
-            if (!changed.equals(previous)) {
-                effects.add(new FleetEffect.Log(
-                        "promotion fence changed",
-                        "group=" + group + " open=" + changed.isOpen() + " fence="
-                                + changed.newest().map(PromotionFence::toString).orElse("none") + " previouslyOpen="
-                                + previous.isOpen()));
+        byGroup.keySet().forEach(group -> logChange(group, next, effects));
+        return new TrackedPromotions(refreshed, next);
+    }
+
+    private void logChange(GroupName group, Map<GroupName, PromotionFences> next, List<FleetEffect> effects) {
+        PromotionFences previous = fences.getOrDefault(group, PromotionFences.NONE);
+        PromotionFences changed = next.getOrDefault(group, PromotionFences.NONE);
+        if (!changed.equals(previous)) {
+            effects.add(new FleetEffect.Log(
+                    "promotion fence changed",
+                    "group=" + group + " open=" + changed.isOpen() + " fence="
+                            + changed.newest().map(PromotionFence::toString).orElse("none") + " previouslyOpen="
+                            + previous.isOpen()));
+        }
+    }
+
+    /** Returns whether the target of an open intent was seen to lead by it. */
+    boolean isInEffect(GroupName group, PromotionIntent intent) {
+        TrackedPromotion known = byGroup.get(group);
+        return known != null
+                && known.inEffect()
+                && intent.progress() == PromotionIntent.Progress.OPEN
+                && known.intent().fence().promotion().equals(intent.fence().promotion());
+    }
+
+    /** Returns the intents of promotions that may be in progress, which other VMs may need to learn from this one. */
+    Map<GroupName, PromotionNotice> notices(Map<GroupName, String> enforced, Instant now) {
+        Map<GroupName, PromotionNotice> notices = new HashMap<>();
+        byGroup.forEach((group, promotion) -> {
+            PromotionIntent intent = promotion.intent();
+            if (intent.isRecent(now)) {
+                boolean isEnforced = intent.fence().promotion().equals(enforced.get(group));
+                notices.put(group, new PromotionNotice(intent, promotion.revision(), isEnforced));
             }
         });
-        return new TrackedPromotions(byGroup, next);
+        return notices;
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -9,9 +9,11 @@
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.caller.BackendCommand;
+import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.VmName;
 
 /**
  * Steps of one attempt at one time. Each returns the next phase and adds its effects.
@@ -21,6 +23,12 @@
  * @param effects receives the effects
  */
 record AttemptSteps(PromotionPhase.Attempt attempt, Instant now, List<PromotionEffect> effects) {
+    /**
+     * Maximum wait for the VMs to confirm that they enforce an intent; several times the way through the store and back
+     * between regions. A VM that has failed, or is cut off, does not confirm.
+     */
+    static final Duration FENCE_TIMEOUT = Duration.ofMillis(300);
+
     /** Asks replicas whether they receive. */
     PromotionPhase inspect(Set<BackendServerName> replicas) {
         send(replicas, new BackendCommand.ReadStatus());
@@ -109,7 +117,6 @@
                 .isPresent();
         return leads
                 && querying.answers().entrySet().stream()
-                        .filter(answer -> attempt.mayPromote(answer.getKey()))
                         .anyMatch(answer -> attempt.snapshot().canTakeOver(answer.getKey(), answer.getValue()));
     }
 
@@ -185,10 +192,10 @@
 
     private PromotionPhase prove(PromotionCandidate candidate, Map<BackendServerName, DatabaseStatus> stopped) {
         return switch (candidate.proof()) {
-            case CommitProof.PrimarySteppedDown _ -> verify(Set.of(candidate.database()), stopped, candidate);
+            case CommitProof.PrimarySteppedDown _ -> prepareIntent(stopped, candidate);
             case CommitProof.ReplicasStopped _ -> {
                 sendStepDown();
-                yield verify(stopped.keySet(), stopped, candidate);
+                yield prepareIntent(stopped, candidate);
             }
             case CommitProof.ReplicasStoppedUntilStepDown _ -> {
                 sendStepDown();
@@ -207,23 +214,32 @@
      * Handles the answer of a primary that was told to step down after a database was chosen, and that need not have
      * answered. If its log goes on beyond the chosen one, a replica that was not counted may have confirmed the rest. A
      * primary that fails for this VM is let go: it had no commit acknowledged, or gave no answer, for some time.
+     *
+     * @param recorded whether the intent is in the store
      */
-    Optional<PromotionPhase> steppedDownLate(PromotionPhase.Verifying verifying, CommandResult result) {
+    Optional<PromotionPhase> steppedDownLate(
+            PromotionCandidate candidate,
+            Map<BackendServerName, DatabaseStatus> stopped,
+            boolean recorded,
+            CommandResult result) {
         Optional<LogPosition> beyond = Optional.of(result)
                 .filter(CommandResult.Answered.class::isInstance)
                 .map(answer -> ((CommandResult.Answered) answer).status())
                 .filter(status -> !status.primary())
                 .map(DatabaseStatus::received)
-                .filter(last -> last.compareTo(verifying.candidate().received()) > 0);
+                .filter(last -> last.compareTo(candidate.received()) > 0);
         beyond.ifPresent(last -> log(
                 "primary stepped down beyond the chosen log",
-                verifying.candidate() + " lastPosition=" + PromotionChoice.text(last)));
+                candidate + " lastPosition=" + PromotionChoice.text(last)));
         return beyond.filter(_ -> !attempt.snapshot().reason().equals(Optional.of(PromotionReason.FAILING)))
-                .map(last -> new AttemptSteps(attempt.withLastPosition(last), now, effects)
-                        .abandon(
-                                verifying.stopped().keySet(),
-                                "the old primary stepped down at " + PromotionChoice.text(last)
-                                        + ", beyond the chosen log"));
+                .map(last -> {
+                    AttemptSteps steps = new AttemptSteps(attempt.withLastPosition(last), now, effects);
+                    String reason =
+                            "the old primary stepped down at " + PromotionChoice.text(last) + ", beyond the chosen log";
+                    return recorded
+                            ? steps.withdraw(candidate, stopped.keySet(), reason)
+                            : steps.abandon(stopped.keySet(), reason);
+                });
     }
 
     /**
@@ -234,60 +250,77 @@
         boolean confirmed = result instanceof CommandResult.Answered answered
                 && !answered.status().primary();
         return confirmed
-                ? verify(confirming.stopped().keySet(), confirming.stopped(), confirming.candidate())
+                ? prepareIntent(confirming.stopped(), confirming.candidate())
                 : abandon(confirming.stopped().keySet(), "the primary did not confirm that it stepped down");
     }
 
-    private PromotionPhase verify(
-            Set<BackendServerName> databases,
-            Map<BackendServerName, DatabaseStatus> stopped,
-            PromotionCandidate candidate) {
+    private PromotionPhase prepareIntent(Map<BackendServerName, DatabaseStatus> stopped, PromotionCandidate candidate) {
+        if (attempt.renewsToken()) {
+            effects.add(new PromotionEffect.RenewFencingToken());
+            return new PromotionPhase.RenewingToken(attempt, stopped, candidate);
+        }
+        return recordIntent(stopped, candidate);
+    }
+
+    /** Goes on with a recorded intent once the VMs in contact enforce it. */
+    PromotionPhase awaitFence(PromotionPhase.AwaitingFence awaiting) {
+        Set<VmName> unfenced =
+                requiresFence(awaiting.candidate()) ? attempt.snapshot().unfenced() : Set.of();
+        if (!unfenced.isEmpty() && now.isBefore(awaiting.recordedAt().plus(FENCE_TIMEOUT))) {
+            return awaiting;
+        }
+        if (!unfenced.isEmpty()) {
+            log("promotion not confirmed by all VMs", "unconfirmed=" + unfenced);
+        }
+        return verify(awaiting.stopped(), awaiting.candidate());
+    }
+
+    /** Returns whether a primary that has not stepped down, or an earlier request, could have commits acknowledged. */
+    private boolean requiresFence(PromotionCandidate candidate) {
+        return !(candidate.proof() instanceof CommitProof.PrimarySteppedDown)
+                || attempt.pendingTarget().isPresent();
+    }
+
+    private PromotionPhase verify(Map<BackendServerName, DatabaseStatus> stopped, PromotionCandidate candidate) {
+        Set<BackendServerName> databases = candidate.proof() instanceof CommitProof.PrimarySteppedDown
+                ? Set.of(candidate.database())
+                : stopped.keySet();
         send(databases, new BackendCommand.ReadStatus());
         return new PromotionPhase.Verifying(attempt, databases, stopped, candidate);
     }
 
-    /**
-     * Handles the answer of a replica to the last query.
-     *
-     * @param mayBeOvertaken whether an earlier request of this holder may still take effect
-     */
-    PromotionPhase verified(
-            PromotionPhase.Verifying verifying,
-            BackendServerName replica,
-            CommandResult result,
-            boolean mayBeOvertaken) {
+    /** Handles the answer of a replica to the last query. */
+    PromotionPhase verified(PromotionPhase.Verifying verifying, BackendServerName replica, CommandResult result) {
         DatabaseStatus before = verifying.stopped().get(replica);
         boolean unchanged = result instanceof CommandResult.Answered answered
                 && attempt.isStopped(answered.status())
                 && answered.status().received().equals(before.received());
         if (!unchanged) {
-            return abandon(verifying.stopped().keySet(), "database " + replica + " is no longer stopped");
+            return withdraw(
+                    verifying.candidate(),
+                    verifying.stopped().keySet(),
+                    "database " + replica + " is no longer stopped");
         }
         Set<BackendServerName> pending = without(verifying.pending(), replica);
-        if (!pending.isEmpty()) {
-            return new PromotionPhase.Verifying(attempt, pending, verifying.stopped(), verifying.candidate());
-        }
-        if (mayBeOvertaken) {
-            effects.add(new PromotionEffect.RenewFencingToken());
-            return new PromotionPhase.RenewingToken(attempt, verifying.candidate());
-        }
-        return recordIntent(verifying.candidate());
+        return pending.isEmpty()
+                ? requestRecorded(verifying.candidate())
+                : new PromotionPhase.Verifying(attempt, pending, verifying.stopped(), verifying.candidate());
     }
 
     /** Records the intent, unless the evidence that has arrived since the choice contradicts it. */
-    PromotionPhase recordIntent(PromotionCandidate candidate) {
+    PromotionPhase recordIntent(Map<BackendServerName, DatabaseStatus> stopped, PromotionCandidate candidate) {
         Optional<String> contradiction = contradiction(candidate);
         if (contradiction.isPresent()) {
             return abandon(attempt.snapshot().replicas(), contradiction.get());
         }
         addIntent(candidate, PromotionIntent.Progress.OPEN);
-        return new PromotionPhase.RecordingIntent(attempt, candidate);
+        return new PromotionPhase.RecordingIntent(attempt, stopped, candidate);
     }
 
     /** Requests the promotion after its intent was recorded, unless newer evidence contradicts the choice. */
-    PromotionPhase requestRecorded(PromotionCandidate candidate) {
+    private PromotionPhase requestRecorded(PromotionCandidate candidate) {
         return contradiction(candidate)
-                .map(reason -> withdraw(candidate, reason))
+                .map(reason -> withdraw(candidate, attempt.snapshot().replicas(), reason))
                 .orElseGet(() -> request(candidate, Optional.empty()));
     }
 
@@ -310,6 +343,16 @@
                 : Optional.of("commits may have been confirmed by " + uncounted + ", which became known late");
     }
 
+    /** Returns why a target should no longer lead: it leaves, or may have lost its log in a restart since. */
+    Optional<String> departure(PromotionCandidate candidate) {
+        GroupSnapshot snapshot = attempt.snapshot();
+        DatabaseEntry entry = snapshot.databases().get(candidate.database());
+        boolean restarted = snapshot.recentlyRestarted().contains(candidate.database());
+        return entry == null || entry.draining() || restarted
+                ? Optional.of("database " + candidate.database() + " leaves or has restarted")
+                : Optional.empty();
+    }
+
     PromotionPhase request(PromotionCandidate candidate, Optional<Instant> unansweredAt) {
         effects.add(new PromotionEffect.RequestPromotion(
                 candidate.database(),
@@ -329,12 +372,33 @@
     }
 
     PromotionPhase refused(PromotionCandidate candidate) {
-        return withdraw(candidate, "the promotion request was refused");
+        return withdraw(candidate, attempt.snapshot().replicas(), "the promotion request was refused");
     }
 
-    private PromotionPhase withdraw(PromotionCandidate candidate, String reason) {
-        addIntent(candidate, PromotionIntent.Progress.REFUSED);
-        return abandon(attempt.snapshot().replicas(), reason);
+    /**
+     * Ends an attempt whose intent is recorded and of which no request may take effect. The intent stays open while an
+     * earlier request may take effect, because it has taken the place of that request's intent.
+     */
+    PromotionPhase withdraw(PromotionCandidate candidate, Set<BackendServerName> stopped, String reason) {
+        if (attempt.pendingTarget().isEmpty()) {
+            addIntent(candidate, PromotionIntent.Progress.REFUSED);
+        }
+        return abandon(stopped, reason);
+    }
+
+    /**
+     * Ends the repetition of a request without an answer. The next attempt compares the logs again and takes the place
+     * of the request with a greater fencing token. The replicas stay stopped.
+     */
+    PromotionPhase supersede(PromotionCandidate candidate, String reason) {
+        effects.add(new PromotionEffect.Postpone(attempt.id(), reason));
+        log("promotion request superseded", candidate + " reason=\"" + reason + "\"");
+        return new PromotionPhase.Watching(
+                now,
+                Optional.of(withoutPrimaryDelay()),
+                Resumption.ALL_REPLICAS,
+                attempt.lastPosition()
+                        .map(last -> new SteppedDownPrimary(attempt.snapshot().primary(), attempt.term(), last)));
     }
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
@@ -9,6 +9,7 @@
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.VmName;
 
 /**
  * What the lease holder knows about a group at one time.
@@ -22,6 +23,7 @@
  * @param synchronousReplicas number of replicas that must receive a commit before it is acknowledged
  * @param acknowledged position that a log must reach to hold every commit that is known to be acknowledged
  * @param intent last recorded promotion intent
+ * @param unfenced VMs in contact that have not confirmed that they enforce the intent
  */
 public record GroupSnapshot(
         Map<BackendServerName, DatabaseEntry> databases,
@@ -32,12 +34,14 @@
         Set<BackendServerName> recentlyRestarted,
         int synchronousReplicas,
         Optional<LogPosition> acknowledged,
-        Optional<PromotionIntent> intent) {
+        Optional<PromotionIntent> intent,
+        Set<VmName> unfenced) {
     /** Copies the collections. */
     public GroupSnapshot {
         databases = Map.copyOf(databases);
         suspected = Map.copyOf(suspected);
         recentlyRestarted = Set.copyOf(recentlyRestarted);
+        unfenced = Set.copyOf(unfenced);
     }
 
     /**
@@ -48,7 +52,7 @@
     boolean asksPrimaryFirst() {
         return primary.isPresent()
                 && reason.filter(known -> switch (known) {
-                            case LEAVING, LEFT, FAILING_FOR_OTHERS, MISSING, NONE_LEADS -> true;
+                            case LEAVING, LEFT, FAILING_FOR_OTHERS, MISSING, NONE_LEADS, UNSETTLED -> true;
                             case FAILING -> !suspected.isEmpty();
                         })
                         .isPresent();
@@ -63,7 +67,7 @@
     boolean primaryServesSome() {
         return reason.filter(known -> switch (known) {
                     case LEAVING, FAILING, FAILING_FOR_OTHERS -> true;
-                    case LEFT, MISSING, NONE_LEADS -> false;
+                    case LEFT, MISSING, NONE_LEADS, UNSETTLED -> false;
                 })
                 .isPresent();
     }
@@ -79,7 +83,8 @@
                 latest.recentlyRestarted,
                 latest.synchronousReplicas,
                 latest.acknowledged,
-                latest.intent);
+                latest.intent,
+                latest.unfenced);
     }
 
     /** Returns the state of a group whose supposed primary is a replica. */
@@ -93,7 +98,23 @@
                 recentlyRestarted,
                 synchronousReplicas,
                 acknowledged,
-                intent);
+                intent,
+                unfenced);
+    }
+
+    /** Returns the state of a group whose primary is replaced although it may serve. */
+    GroupSnapshot withReason(PromotionReason newReason) {
+        return new GroupSnapshot(
+                databases,
+                suspected,
+                primary,
+                Optional.of(newReason),
+                newestTerm,
+                recentlyRestarted,
+                synchronousReplicas,
+                acknowledged,
+                intent,
+                unfenced);
     }
 
     /** Returns the databases that a promotion stops: all that may confirm a commit, except the primary. */
@@ -139,9 +160,4 @@
                         .map(position -> status.received().compareTo(position) >= 0)
                         .orElse(true);
     }
-
-    /** Returns whether a database may be running. */
-    boolean mayRun(BackendServerName database) {
-        return databases.containsKey(database) || suspected.containsKey(database);
-    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotedLog.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotedLog.java
@@ -9,8 +9,9 @@
  * @param attempt attempt that requested the promotion
  * @param candidate database to promote and the end of its log
  * @param term term with which the replicas were stopped
+ * @param lossReported whether a commit that the log lacks was reported
  */
-record PromotedLog(AttemptId attempt, PromotionCandidate candidate, long term) {
+record PromotedLog(AttemptId attempt, PromotionCandidate candidate, long term, boolean lossReported) {
     /**
      * Returns an acknowledged position that the log lacks although the promotion has taken effect. VMs know of a commit
      * by the successor of the position that they knew when they sent it. For the first commits of the new primary this
@@ -22,8 +23,12 @@
     Optional<LogPosition> lostPosition(GroupSnapshot snapshot) {
         boolean leads = snapshot.primary().equals(Optional.of(candidate.database())) && snapshot.newestTerm() >= term;
         return snapshot.acknowledged()
-                .filter(_ -> leads)
+                .filter(_ -> leads && !lossReported)
                 .filter(position -> position.term().number() < term)
                 .filter(position -> position.compareTo(candidate.received().next()) > 0);
     }
+
+    PromotedLog reported() {
+        return new PromotedLog(attempt, candidate, term, true);
+    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -73,9 +73,8 @@
         return attempt.lastPosition()
                 .flatMap(last -> stopped.keySet().stream()
                         .filter(database -> stopped.get(database).received().compareTo(last) >= 0)
-                        .filter(attempt::mayPromote)
                         .filter(eligible)
-                        .max(preference(attempt.snapshot()))
+                        .max(preference(attempt))
                         .<PromotionChoice>map(database -> new Chosen(new PromotionCandidate(
                                 database,
                                 stopped.get(database).received(),
@@ -106,14 +105,12 @@
         Predicate<BackendServerName> steady = target -> countSteady(proven, resumable, target) >= needed;
         return stopped.keySet().stream()
                 .filter(database -> stopped.get(database).received().equals(highest))
-                .filter(attempt::mayPromote)
-                .max(Comparator.comparing((BackendServerName database) -> isRemaining(snapshot, database))
+                .max(Comparator.comparing(attempt::isPendingTarget)
+                        .thenComparing(database -> isRemaining(snapshot, database))
                         .thenComparing(steady::test)
                         .thenComparing(BackendServerName::value))
                 .map(target -> confirm(snapshot, stopped, target, steady.test(target)))
-                .orElseGet(() -> new Insufficient("an earlier request may still promote "
-                        + attempt.pendingTarget().orElseThrow() + ", which does not have the highest position "
-                        + text(highest)));
+                .orElseGet(() -> new Insufficient("no database has stopped"));
     }
 
     private static String unproven(GroupSnapshot snapshot, Set<BackendServerName> proven) {
@@ -124,8 +121,9 @@
                 .collect(Collectors.joining(", "));
     }
 
-    private static Comparator<BackendServerName> preference(GroupSnapshot snapshot) {
-        return Comparator.comparing((BackendServerName database) -> isRemaining(snapshot, database))
+    private static Comparator<BackendServerName> preference(Attempt attempt) {
+        return Comparator.comparing(attempt::isPendingTarget)
+                .thenComparing(database -> isRemaining(attempt.snapshot(), database))
                 .thenComparing(BackendServerName::value);
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
@@ -26,6 +26,13 @@
         Optional<LogPosition> lastPosition,
         Optional<AttemptId> attempt,
         Instant learnedAt) {
+    /**
+     * Time from learning an open intent until it can take effect no more. Its request is repeated for some seconds, and
+     * the last copy may be carried out late.
+     */
+    private static final Duration OPEN_TIMEOUT =
+            PromotionState.REQUEST_PERIOD.plus(PromotionState.LATE_REQUEST_TIMEOUT);
+
     /** Outcome of a promotion request. */
     public enum Progress {
         /** The request may be sent from now on and has no answer yet. */
@@ -75,6 +82,45 @@
         return new PromotionFence(attempt.map(AttemptId::toString).orElse("term-" + term), target, lastPosition);
     }
 
+    /**
+     * Returns whether other VMs may still need to learn of this intent.
+     *
+     * @param now current time
+     * @return false once no copy of its request can take effect
+     */
+    public boolean isRecent(Instant now) {
+        return now.isBefore(openUntil());
+    }
+
+    /**
+     * Returns the intent as learned at another time.
+     *
+     * @param time time at which this VM learned of it
+     * @return the intent with this time
+     */
+    public PromotionIntent learnedAt(Instant time) {
+        return new PromotionIntent(target, term, progress, lastPosition, attempt, time);
+    }
+
+    /** Returns the time until which a request of this open intent may take effect. */
+    Instant openUntil() {
+        return learnedAt.plus(OPEN_TIMEOUT);
+    }
+
+    /**
+     * Returns the intent of a promotion that has taken effect.
+     *
+     * @return the intent as taken
+     */
+    public PromotionIntent taken() {
+        return new PromotionIntent(target, term, Progress.TAKEN, lastPosition, attempt, learnedAt);
+    }
+
+    /** Returns the intent of a request of which no copy can take effect any more. */
+    PromotionIntent refused() {
+        return new PromotionIntent(target, term, Progress.REFUSED, lastPosition, attempt, learnedAt);
+    }
+
     /** Returns whether the promotion may be in progress, so that another attempt would interfere with it. */
     boolean isSettling(Instant now) {
         return progress != Progress.REFUSED && now.isBefore(learnedAt.plus(PromotionState.SETTLING_TIME));
@@ -89,7 +135,7 @@
      */
     public boolean mayTakeEffect(Instant now) {
         return switch (progress) {
-            case OPEN -> now.isBefore(learnedAt.plus(PromotionState.LATE_REQUEST_TIMEOUT));
+            case OPEN -> now.isBefore(openUntil());
             case TAKEN -> isSettling(now);
             case REFUSED -> false;
         };
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -24,10 +24,15 @@
                 new Stopping(phase.attempt().refreshed(latest), phase.asked(), phase.pending(), phase.stopped());
             case ConfirmingStepDown phase ->
                 new ConfirmingStepDown(phase.attempt().refreshed(latest), phase.stopped(), phase.candidate());
+            case AwaitingFence phase ->
+                new AwaitingFence(
+                        phase.attempt().refreshed(latest), phase.stopped(), phase.candidate(), phase.recordedAt());
             case Verifying phase ->
                 new Verifying(phase.attempt().refreshed(latest), phase.pending(), phase.stopped(), phase.candidate());
-            case RenewingToken phase -> new RenewingToken(phase.attempt().refreshed(latest), phase.candidate());
-            case RecordingIntent phase -> new RecordingIntent(phase.attempt().refreshed(latest), phase.candidate());
+            case RenewingToken phase ->
+                new RenewingToken(phase.attempt().refreshed(latest), phase.stopped(), phase.candidate());
+            case RecordingIntent phase ->
+                new RecordingIntent(phase.attempt().refreshed(latest), phase.stopped(), phase.candidate());
             case Requesting phase ->
                 new Requesting(
                         phase.attempt().refreshed(latest), phase.candidate(), phase.retryAt(), phase.unansweredAt());
@@ -134,9 +139,30 @@
         }
     }
 
+    /**
+     * The intent is recorded, and the VMs confirm that they enforce it. From then on no caller is told of a commit that
+     * the chosen log lacks.
+     *
+     * @param attempt current attempt
+     * @param stopped status of each replica when it stopped
+     * @param candidate chosen database
+     * @param recordedAt time at which the intent was recorded
+     */
+    record AwaitingFence(
+            Attempt attempt,
+            Map<BackendServerName, DatabaseStatus> stopped,
+            PromotionCandidate candidate,
+            Instant recordedAt)
+            implements PromotionPhase {
+        /** Copies the map. */
+        public AwaitingFence {
+            stopped = Map.copyOf(stopped);
+        }
+    }
+
     /**
      * Stopped replicas on which the proof relies are queried again just before the request, because a restarted one
-     * receives again.
+     * receives again. What a caller was told before its VM enforced the intent is in the logs that are still stopped.
      *
      * @param attempt current attempt
      * @param pending replicas that have not answered
@@ -160,18 +186,33 @@
      * The promotion intent is being written to the store.
      *
      * @param attempt current attempt
+     * @param stopped status of each replica when it stopped
      * @param candidate chosen database
      */
-    record RecordingIntent(Attempt attempt, PromotionCandidate candidate) implements PromotionPhase {}
+    record RecordingIntent(
+            Attempt attempt, Map<BackendServerName, DatabaseStatus> stopped, PromotionCandidate candidate)
+            implements PromotionPhase {
+        /** Copies the map. */
+        public RecordingIntent {
+            stopped = Map.copyOf(stopped);
+        }
+    }
 
     /**
      * A greater fencing token is obtained before the intent is recorded, because a copy of an earlier request may still
      * take effect.
      *
      * @param attempt current attempt
+     * @param stopped status of each replica when it stopped
      * @param candidate chosen database
      */
-    record RenewingToken(Attempt attempt, PromotionCandidate candidate) implements PromotionPhase {}
+    record RenewingToken(Attempt attempt, Map<BackendServerName, DatabaseStatus> stopped, PromotionCandidate candidate)
+            implements PromotionPhase {
+        /** Copies the map. */
+        public RenewingToken {
+            stopped = Map.copyOf(stopped);
+        }
+    }
 
     /**
      * The promotion request is sent until it is answered.
@@ -195,8 +236,9 @@
      * @param id identifies the attempt
      * @param term term with which the replicas are stopped
      * @param snapshot newest state of the group, with the primary and the reason of the beginning
-     * @param pendingTarget database that a request of an earlier lease holder may still promote; no other one may be
-     *     chosen, and the replicas stay stopped
+     * @param pendingTarget database that an earlier request may still promote; it is preferred, and the replicas stay
+     *     stopped
+     * @param renewsToken whether an earlier request with the present fencing token may still take effect
      * @param lastPosition last position of the old primary, if it has stepped down
      * @param startedAt start of the attempt
      */
@@ -205,30 +247,33 @@
             long term,
             GroupSnapshot snapshot,
             Optional<BackendServerName> pendingTarget,
+            boolean renewsToken,
             Optional<LogPosition> lastPosition,
             Instant startedAt) {
         Attempt withLastPosition(LogPosition position) {
-            return new Attempt(id, term, snapshot, pendingTarget, Optional.of(position), startedAt);
+            return new Attempt(id, term, snapshot, pendingTarget, renewsToken, Optional.of(position), startedAt);
         }
 
         /** Returns the attempt with the newest state of the group. */
         Attempt refreshed(GroupSnapshot latest) {
-            return new Attempt(id, term, snapshot.refreshed(latest), pendingTarget, lastPosition, startedAt);
+            return new Attempt(
+                    id, term, snapshot.refreshed(latest), pendingTarget, renewsToken, lastPosition, startedAt);
         }
 
         /** Returns the attempt after the supposed primary answered that it does not lead. */
         Attempt withoutPrimary() {
-            return new Attempt(id, term, snapshot.withoutPrimary(), pendingTarget, lastPosition, startedAt);
+            return new Attempt(
+                    id, term, snapshot.withoutPrimary(), pendingTarget, renewsToken, lastPosition, startedAt);
         }
 
         /** Returns the attempt after a database answered that it leads. */
         Attempt withoutLastPosition() {
-            return new Attempt(id, term, snapshot, pendingTarget, Optional.empty(), startedAt);
+            return new Attempt(id, term, snapshot, pendingTarget, renewsToken, Optional.empty(), startedAt);
         }
 
-        /** Returns whether an earlier request leaves the choice of a database. */
-        boolean mayPromote(BackendServerName database) {
-            return pendingTarget.map(database::equals).orElse(true);
+        /** Returns whether an earlier request may promote a database, so that choosing it again changes nothing. */
+        boolean isPendingTarget(BackendServerName database) {
+            return pendingTarget.filter(database::equals).isPresent();
         }
 
         /** Returns whether a replica reports that this attempt has stopped it. */
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionReason.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionReason.java
@@ -13,5 +13,7 @@
     /** The entry of the primary is missing in the store. */
     MISSING,
     /** The group has no primary. */
-    NONE_LEADS
+    NONE_LEADS,
+    /** A promotion was requested whose outcome is unknown; callers get no acknowledgement until it is settled. */
+    UNSETTLED
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -29,9 +29,9 @@
  * @param earlierAttempts number of attempts begun before this VM last took the lease; whether their requests were sent
  *     is no longer known
  * @param phase current phase
- * @param lateRequestUntil time until which an unanswered request of this lease holder may still take effect
+ * @param lateRequestUntil time until which an unanswered request, of this or an earlier holder, may still take effect
  * @param commands commands that databases may still carry out
- * @param promoted log with which this process last requested a promotion, until a loss was reported
+ * @param promoted log with which this process last requested a promotion
  */
 public record PromotionState(
         String holder,
@@ -59,6 +59,12 @@
     /** Time within which an unanswered request may still take effect; the platform documents up to 12 s. */
     static final Duration LATE_REQUEST_TIMEOUT = Duration.ofSeconds(13);
 
+    /**
+     * Time for which a request without an answer is repeated on the same evidence. After that the logs are compared
+     * again and a new intent is recorded, so that every VM knows when the last copy of the request was sent.
+     */
+    static final Duration REQUEST_PERIOD = Duration.ofSeconds(5);
+
     /** Time without a primary before a replacement begins, so that the entry of a new primary can arrive. */
     static final Duration NO_PRIMARY_TIMEOUT = Duration.ofMillis(1500);
 
@@ -90,13 +96,13 @@
      *     effect
      */
     public PromotionState released(Instant now) {
-        boolean requested = phase instanceof PromotionPhase.Requesting;
+        boolean awaitsAnswer = phase instanceof PromotionPhase.Requesting;
         return new PromotionState(
                 holder,
                 attempts,
                 attempts,
                 initial(holder).phase(),
-                requested ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil,
+                awaitsAnswer ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil,
                 commands.released(),
                 promoted);
     }
@@ -145,7 +151,7 @@
         List<PromotionEffect> effects = new ArrayList<>();
         PromotionPhase next = switch (event) {
             case PromotionEvent.TimePassed passed -> timePassed(passed.snapshot(), now, effects);
-            case PromotionEvent.SnapshotTaken _ -> stopNewReplicas(now, effects);
+            case PromotionEvent.SnapshotTaken _ -> snapshotTaken(now, effects);
             case PromotionEvent.CommandCompleted completed -> completed(completed, now, effects);
             case PromotionEvent.IntentRecorded recorded -> intentRecorded(recorded.result(), now, effects);
             case PromotionEvent.FencingTokenRenewed renewed -> tokenRenewed(renewed.renewed(), now, effects);
@@ -153,7 +159,6 @@
             case PromotionEvent.RequestRefused _ -> refused(now, effects);
             case PromotionEvent.RequestUnanswered _ -> unanswered(now);
         };
-        boolean unanswered = event instanceof PromotionEvent.RequestUnanswered;
         boolean begun = phase instanceof PromotionPhase.Watching && !(next instanceof PromotionPhase.Watching);
         return Transition.to(
                 new PromotionState(
@@ -161,18 +166,34 @@
                         begun ? attempts + 1 : attempts,
                         earlierAttempts,
                         next,
-                        unanswered ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil,
+                        lateRequestUntilAfter(event, begun, now),
                         commands.sent(effects, now),
                         promotedAfter(event, next, effects)),
                 effects);
     }
 
+    /** Returns the time until which a request may take effect, also that of an open intent found by a new attempt. */
+    private Instant lateRequestUntilAfter(PromotionEvent event, boolean begun, Instant now) {
+        if (event instanceof PromotionEvent.RequestUnanswered) {
+            return now.plus(LATE_REQUEST_TIMEOUT);
+        }
+        if (begun && event instanceof PromotionEvent.TimePassed passed) {
+            return passed.snapshot()
+                    .intent()
+                    .filter(intent -> isUnsettled(passed.snapshot(), now))
+                    .map(PromotionIntent::openUntil)
+                    .filter(until -> until.isAfter(lateRequestUntil))
+                    .orElse(lateRequestUntil);
+        }
+        return lateRequestUntil;
+    }
+
     /** Reports a commit that the last promotion lost, once, and returns the log of the last requested promotion. */
     private Optional<PromotedLog> promotedAfter(
             PromotionEvent event, PromotionPhase next, List<PromotionEffect> effects) {
         if (next instanceof PromotionPhase.Requesting requesting) {
             Attempt attempt = requesting.attempt();
-            return Optional.of(new PromotedLog(attempt.id(), requesting.candidate(), attempt.term()));
+            return Optional.of(new PromotedLog(attempt.id(), requesting.candidate(), attempt.term(), false));
         }
         if (promoted.isEmpty() || !(event instanceof PromotionEvent.TimePassed passed)) {
             return promoted;
@@ -182,7 +203,7 @@
                 "acknowledged commit may be lost",
                 "attempt=" + promoted.get().attempt() + " " + promoted.get().candidate() + " acknowledged="
                         + PromotionChoice.text(position))));
-        return lost.isPresent() ? Optional.empty() : promoted;
+        return lost.isPresent() ? promoted.map(PromotedLog::reported) : promoted;
     }
 
     private PromotionState with(PromotionPhase current, OutstandingCommands next) {
@@ -199,30 +220,57 @@
                 new AttemptSteps(querying.attempt(), now, effects).decideByAnswers(querying);
             case PromotionPhase.Stopping stopping
             when hasTimedOut(stopping.attempt(), now) -> decide(stopping, now, effects);
-            case PromotionPhase.Stopping _ -> stopNewReplicas(now, effects);
+            case PromotionPhase.Stopping _ -> snapshotTaken(now, effects);
             case PromotionPhase.Verifying verifying
             when hasTimedOut(verifying.attempt(), now) ->
                 new AttemptSteps(verifying.attempt(), now, effects)
-                        .abandon(verifying.stopped().keySet(), "verification took too long");
+                        .withdraw(verifying.candidate(), verifying.stopped().keySet(), "verification took too long");
+            case PromotionPhase.AwaitingFence _ -> snapshotTaken(now, effects);
             case PromotionPhase.Requesting requesting
-            when requesting.retryAt().filter(at -> !now.isBefore(at)).isPresent() ->
-                new AttemptSteps(requesting.attempt(), now, effects)
-                        .request(requesting.candidate(), requesting.unansweredAt());
+            when requesting.retryAt().filter(at -> !now.isBefore(at)).isPresent() -> repeat(requesting, now, effects);
             default -> phase;
         };
     }
 
-    private PromotionPhase stopNewReplicas(Instant now, List<PromotionEffect> effects) {
-        return phase instanceof PromotionPhase.Stopping stopping
-                ? new AttemptSteps(stopping.attempt(), now, effects).stopNewReplicas(stopping)
-                : phase;
+    /** Repeats a request without an answer while the evidence on which it was sent still holds. */
+    private static PromotionPhase repeat(
+            PromotionPhase.Requesting requesting, Instant now, List<PromotionEffect> effects) {
+        Attempt attempt = requesting.attempt();
+        AttemptSteps steps = new AttemptSteps(attempt, now, effects);
+        boolean expired = Duration.between(attempt.startedAt(), now).compareTo(REQUEST_PERIOD) > 0;
+        Optional<String> reason = steps.contradiction(requesting.candidate())
+                .or(() -> steps.departure(requesting.candidate()))
+                .or(() -> expired ? Optional.of("the request got no answer") : Optional.empty());
+        return reason.map(text -> steps.supersede(requesting.candidate(), text))
+                .orElseGet(() -> steps.request(requesting.candidate(), requesting.unansweredAt()));
+    }
+
+    private PromotionPhase snapshotTaken(Instant now, List<PromotionEffect> effects) {
+        return switch (phase) {
+            case PromotionPhase.Stopping stopping ->
+                new AttemptSteps(stopping.attempt(), now, effects).stopNewReplicas(stopping);
+            case PromotionPhase.AwaitingFence awaiting ->
+                new AttemptSteps(awaiting.attempt(), now, effects).awaitFence(awaiting);
+            default -> phase;
+        };
     }
 
     private PromotionPhase watch(
-            PromotionPhase.Watching watching, GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
-        boolean settling =
-                snapshot.intent().map(intent -> intent.isSettling(now)).orElse(false);
-        boolean tooEarly = settling || commands.awaitsResumption(now) || now.isBefore(watching.notBefore());
+            PromotionPhase.Watching watching, GroupSnapshot known, Instant now, List<PromotionEffect> effects) {
+        boolean unsettled = isUnsettled(known, now);
+        GroupSnapshot snapshot =
+                unsettled && known.reason().isEmpty() ? known.withReason(PromotionReason.UNSETTLED) : known;
+        boolean tooEarly =
+                isSettling(snapshot, now) || commands.awaitsResumption(now) || now.isBefore(watching.notBefore());
+        if (snapshot.reason().isEmpty() && !tooEarly && isLeftOpen(snapshot)) {
+            effects.add(new PromotionEffect.RecordIntent(
+                    snapshot.intent().orElseThrow().refused()));
+            return new PromotionPhase.Watching(
+                    now.plus(ATTEMPT_RETRY_DELAY),
+                    watching.noPrimarySince(),
+                    watching.resumption(),
+                    watching.steppedDown());
+        }
         if (snapshot.reason().isEmpty()) {
             boolean mayTakeEffect =
                     snapshot.intent().map(intent -> intent.mayTakeEffect(now)).orElse(false);
@@ -256,9 +304,8 @@
     private PromotionPhase begin(
             PromotionPhase.Watching watching, GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         Set<BackendServerName> replicas = snapshot.replicas();
-        Optional<BackendServerName> pendingTarget = snapshot.intent()
-                .filter(intent -> isPending(intent, snapshot, now))
-                .map(PromotionIntent::target);
+        Optional<BackendServerName> pendingTarget =
+                snapshot.intent().filter(_ -> isUnsettled(snapshot, now)).map(PromotionIntent::target);
         Optional<LogPosition> lastPosition = watching.steppedDown()
                 .filter(_ -> snapshot.reason().equals(Optional.of(PromotionReason.NONE_LEADS)))
                 .filter(primary -> primary.isCurrent(snapshot))
@@ -268,6 +315,7 @@
                 snapshot.newestTerm() + 1,
                 snapshot,
                 pendingTarget,
+                now.isBefore(lateRequestUntil),
                 lastPosition,
                 now);
         effects.add(new PromotionEffect.Log(
@@ -286,15 +334,30 @@
     }
 
     /**
-     * Returns whether a request of an earlier lease holder may still promote the target of an intent. This holder knows
-     * the answers to its own requests, and that a request whose intent it could not record was not sent.
+     * Returns whether a request may still promote a database without this holder knowing of its outcome. This holder
+     * knows when its own requests were sent; those of another one may be sent for some time after their intent.
      */
-    private boolean isPending(PromotionIntent intent, GroupSnapshot snapshot, Instant now) {
-        return intent.progress() == PromotionIntent.Progress.OPEN
-                && intent.mayTakeEffect(now)
-                && !isOwn(intent)
-                && !intent.hasTakenEffect(snapshot)
-                && snapshot.mayRun(intent.target());
+    private boolean isUnsettled(GroupSnapshot snapshot, Instant now) {
+        return snapshot.intent()
+                .filter(_ -> isLeftOpen(snapshot))
+                .filter(intent -> isOwn(intent) ? now.isBefore(lateRequestUntil) : intent.mayTakeEffect(now))
+                .isPresent();
+    }
+
+    /** Returns whether the last intent is open and its target is not known to lead. */
+    private static boolean isLeftOpen(GroupSnapshot snapshot) {
+        return snapshot.intent()
+                .filter(intent -> intent.progress() == PromotionIntent.Progress.OPEN)
+                .filter(intent -> !intent.hasTakenEffect(snapshot))
+                .isPresent();
+    }
+
+    /** Returns whether a promotion may be in progress. An intent whose request was not sent is none. */
+    private boolean isSettling(GroupSnapshot snapshot, Instant now) {
+        return snapshot.intent()
+                .filter(intent -> intent.isSettling(now))
+                .filter(intent -> !isOwn(intent) || intent.attempt().equals(promoted.map(PromotedLog::attempt)))
+                .isPresent();
     }
 
     private boolean isOwn(PromotionIntent intent) {
@@ -320,6 +383,12 @@
                 anotherLeads(stopping.attempt(), stopping.stopped().keySet(), completed, answered, now, effects);
             case PromotionPhase.ConfirmingStepDown confirming ->
                 anotherLeads(confirming.attempt(), confirming.stopped().keySet(), completed, answered, now, effects);
+            case PromotionPhase.RenewingToken renewing ->
+                anotherLeads(renewing.attempt(), renewing.stopped().keySet(), completed, answered, now, effects);
+            case PromotionPhase.RecordingIntent recording ->
+                anotherLeads(recording.attempt(), recording.stopped().keySet(), completed, answered, now, effects);
+            case PromotionPhase.AwaitingFence awaiting ->
+                anotherLeads(awaiting.attempt(), awaiting.stopped().keySet(), completed, answered, now, effects);
             case PromotionPhase.Verifying verifying ->
                 anotherLeads(verifying.attempt(), verifying.stopped().keySet(), completed, answered, now, effects);
             default -> Optional.empty();
@@ -366,13 +435,28 @@
             case PromotionPhase.Verifying verifying
             when isAnswer(completed, verifying.attempt(), BackendCommand.StepDown.class) ->
                 new AttemptSteps(verifying.attempt(), now, effects)
-                        .steppedDownLate(verifying, completed.result())
+                        .steppedDownLate(verifying.candidate(), verifying.stopped(), true, completed.result())
                         .orElse(verifying);
+            case PromotionPhase.AwaitingFence awaiting
+            when isAnswer(completed, awaiting.attempt(), BackendCommand.StepDown.class) ->
+                new AttemptSteps(awaiting.attempt(), now, effects)
+                        .steppedDownLate(awaiting.candidate(), awaiting.stopped(), true, completed.result())
+                        .orElse(awaiting);
+            case PromotionPhase.RenewingToken renewing
+            when isAnswer(completed, renewing.attempt(), BackendCommand.StepDown.class) ->
+                new AttemptSteps(renewing.attempt(), now, effects)
+                        .steppedDownLate(renewing.candidate(), renewing.stopped(), false, completed.result())
+                        .orElse(renewing);
+            case PromotionPhase.RecordingIntent recording
+            when isAnswer(completed, recording.attempt(), BackendCommand.StepDown.class) ->
+                new AttemptSteps(recording.attempt(), now, effects)
+                        .steppedDownLate(recording.candidate(), recording.stopped(), false, completed.result())
+                        .orElse(recording);
             case PromotionPhase.Verifying verifying
             when isAnswer(completed, verifying.attempt(), BackendCommand.ReadStatus.class)
                     && verifying.pending().contains(completed.database()) ->
                 new AttemptSteps(verifying.attempt(), now, effects)
-                        .verified(verifying, completed.database(), completed.result(), now.isBefore(lateRequestUntil));
+                        .verified(verifying, completed.database(), completed.result());
             default -> phase;
         };
     }
@@ -449,7 +533,7 @@
         Attempt attempt = renewing.attempt();
         AttemptSteps steps = new AttemptSteps(attempt, now, effects);
         return renewed
-                ? steps.recordIntent(renewing.candidate())
+                ? steps.recordIntent(renewing.stopped(), renewing.candidate())
                 : steps.abandon(attempt.snapshot().replicas(), "the fencing token could not be renewed");
     }
 
@@ -460,14 +544,18 @@
         Attempt attempt = recording.attempt();
         AttemptSteps steps = new AttemptSteps(attempt, now, effects);
         return switch (result) {
-            case IntentWriteResult.Recorded _ -> steps.requestRecorded(recording.candidate());
+            case IntentWriteResult.Recorded _ ->
+                steps.awaitFence(
+                        new PromotionPhase.AwaitingFence(attempt, recording.stopped(), recording.candidate(), now));
             // The request of an earlier holder may take effect and relies on the stopped replicas.
             case IntentWriteResult.Superseded superseded
             when superseded
                     .current()
-                    .filter(intent -> isPending(intent, attempt.snapshot(), now))
+                    .filter(intent -> !isOwn(intent) && intent.mayTakeEffect(now))
+                    .filter(intent -> intent.progress() == PromotionIntent.Progress.OPEN)
+                    .filter(intent -> !intent.hasTakenEffect(attempt.snapshot()))
                     .isPresent() -> steps.abandon(Set.of(), "an earlier holder recorded an intent");
-            case IntentWriteResult.Superseded _ -> steps.recordIntent(recording.candidate());
+            case IntentWriteResult.Superseded _ -> steps.recordIntent(recording.stopped(), recording.candidate());
             case IntentWriteResult.Unconfirmed _ ->
                 steps.abandon(attempt.snapshot().replicas(), "the promotion intent could not be recorded");
         };
--- a/engine/src/main/java/org/geraniumproxy/engine/control/ControlLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/ControlLoop.java
@@ -96,6 +96,7 @@
             switch (effect) {
                 case FleetEffect.PublishView publish -> effectHandler.publish(publish.view(), publish.ownership());
                 case FleetEffect.PublishOwnership publish -> effectHandler.publishOwnership(publish.ownership());
+                case FleetEffect.EvaluatePromotions _ -> execute(effectHandler::evaluatePromotions);
                 case FleetEffect.SendToPeers send -> effectHandler.sendToPeers(send.message(), send.addresses());
                 case FleetEffect.FetchConfiguration fetch -> {
                     log.write("control", "configuration requested", "vm=" + fetch.vm() + " version=" + fetch.version());
--- a/engine/src/main/java/org/geraniumproxy/engine/control/FleetEffectHandler.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/FleetEffectHandler.java
@@ -38,4 +38,7 @@
      * @param address host and port of the VM
      */
     void fetchConfiguration(VmName vm, String address);
+
+    /** Evaluates the promotions in progress with the newest state of the fleet. */
+    void evaluatePromotions();
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
@@ -111,6 +112,22 @@
         }
     }
 
+    /**
+     * Evaluates the groups with an open promotion at once, because it may wait for what has become known. Must be
+     * called on the control thread.
+     */
+    public void evaluateOpenPromotions() {
+        FleetState state = control.state();
+        for (ServiceGroup group : state.configuration().groups().values()) {
+            boolean open = platform.promotionIntent(group.name())
+                    .filter(intent -> intent.progress() == PromotionIntent.Progress.OPEN)
+                    .isPresent();
+            if (open) {
+                apply(group.name(), new PromotionEvent.SnapshotTaken(snapshot(state, group)));
+            }
+        }
+    }
+
     /** Logs an intent that another holder left open, and what this holder knows of the group, once. */
     private void logOpenIntent(GroupName group, GroupSnapshot snapshot) {
         Optional<PromotionIntent> open =
@@ -131,6 +148,8 @@
     private GroupSnapshot snapshot(FleetState state, ServiceGroup group) {
         Instant now = clock.instant();
         GroupDirectory directory = state.members(group.name());
+        Optional<PromotionIntent> intent =
+                platform.promotionIntent(group.name()).map(known -> state.withEffect(group.name(), known));
         return new GroupSnapshot(
                 directory.databases(),
                 state.suspected(group.name()),
@@ -140,7 +159,9 @@
                 state.recentlyRestartedDatabases(now),
                 group.synchronousReplicas(),
                 state.acknowledgedPosition(group.name(), now),
-                platform.promotionIntent(group.name()));
+                intent,
+                intent.map(known -> state.unfenced(group.name(), known.fence().promotion(), now))
+                        .orElse(Set.of()));
     }
 
     /** Applies the result of an effect, after what has become known since the last evaluation of the group. */
--- a/engine/src/main/java/org/geraniumproxy/engine/peer/PeerMessageCodec.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/peer/PeerMessageCodec.java
@@ -6,19 +6,25 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.fleet.PeerMessage;
+import org.geraniumproxy.core.fleet.PromotionNotice;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.StoreRevision;
 import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.promotion.AttemptId;
+import org.geraniumproxy.core.promotion.PromotionIntent;
 
 /** Encodes and decodes the periodic messages between VMs. They are sent between regions and should be small. */
 final class PeerMessageCodec {
     /** Version in the first byte of a datagram. Datagrams of other versions are rejected. */
-    static final int VERSION = 4;
+    static final int VERSION = 5;
 
     private PeerMessageCodec() {}
 
@@ -44,14 +50,12 @@
                     PeerMessageCodec::writeDatabase,
                     PeerEncoding::writeMilliseconds);
             writeMap(output, message.newestTerms(), PeerMessageCodec::writeGroup, PeerEncoding::writeVarint);
-            writeMap(output, message.acknowledged(), PeerMessageCodec::writeGroup, (out, position) -> {
-                PeerEncoding.writeVarint(out, position.term().number());
-                PeerEncoding.writeVarint(out, position.position());
-            });
+            writeMap(output, message.acknowledged(), PeerMessageCodec::writeGroup, PeerMessageCodec::writePosition);
             writeMap(output, message.claims(), PeerMessageCodec::writeGroup, (out, claim) -> {
                 writeDatabase(out, claim.database());
                 PeerEncoding.writeVarint(out, claim.term());
             });
+            writeMap(output, message.promotions(), PeerMessageCodec::writeGroup, PeerMessageCodec::writePromotion);
         }
         return bytes.toByteArray();
     }
@@ -69,15 +73,16 @@
             Map<BackendServerName, Duration> commits =
                     readMap(input, PeerMessageCodec::readDatabase, PeerEncoding::readMilliseconds);
             Map<GroupName, Long> terms = readMap(input, PeerMessageCodec::readGroup, PeerEncoding::readVarint);
-            Map<GroupName, LogPosition> acknowledged = readMap(
-                    input,
-                    PeerMessageCodec::readGroup,
-                    in -> LogPosition.of(PeerEncoding.readVarint(in), PeerEncoding.readVarint(in)));
+            Map<GroupName, LogPosition> acknowledged =
+                    readMap(input, PeerMessageCodec::readGroup, PeerMessageCodec::readPosition);
             Map<GroupName, PrimaryClaim> claims = readMap(
                     input,
                     PeerMessageCodec::readGroup,
                     in -> new PrimaryClaim(readDatabase(in), PeerEncoding.readVarint(in)));
-            return new PeerMessage(sender, version, registered, failing, commits, terms, acknowledged, claims);
+            Map<GroupName, PromotionNotice> promotions =
+                    readMap(input, PeerMessageCodec::readGroup, PeerMessageCodec::readPromotion);
+            return new PeerMessage(
+                    sender, version, registered, failing, commits, terms, acknowledged, claims, promotions);
         } catch (IllegalArgumentException e) {
             throw new IOException("invalid name or number in a peer message", e);
         }
@@ -102,6 +107,54 @@
         return map;
     }
 
+    private static void writePromotion(DataOutputStream output, PromotionNotice notice) throws IOException {
+        PromotionIntent intent = notice.intent();
+        writeDatabase(output, intent.target());
+        PeerEncoding.writeVarint(output, intent.term());
+        PeerEncoding.writeText(output, intent.progress().name());
+        writeOptional(output, intent.lastPosition(), PeerMessageCodec::writePosition);
+        writeOptional(output, intent.attempt(), (out, attempt) -> PeerEncoding.writeText(out, attempt.toString()));
+        PeerEncoding.writeVarint(output, notice.revision().era());
+        PeerEncoding.writeVarint(output, notice.revision().number());
+        output.writeBoolean(notice.enforced());
+    }
+
+    private static PromotionNotice readPromotion(DataInputStream input) throws IOException {
+        BackendServerName target = readDatabase(input);
+        long term = PeerEncoding.readVarint(input);
+        PromotionIntent.Progress progress = PromotionIntent.Progress.valueOf(PeerEncoding.readText(input));
+        PromotionIntent intent = new PromotionIntent(
+                target,
+                term,
+                progress,
+                readOptional(input, PeerMessageCodec::readPosition),
+                readOptional(input, in -> AttemptId.parse(PeerEncoding.readText(in))),
+                Instant.EPOCH);
+        StoreRevision revision = new StoreRevision(PeerEncoding.readVarint(input), PeerEncoding.readVarint(input));
+        return new PromotionNotice(intent, revision, input.readBoolean());
+    }
+
+    private static <T> void writeOptional(DataOutputStream output, Optional<T> value, Writer<T> writer)
+            throws IOException {
+        output.writeBoolean(value.isPresent());
+        if (value.isPresent()) {
+            writer.write(output, value.get());
+        }
+    }
+
+    private static <T> Optional<T> readOptional(DataInputStream input, Reader<T> reader) throws IOException {
+        return input.readBoolean() ? Optional.of(reader.read(input)) : Optional.empty();
+    }
+
+    private static void writePosition(DataOutputStream output, LogPosition position) throws IOException {
+        PeerEncoding.writeVarint(output, position.term().number());
+        PeerEncoding.writeVarint(output, position.position());
+    }
+
+    private static LogPosition readPosition(DataInputStream input) throws IOException {
+        return LogPosition.of(PeerEncoding.readVarint(input), PeerEncoding.readVarint(input));
+    }
+
     private static void writeGroup(DataOutputStream output, GroupName name) throws IOException {
         PeerEncoding.writeText(output, name.value());
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -141,6 +141,7 @@
      */
     public void update(TrafficView next, RateOwnership ownership) {
         boolean firstConfiguration = !isConfigured();
+        boolean fencesChanged = !view.promotionFences().equals(next.promotionFences());
         view = next;
         peerRequests.update(next, ownership);
         Map<BackendServerName, DatabaseEntry> currentDatabases = new HashMap<>();
@@ -167,6 +168,10 @@
             List.copyOf(sessions.values()).forEach(CallerConnection::handleQueuedMessages);
         }
         runPendingSteps();
+        if (fencesChanged) {
+            // A promotion waits until this VM has confirmed that it enforces it.
+            observer.onReport(report());
+        }
     }
 
     /**
@@ -537,6 +542,9 @@
             newestTerms.put(group, known.highestTerm());
             known.acknowledgedCommit().ifPresent(position -> acknowledged.put(group, position));
         });
-        return new TrafficReport(health, newestTerms, acknowledged);
+        Map<GroupName, String> enforced = new HashMap<>();
+        view.promotionFences()
+                .forEach((group, fences) -> fences.newest().ifPresent(fence -> enforced.put(group, fence.promotion())));
+        return new TrafficReport(health, newestTerms, acknowledged, enforced);
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficReport.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficReport.java
@@ -12,15 +12,18 @@
  * @param health health of each database as observed by this VM
  * @param newestTerms newest term of each group that a primary has reported
  * @param acknowledged position of each group up to which commits have been acknowledged
+ * @param enforced newest promotion of each group that bounds the acknowledgements of this VM
  */
 public record TrafficReport(
         Map<BackendServerName, DatabaseHealth> health,
         Map<GroupName, Long> newestTerms,
-        Map<GroupName, LogPosition> acknowledged) {
+        Map<GroupName, LogPosition> acknowledged,
+        Map<GroupName, String> enforced) {
     /** Makes immutable copies of the maps. */
     public TrafficReport {
         health = Map.copyOf(health);
         newestTerms = Map.copyOf(newestTerms);
         acknowledged = Map.copyOf(acknowledged);
+        enforced = Map.copyOf(enforced);
     }
 }
