Count terms that databases report in answers to commands

Terms were learned only from the traffic of a primary and from claims.

The term in each status that a database answers counts now as seen.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -117,6 +117,14 @@
      */
     record WriteRefusedByReplica(GroupName group, BackendServerName database) implements FleetEvent {}
 
+    /**
+     * A database reported its term in a status. A command with a term that is not above it is not carried out.
+     *
+     * @param group group of the database
+     * @param term newest term that the database knows
+     */
+    record TermReported(GroupName group, long term) implements FleetEvent {}
+
     /**
      * This VM learned a promotion intent of a group.
      *
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -226,7 +226,9 @@
      * @return term, zero if none was seen
      */
     public long newestTerm(GroupName group) {
-        long newest = lastReport.newestTerms().getOrDefault(group, 0L);
+        long newest = Math.max(
+                lastReport.newestTerms().getOrDefault(group, 0L),
+                promotions.reportedTerms().getOrDefault(group, 0L));
         PrimaryClaim claim = databases.claims().get(group);
         if (claim != null) {
             newest = Math.max(newest, claim.term());
@@ -299,6 +301,7 @@
                         ownership,
                         Optional.of(signalled.drain()),
                         promotions);
+            case FleetEvent.TermReported reported -> with(promotions.reported(reported.group(), reported.term()));
             case FleetEvent.PromotionIntentLearned learned ->
                 with(promotions.learn(learned.group(), learned.intent(), learned.revision()));
         };
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
@@ -18,13 +18,25 @@
  *
  * @param byGroup newest intent of each group
  * @param fences bounds that the promotions set on the commits of each group
+ * @param reportedTerms newest term of each group that a database has reported in its status
  */
-record TrackedPromotions(Map<GroupName, TrackedPromotion> byGroup, Map<GroupName, PromotionFences> fences) {
-    static final TrackedPromotions NONE = new TrackedPromotions(Map.of(), Map.of());
+record TrackedPromotions(
+        Map<GroupName, TrackedPromotion> byGroup,
+        Map<GroupName, PromotionFences> fences,
+        Map<GroupName, Long> reportedTerms) {
+    static final TrackedPromotions NONE = new TrackedPromotions(Map.of(), Map.of(), Map.of());
 
     TrackedPromotions {
         byGroup = Map.copyOf(byGroup);
         fences = Map.copyOf(fences);
+        reportedTerms = Map.copyOf(reportedTerms);
+    }
+
+    /** Returns the state after a database has reported a term. */
+    TrackedPromotions reported(GroupName group, long term) {
+        Map<GroupName, Long> next = new HashMap<>(reportedTerms);
+        next.merge(group, term, Math::max);
+        return new TrackedPromotions(byGroup, fences, next);
     }
 
     /** Returns the state after an intent was learned, unless it is not newer than the known one. */
@@ -35,7 +47,7 @@
         }
         Map<GroupName, TrackedPromotion> next = new HashMap<>(byGroup);
         next.put(group, known == null ? TrackedPromotion.of(intent, revision) : known.replacedBy(intent, revision));
-        return new TrackedPromotions(next, fences);
+        return new TrackedPromotions(next, fences, reportedTerms);
     }
 
     /** Returns the state with the bounds that are in force at this time. */
@@ -58,7 +70,7 @@
             return this;
         }
         byGroup.keySet().forEach(group -> logChange(group, next, effects));
-        return new TrackedPromotions(refreshed, next);
+        return new TrackedPromotions(refreshed, next, reportedTerms);
     }
 
     private void logChange(GroupName group, Map<GroupName, PromotionFences> next, List<FleetEffect> effects) {
--- a/core/src/test/java/org/geraniumproxy/core/fleet/FleetState_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/fleet/FleetState_on_Test.java
@@ -445,6 +445,14 @@
         assertThat(state.recentlyRestartedDatabases(now).contains(REPLICA), is(false));
     }
 
+    /** Guards against attempts with a term that the databases do not take, which leave a group without a primary. */
+    @Test
+    void should_count_the_term_that_a_database_reports_in_its_status() {
+        on(new FleetEvent.TermReported(GROUP, 7));
+        on(new FleetEvent.TermReported(GROUP, 6));
+        assertThat(state.newestTerm(GROUP), is(7L));
+    }
+
     private void reportPrimaryFailing() {
         Instant since = now;
         now = now.plusMillis(400);
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -246,6 +246,10 @@
                         (reply, failure) -> {
                             CommandResult result = toResult(reply, failure);
                             log(group, "command completed", command + " result=" + result);
+                            if (result instanceof CommandResult.Answered answered) {
+                                control.submit(new FleetEvent.TermReported(
+                                        group, answered.status().term()));
+                            }
                             applyResult(
                                     group,
                                     new PromotionEvent.CommandCompleted(
