Take the place of a request only for a target that left after it was chosen

A request without an answer was given up after one repetition when its target drains.

The candidate says whether it stayed and had not restarted when it was chosen. Only a change of that ends the repetition; a restart counts too, because the database may hold nothing of before.

--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.caller.BackendCommand;
-import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.LogPosition;
@@ -343,12 +342,9 @@
                 : Optional.of("commits may have been confirmed by " + uncounted + ", which became known late");
     }
 
-    /** Returns why a target should no longer lead: it leaves, or may have lost its log in a restart since. */
+    /** Returns why a target that was steady when it was chosen should no longer lead. */
     Optional<String> departure(PromotionCandidate candidate) {
-        GroupSnapshot snapshot = attempt.snapshot();
-        DatabaseEntry entry = snapshot.databases().get(candidate.database());
-        boolean restarted = snapshot.recentlyRestarted().contains(candidate.database());
-        return entry == null || entry.draining() || restarted
+        return candidate.steady() && !PromotionChoice.isSteady(attempt.snapshot(), candidate.database())
                 ? Optional.of("database " + candidate.database() + " leaves or has restarted")
                 : Optional.empty();
     }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -78,7 +78,8 @@
                         .<PromotionChoice>map(database -> new Chosen(new PromotionCandidate(
                                 database,
                                 stopped.get(database).received(),
-                                new CommitProof.PrimarySteppedDown(last)))));
+                                new CommitProof.PrimarySteppedDown(last),
+                                isSteady(attempt.snapshot(), database)))));
     }
 
     private static PromotionChoice longestLog(
@@ -149,12 +150,18 @@
             boolean steady) {
         LogPosition received = stopped.get(target).received();
         if (steady || (snapshot.primary().isEmpty() && stopped.keySet().containsAll(snapshot.replicas()))) {
-            return new Chosen(
-                    new PromotionCandidate(target, received, new CommitProof.ReplicasStopped(snapshot.replicas())));
+            return new Chosen(new PromotionCandidate(
+                    target,
+                    received,
+                    new CommitProof.ReplicasStopped(snapshot.replicas()),
+                    isSteady(snapshot, target)));
         }
         return snapshot.primary().isPresent()
                 ? new Chosen(new PromotionCandidate(
-                        target, received, new CommitProof.ReplicasStoppedUntilStepDown(snapshot.replicas())))
+                        target,
+                        received,
+                        new CommitProof.ReplicasStoppedUntilStepDown(snapshot.replicas()),
+                        isSteady(snapshot, target)))
                 : new Insufficient(
                         "an unanswered command may resume a replica, and a database that did not answer may lead");
     }
@@ -167,6 +174,11 @@
         return acknowledged.map(position -> highest.compareTo(position) < 0).orElse(false);
     }
 
+    /** Returns whether a database stays and has not restarted, after which it may hold nothing of before. */
+    static boolean isSteady(GroupSnapshot snapshot, BackendServerName database) {
+        return isRemaining(snapshot, database) && !snapshot.recentlyRestarted().contains(database);
+    }
+
     private static boolean isRemaining(GroupSnapshot snapshot, BackendServerName database) {
         DatabaseEntry entry = snapshot.databases().get(database);
         return entry != null && !entry.draining();
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_openIntent_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_openIntent_Test.java
@@ -89,6 +89,39 @@
         assertThat(requestedPromotions(), containsInAnyOrder(THIRD));
     }
 
+    /** Guards against a late copy that promotes a database whose notice is over. */
+    @Test
+    void should_compare_the_logs_again_when_the_target_of_a_request_without_an_answer_leaves() {
+        requestAt(12, 12);
+        on(new PromotionEvent.RequestUnanswered());
+        draining = Set.of(THIRD);
+        now = now.plus(PromotionState.REQUEST_RETRY_DELAY);
+        begin();
+        assertThat(requestedPromotions(), is(empty()));
+    }
+
+    /** Guards against the promotion of a database that lost its log in a restart after its verification. */
+    @Test
+    void should_compare_the_logs_again_when_the_target_of_a_request_without_an_answer_restarts() {
+        requestAt(12, 12);
+        on(new PromotionEvent.RequestUnanswered());
+        recentlyRestarted = Set.of(THIRD);
+        now = now.plus(PromotionState.REQUEST_RETRY_DELAY);
+        begin();
+        assertThat(requestedPromotions(), is(empty()));
+    }
+
+    /** Guards against a group that waits for a database that leaves and alone holds all acknowledged commits. */
+    @Test
+    void should_repeat_a_request_for_a_target_that_left_before_it_was_chosen() {
+        draining = Set.of(THIRD);
+        requestAt(10, 12);
+        on(new PromotionEvent.RequestUnanswered());
+        now = now.plus(PromotionState.REQUEST_RETRY_DELAY);
+        begin();
+        assertThat(requestedPromotions(), containsInAnyOrder(THIRD));
+    }
+
     /** Guards against a request that is repeated for so long that other VMs take its intent for ended. */
     @Test
     void should_compare_the_logs_again_when_a_request_gets_no_answer_for_long() {
