End open promotions by what is known of them

A review of the fix found ways in which a promotion counted as open, or as in effect, on the wrong evidence.

* An intent whose target was seen to lead stays in effect when a later one is refused.
* The effect is shown by a claim of the target with the term of the intent, or by its later entry.
Before, any database that reported the term was enough beside a target that had led before.
The holder takes the effect from the same place; a test that gave it the primary and the term gives it the intent as taken, and the evidence has tests of its own (TrackedPromotion_fences_Test).
* An own intent whose request was never sent is refused, and no primary is replaced for it, also while a copy of an accepted request may be under way.
* Replicas have their own time limit for the verification.
Before, a write of the intent that took about a second ended the attempt.
* Earlier intents are forgotten by age.
Before, nine attempts without a request pushed out the one that was requested.
* A write whose connection was prepared while the promotion became known is held instead of sent.

--- a/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
@@ -45,6 +45,10 @@
                         effects);
             }
         }
+        if (session.transaction().isEmpty() && PromotionHold.isHeld(session, context)) {
+            SlotEffects.releaseSlot(slot, TransactionState.IDLE, effects);
+            return PromotionHold.hold(session, context, effects);
+        }
         if (!preparing.beginsTransaction()) {
             return StatementExecution.sendStatement(session, slot, context, effects);
         }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -387,7 +387,7 @@
     }
 
     private FleetState refreshPromotions(Instant now, List<FleetEffect> effects) {
-        return with(promotions.refresh(this::members, this::newestTerm, now, effects));
+        return with(promotions.refresh(this::members, now, effects));
     }
 
     private FleetState with(TrackedPromotions next) {
@@ -467,11 +467,7 @@
     }
 
     private Set<VmName> enforcing(GroupName group, String promotion, Instant now) {
-        Set<VmName> enforcing = peers.reachable(now).stream()
-                .map(TimestampedPeerMessage::message)
-                .filter(message -> message.enforces(group, promotion))
-                .map(PeerMessage::sender)
-                .collect(Collectors.toSet());
+        Set<VmName> enforcing = peers.enforcing(group, promotion, now);
         if (promotion.equals(lastReport.enforced().get(group))) {
             enforcing.add(self);
         }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.limit.RateOwnership;
@@ -148,6 +149,17 @@
         return tolerated.compareTo(MINIMUM_UNREACHABLE_TIMEOUT) > 0 ? tolerated : MINIMUM_UNREACHABLE_TIMEOUT;
     }
 
+    /** Returns the reachable VMs that have confirmed that they enforce a promotion, in a set that may be changed. */
+    Set<VmName> enforcing(GroupName group, String promotion, Instant now) {
+        Set<VmName> enforcing = new HashSet<>();
+        for (TimestampedPeerMessage peer : reachable(now)) {
+            if (peer.message().enforces(group, promotion)) {
+                enforcing.add(peer.message().sender());
+            }
+        }
+        return enforcing;
+    }
+
     List<TimestampedPeerMessage> reachable(Instant now) {
         Duration timeout = unreachableTimeout();
         return lastMessages.values().stream()
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotion.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotion.java
@@ -16,16 +16,13 @@
  *
  * @param intent newest intent
  * @param revision revision of the store at which it was recorded
- * @param earlier earlier intents that were not refused, oldest first
+ * @param earlier earlier intents that are recent and were not refused, oldest first
  * @param inEffect whether the target was known to lead by the newest intent
  */
 record TrackedPromotion(
         PromotionIntent intent, StoreRevision revision, List<PromotionIntent> earlier, boolean inEffect) {
-    /**
-     * Number of earlier intents that are remembered. An answer of a database that has lost the lead arrives within the
-     * time limit of a statement, in which a group changes its primary once or twice.
-     */
-    private static final int MAXIMUM_EARLIER = 8;
+    /** Number of earlier intents that are remembered: more than a holder records while one of them is recent. */
+    private static final int MAXIMUM_EARLIER = 64;
 
     TrackedPromotion {
         earlier = List.copyOf(earlier);
@@ -38,8 +35,9 @@
     /** Returns the state after a newer intent of the group was recorded. */
     TrackedPromotion replacedBy(PromotionIntent next, StoreRevision nextRevision) {
         List<PromotionIntent> remaining = new ArrayList<>(earlier);
-        remaining.add(intent);
+        remaining.add(inEffect ? intent.taken() : intent);
         remaining.removeIf(known -> known.progress() == PromotionIntent.Progress.REFUSED
+                || !known.isRecent(next.learnedAt())
                 || known.fence().promotion().equals(next.fence().promotion()));
         if (next.progress() == PromotionIntent.Progress.REFUSED) {
             // An intent is refused only when no copy of an earlier request can take effect any more.
@@ -50,8 +48,8 @@
     }
 
     /** Returns the state with the newest evidence of the primary. A target that led may restart under another name. */
-    TrackedPromotion refreshed(GroupDirectory directory, long newestTerm) {
-        boolean leads = inEffect || hasTakenEffect(directory, newestTerm);
+    TrackedPromotion refreshed(GroupDirectory directory) {
+        boolean leads = inEffect || hasTakenEffect(directory);
         return leads == inEffect ? this : new TrackedPromotion(intent, revision, earlier, leads);
     }
 
@@ -97,14 +95,20 @@
 
     /**
      * Returns whether the target leads by this promotion. A database reports a change of its role at once, so an entry
-     * that was written after the intent shows it without an answer to the request.
+     * that was written after the intent shows it without an answer to the request. A new term that another database
+     * reports shows nothing.
      */
-    private boolean hasTakenEffect(GroupDirectory directory, long newestTerm) {
+    private boolean hasTakenEffect(GroupDirectory directory) {
         boolean reported = Optional.ofNullable(directory.databases().get(intent.target()))
                 .filter(DatabaseEntry::primary)
                 .filter(entry -> entry.revision().isAfter(revision))
                 .isPresent();
-        return reported || intent.hasTakenEffect(directory.primary().map(DatabaseEntry::name), newestTerm);
+        boolean claimed = directory
+                .claim()
+                .filter(claim -> claim.database().equals(intent.target()))
+                .filter(claim -> claim.term() >= intent.term())
+                .isPresent();
+        return reported || claimed;
     }
 
     /** Returns whether another database was found to lead since the promotion was accepted. */
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import java.util.function.ToLongFunction;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.directory.PromotionFence;
 import org.geraniumproxy.core.directory.PromotionFences;
@@ -51,17 +50,13 @@
     }
 
     /** Returns the state with the bounds that are in force at this time. */
-    TrackedPromotions refresh(
-            Function<GroupName, GroupDirectory> directories,
-            ToLongFunction<GroupName> newestTerms,
-            Instant now,
-            List<FleetEffect> effects) {
+    TrackedPromotions refresh(Function<GroupName, GroupDirectory> directories, Instant now, List<FleetEffect> effects) {
         Map<GroupName, TrackedPromotion> refreshed = new HashMap<>(byGroup);
         Map<GroupName, PromotionFences> next = new HashMap<>();
         byGroup.forEach((group, promotion) -> {
             if (promotion.intent().isRecent(now)) {
                 GroupDirectory directory = directories.apply(group);
-                TrackedPromotion latest = promotion.refreshed(directory, newestTerms.applyAsLong(group));
+                TrackedPromotion latest = promotion.refreshed(directory);
                 refreshed.put(group, latest);
                 next.put(group, latest.fences(directory, now));
             }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -285,7 +285,7 @@
                 ? Set.of(candidate.database())
                 : stopped.keySet();
         send(databases, new BackendCommand.ReadStatus());
-        return new PromotionPhase.Verifying(attempt, databases, stopped, candidate);
+        return new PromotionPhase.Verifying(attempt, databases, stopped, candidate, now);
     }
 
     /** Handles the answer of a replica to the last query. */
@@ -303,7 +303,8 @@
         Set<BackendServerName> pending = without(verifying.pending(), replica);
         return pending.isEmpty()
                 ? requestRecorded(verifying.candidate())
-                : new PromotionPhase.Verifying(attempt, pending, verifying.stopped(), verifying.candidate());
+                : new PromotionPhase.Verifying(
+                        attempt, pending, verifying.stopped(), verifying.candidate(), verifying.startedAt());
     }
 
     /** Records the intent, unless the evidence that has arrived since the choice contradicts it. */
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -174,7 +174,13 @@
         return acknowledged.map(position -> highest.compareTo(position) < 0).orElse(false);
     }
 
-    /** Returns whether a database stays and has not restarted, after which it may hold nothing of before. */
+    /**
+     * Returns whether a database stays and has not restarted, after which it may hold nothing of before.
+     *
+     * @param snapshot state of the group
+     * @param database name of the database
+     * @return false if it drains, has no entry or has restarted recently
+     */
     static boolean isSteady(GroupSnapshot snapshot, BackendServerName database) {
         return isRemaining(snapshot, database) && !snapshot.recentlyRestarted().contains(database);
     }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionIntent.java
@@ -53,26 +53,6 @@
         return term == other.term ? progress.compareTo(other.progress) > 0 : term > other.term;
     }
 
-    /**
-     * Returns whether the group shows that this promotion has taken effect, so that its request changes nothing any
-     * more.
-     */
-    boolean hasTakenEffect(GroupSnapshot snapshot) {
-        return hasTakenEffect(snapshot.primary(), snapshot.newestTerm());
-    }
-
-    /**
-     * Returns whether the group shows that this promotion has taken effect. A greater term of another database is no
-     * evidence, because holders count terms on from the newest one that they know.
-     *
-     * @param primary primary of the group as this VM knows it
-     * @param newestTerm newest term that any VM has seen
-     * @return true if its request changes nothing any more
-     */
-    public boolean hasTakenEffect(Optional<BackendServerName> primary, long newestTerm) {
-        return primary.equals(Optional.of(target)) && newestTerm >= term;
-    }
-
     /**
      * Returns the bound that this promotion sets on the commits of the group.
      *
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionPhase.java
@@ -28,7 +28,12 @@
                 new AwaitingFence(
                         phase.attempt().refreshed(latest), phase.stopped(), phase.candidate(), phase.recordedAt());
             case Verifying phase ->
-                new Verifying(phase.attempt().refreshed(latest), phase.pending(), phase.stopped(), phase.candidate());
+                new Verifying(
+                        phase.attempt().refreshed(latest),
+                        phase.pending(),
+                        phase.stopped(),
+                        phase.candidate(),
+                        phase.startedAt());
             case RenewingToken phase ->
                 new RenewingToken(phase.attempt().refreshed(latest), phase.stopped(), phase.candidate());
             case RecordingIntent phase ->
@@ -168,12 +173,14 @@
      * @param pending replicas that have not answered
      * @param stopped status of each replica when it stopped
      * @param candidate chosen database
+     * @param startedAt time at which the replicas were queried
      */
     record Verifying(
             Attempt attempt,
             Set<BackendServerName> pending,
             Map<BackendServerName, DatabaseStatus> stopped,
-            PromotionCandidate candidate)
+            PromotionCandidate candidate,
+            Instant startedAt)
             implements PromotionPhase {
         /** Copies the collections. */
         public Verifying {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -30,6 +30,8 @@
  *     is no longer known
  * @param phase current phase
  * @param lateRequestUntil time until which an unanswered request, of this or an earlier holder, may still take effect
+ * @param unsettledUntil as lateRequestUntil, for the requests since the last accepted one; a copy of an accepted
+ *     request changes nothing while its target leads
  * @param commands commands that databases may still carry out
  * @param promoted log with which this process last requested a promotion
  */
@@ -39,6 +41,7 @@
         long earlierAttempts,
         PromotionPhase phase,
         Instant lateRequestUntil,
+        Instant unsettledUntil,
         OutstandingCommands commands,
         Optional<PromotedLog> promoted) {
     /**
@@ -84,6 +87,7 @@
                 0,
                 new PromotionPhase.Watching(Instant.MIN, Optional.empty(), Resumption.ALL_REPLICAS, Optional.empty()),
                 Instant.MIN,
+                Instant.MIN,
                 OutstandingCommands.NONE,
                 Optional.empty());
     }
@@ -103,6 +107,7 @@
                 attempts,
                 initial(holder).phase(),
                 awaitsAnswer ? now.plus(LATE_REQUEST_TIMEOUT) : lateRequestUntil,
+                awaitsAnswer ? now.plus(LATE_REQUEST_TIMEOUT) : unsettledUntil,
                 commands.released(),
                 promoted);
     }
@@ -166,26 +171,29 @@
                         begun ? attempts + 1 : attempts,
                         earlierAttempts,
                         next,
-                        lateRequestUntilAfter(event, begun, now),
+                        lateRequestUntilAfter(event, begun, lateRequestUntil, now),
+                        event instanceof PromotionEvent.RequestAccepted && phase instanceof PromotionPhase.Requesting
+                                ? Instant.MIN
+                                : lateRequestUntilAfter(event, begun, unsettledUntil, now),
                         commands.sent(effects, now),
                         promotedAfter(event, next, effects)),
                 effects);
     }
 
     /** Returns the time until which a request may take effect, also that of an open intent found by a new attempt. */
-    private Instant lateRequestUntilAfter(PromotionEvent event, boolean begun, Instant now) {
+    private Instant lateRequestUntilAfter(PromotionEvent event, boolean begun, Instant known, Instant now) {
         if (event instanceof PromotionEvent.RequestUnanswered) {
             return now.plus(LATE_REQUEST_TIMEOUT);
         }
         if (begun && event instanceof PromotionEvent.TimePassed passed) {
             return passed.snapshot()
                     .intent()
-                    .filter(intent -> isUnsettled(passed.snapshot(), now))
+                    .filter(intent -> outlook().isUnsettled(passed.snapshot(), now))
                     .map(PromotionIntent::openUntil)
-                    .filter(until -> until.isAfter(lateRequestUntil))
-                    .orElse(lateRequestUntil);
+                    .filter(until -> until.isAfter(known))
+                    .orElse(known);
         }
-        return lateRequestUntil;
+        return known;
     }
 
     /** Reports a commit that the last promotion lost, once, and returns the log of the last requested promotion. */
@@ -207,7 +215,8 @@
     }
 
     private PromotionState with(PromotionPhase current, OutstandingCommands next) {
-        return new PromotionState(holder, attempts, earlierAttempts, current, lateRequestUntil, next, promoted);
+        return new PromotionState(
+                holder, attempts, earlierAttempts, current, lateRequestUntil, unsettledUntil, next, promoted);
     }
 
     private PromotionPhase timePassed(GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
@@ -222,7 +231,7 @@
             when hasTimedOut(stopping.attempt(), now) -> decide(stopping, now, effects);
             case PromotionPhase.Stopping _ -> snapshotTaken(now, effects);
             case PromotionPhase.Verifying verifying
-            when hasTimedOut(verifying.attempt(), now) ->
+            when Duration.between(verifying.startedAt(), now).compareTo(COMMAND_TIMEOUT) > 0 ->
                 new AttemptSteps(verifying.attempt(), now, effects)
                         .withdraw(verifying.candidate(), verifying.stopped().keySet(), "verification took too long");
             case PromotionPhase.AwaitingFence _ -> snapshotTaken(now, effects);
@@ -257,14 +266,18 @@
 
     private PromotionPhase watch(
             PromotionPhase.Watching watching, GroupSnapshot known, Instant now, List<PromotionEffect> effects) {
-        boolean unsettled = isUnsettled(known, now);
+        boolean unsettled = outlook().isUnsettled(known, now);
         GroupSnapshot snapshot =
                 unsettled && known.reason().isEmpty() ? known.withReason(PromotionReason.UNSETTLED) : known;
-        boolean tooEarly =
-                isSettling(snapshot, now) || commands.awaitsResumption(now) || now.isBefore(watching.notBefore());
-        if (snapshot.reason().isEmpty() && !tooEarly && isLeftOpen(snapshot)) {
+        boolean tooEarly = outlook().isSettling(snapshot, now)
+                || commands.awaitsResumption(now)
+                || now.isBefore(watching.notBefore());
+        boolean ended = !unsettled && !tooEarly && IntentOutlook.isLeftOpen(snapshot);
+        if (ended) {
             effects.add(new PromotionEffect.RecordIntent(
                     snapshot.intent().orElseThrow().refused()));
+        }
+        if (ended && snapshot.reason().isEmpty()) {
             return new PromotionPhase.Watching(
                     now.plus(ATTEMPT_RETRY_DELAY),
                     watching.noPrimarySince(),
@@ -304,8 +317,9 @@
     private PromotionPhase begin(
             PromotionPhase.Watching watching, GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         Set<BackendServerName> replicas = snapshot.replicas();
-        Optional<BackendServerName> pendingTarget =
-                snapshot.intent().filter(_ -> isUnsettled(snapshot, now)).map(PromotionIntent::target);
+        Optional<BackendServerName> pendingTarget = snapshot.intent()
+                .filter(_ -> outlook().isUnsettled(snapshot, now))
+                .map(PromotionIntent::target);
         Optional<LogPosition> lastPosition = watching.steppedDown()
                 .filter(_ -> snapshot.reason().equals(Optional.of(PromotionReason.NONE_LEADS)))
                 .filter(primary -> primary.isCurrent(snapshot))
@@ -333,37 +347,8 @@
         return unknown.isEmpty() ? steps.stop() : steps.inspect(unknown);
     }
 
-    /**
-     * Returns whether a request may still promote a database without this holder knowing of its outcome. This holder
-     * knows when its own requests were sent; those of another one may be sent for some time after their intent.
-     */
-    private boolean isUnsettled(GroupSnapshot snapshot, Instant now) {
-        return snapshot.intent()
-                .filter(_ -> isLeftOpen(snapshot))
-                .filter(intent -> isOwn(intent) ? now.isBefore(lateRequestUntil) : intent.mayTakeEffect(now))
-                .isPresent();
-    }
-
-    /** Returns whether the last intent is open and its target is not known to lead. */
-    private static boolean isLeftOpen(GroupSnapshot snapshot) {
-        return snapshot.intent()
-                .filter(intent -> intent.progress() == PromotionIntent.Progress.OPEN)
-                .filter(intent -> !intent.hasTakenEffect(snapshot))
-                .isPresent();
-    }
-
-    /** Returns whether a promotion may be in progress. An intent whose request was not sent is none. */
-    private boolean isSettling(GroupSnapshot snapshot, Instant now) {
-        return snapshot.intent()
-                .filter(intent -> intent.isSettling(now))
-                .filter(intent -> !isOwn(intent) || intent.attempt().equals(promoted.map(PromotedLog::attempt)))
-                .isPresent();
-    }
-
-    private boolean isOwn(PromotionIntent intent) {
-        return intent.attempt()
-                .filter(attempt -> attempt.holder().equals(holder) && attempt.number() > earlierAttempts)
-                .isPresent();
+    private IntentOutlook outlook() {
+        return new IntentOutlook(holder, earlierAttempts, unsettledUntil, promoted.map(PromotedLog::attempt));
     }
 
     private PromotionPhase completed(
@@ -551,9 +536,8 @@
             case IntentWriteResult.Superseded superseded
             when superseded
                     .current()
-                    .filter(intent -> !isOwn(intent) && intent.mayTakeEffect(now))
+                    .filter(intent -> !outlook().isOwn(intent) && intent.mayTakeEffect(now))
                     .filter(intent -> intent.progress() == PromotionIntent.Progress.OPEN)
-                    .filter(intent -> !intent.hasTakenEffect(attempt.snapshot()))
                     .isPresent() -> steps.abandon(Set.of(), "an earlier holder recorded an intent");
             case IntentWriteResult.Superseded _ -> steps.recordIntent(recording.stopped(), recording.candidate());
             case IntentWriteResult.Unconfirmed _ ->
--- a/core/src/test/java/org/geraniumproxy/core/fleet/TrackedPromotion_fences_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/fleet/TrackedPromotion_fences_Test.java
@@ -36,7 +36,7 @@
     @Test
     void should_hold_commits_of_the_old_primary_back_while_the_promotion_is_open() {
         PromotionFences fences =
-                tracked(intent(NEXT, Progress.OPEN, 1)).refreshed(OLD_LEADS, 1).fences(OLD_LEADS, SOON);
+                tracked(intent(NEXT, Progress.OPEN, 1)).refreshed(OLD_LEADS).fences(OLD_LEADS, SOON);
 
         assertThat(fences.isOpen(), is(true));
         assertThat(mayAcknowledge(fences, OLD, 1), is(false));
@@ -45,7 +45,7 @@
     @Test
     void should_end_a_fence_that_can_take_no_effect_any_more() {
         PromotionFences fences =
-                tracked(intent(NEXT, Progress.OPEN, 1)).refreshed(OLD_LEADS, 1).fences(OLD_LEADS, NEVER_AGAIN);
+                tracked(intent(NEXT, Progress.OPEN, 1)).refreshed(OLD_LEADS).fences(OLD_LEADS, NEVER_AGAIN);
 
         assertThat(mayAcknowledge(fences, OLD, 1), is(true));
     }
@@ -54,7 +54,7 @@
     void should_see_in_a_later_entry_that_the_promotion_took_effect() {
         GroupDirectory directory = directory(NEXT, 9, Optional.empty());
         PromotionFences fences =
-                tracked(intent(NEXT, Progress.OPEN, 1)).refreshed(directory, 1).fences(directory, SOON);
+                tracked(intent(NEXT, Progress.OPEN, 1)).refreshed(directory).fences(directory, SOON);
 
         assertThat(fences.isOpen(), is(false));
         assertThat(mayAcknowledge(fences, NEXT, 2), is(true));
@@ -65,8 +65,8 @@
     @Test
     void should_remember_that_the_promotion_took_effect() {
         PromotionFences fences = tracked(intent(NEXT, Progress.OPEN, 1))
-                .refreshed(directory(NEXT, 9, Optional.empty()), 1)
-                .refreshed(OLD_LEADS, 1)
+                .refreshed(directory(NEXT, 9, Optional.empty()))
+                .refreshed(OLD_LEADS)
                 .fences(OLD_LEADS, SOON);
 
         assertThat(fences.isOpen(), is(false));
@@ -78,7 +78,7 @@
         PrimaryClaim claim = new PrimaryClaim(OLD, 7);
         GroupDirectory directory = directory(OLD, 1, Optional.of(claim));
         PromotionFences fences =
-                tracked(intent(NEXT, Progress.OPEN, 1)).refreshed(directory, 7).fences(directory, SOON);
+                tracked(intent(NEXT, Progress.OPEN, 1)).refreshed(directory).fences(directory, SOON);
 
         assertThat(fences.isOpen(), is(true));
     }
@@ -87,7 +87,7 @@
     void should_keep_the_fence_of_an_open_promotion_that_a_later_one_replaced() {
         PromotionFences fences = tracked(intent(NEXT, Progress.OPEN, 1))
                 .replacedBy(intent(THIRD, Progress.OPEN, 2), new StoreRevision(1, 6))
-                .refreshed(OLD_LEADS, 1)
+                .refreshed(OLD_LEADS)
                 .fences(OLD_LEADS, SOON);
 
         assertThat(fences.fences().size(), is(2));
@@ -99,7 +99,7 @@
         PromotionFences fences = tracked(intent(NEXT, Progress.OPEN, 1))
                 .replacedBy(intent(THIRD, Progress.OPEN, 2), new StoreRevision(1, 6))
                 .replacedBy(intent(THIRD, Progress.REFUSED, 2), new StoreRevision(1, 7))
-                .refreshed(OLD_LEADS, 1)
+                .refreshed(OLD_LEADS)
                 .fences(OLD_LEADS, SOON);
 
         assertThat(fences, is(PromotionFences.NONE));
@@ -115,6 +115,43 @@
         assertThat(mayAcknowledge(fences, OLD, 1), is(true));
     }
 
+    /**
+     * Guards against commits of a new primary that are held back because the store still shows its promotion as open.
+     */
+    @Test
+    void should_keep_a_promotion_that_took_effect_when_a_later_one_is_refused() {
+        GroupDirectory directory = directory(NEXT, 9, Optional.empty());
+        PromotionFences fences = tracked(intent(OLD, Progress.TAKEN, 1))
+                .replacedBy(intent(NEXT, Progress.OPEN, 2), new StoreRevision(1, 6))
+                .refreshed(directory)
+                .replacedBy(intent(THIRD, Progress.OPEN, 3), new StoreRevision(1, 10))
+                .replacedBy(intent(THIRD, Progress.REFUSED, 3), new StoreRevision(1, 11))
+                .fences(directory, SOON);
+
+        assertThat(mayAcknowledge(fences, NEXT, 2), is(true));
+    }
+
+    /** Guards against an open promotion of the old primary that ends because another database reports its term. */
+    @Test
+    void should_not_take_the_lead_of_another_term_for_the_effect() {
+        PrimaryClaim claim = new PrimaryClaim(OLD, 1);
+        GroupDirectory directory = directory(OLD, 1, Optional.of(claim));
+        PromotionFences fences =
+                tracked(intent(OLD, Progress.OPEN, 1)).refreshed(directory).fences(directory, SOON);
+
+        assertThat(fences.isOpen(), is(true));
+    }
+
+    /** Guards against the fence of a requested promotion that is forgotten after many attempts without a request. */
+    @Test
+    void should_remember_each_recent_promotion() {
+        TrackedPromotion promotion = tracked(intent(NEXT, Progress.OPEN, 1));
+        for (int attempt = 2; attempt <= 20; attempt++) {
+            promotion = promotion.replacedBy(intent(THIRD, Progress.OPEN, attempt), new StoreRevision(1, 5 + attempt));
+        }
+        assertThat(promotion.fences(OLD_LEADS, SOON).fences().getFirst().promotion(), is("vm-1/1"));
+    }
+
     private static TrackedPromotion tracked(PromotionIntent intent) {
         return TrackedPromotion.of(intent, new StoreRevision(1, 5));
     }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -245,6 +245,7 @@
                 0,
                 calm.phase(),
                 LATE.plus(PromotionState.LATE_REQUEST_TIMEOUT),
+                Instant.MIN,
                 calm.commands(),
                 Optional.empty());
         PromotionIntent taken = new PromotionIntent(
@@ -286,6 +287,7 @@
                 0,
                 calm.phase(),
                 calm.lateRequestUntil(),
+                calm.unsettledUntil(),
                 new OutstandingCommands(sent, calm.commands().receiving(), Optional.of(EARLY)),
                 Optional.empty());
         PromotionEvent unanswered =
@@ -434,7 +436,14 @@
         OutstandingCommands commands =
                 new OutstandingCommands(Set.of(), Set.of(name(0), name(1), name(2)), Optional.of(EARLY));
         return new PromotionState(
-                HOLDER, attempts, 0, PromotionState.initial(HOLDER).phase(), Instant.MIN, commands, Optional.empty());
+                HOLDER,
+                attempts,
+                0,
+                PromotionState.initial(HOLDER).phase(),
+                Instant.MIN,
+                Instant.MIN,
+                commands,
+                Optional.empty());
     }
 
     private static PromotionIntent openIntent(int target, String holder) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModelState.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModelState.java
@@ -88,7 +88,7 @@
                     ? Optional.empty()
                     : Optional.of(PromotionModel.name(group.primary()));
             boolean open = intent.filter(known -> known.progress() == PromotionIntent.Progress.OPEN)
-                    .filter(known -> !known.hasTakenEffect(primary, group.term()))
+                    .filter(known -> !primary.equals(Optional.of(known.target())) || group.term() < known.term())
                     .isPresent();
             return new PromotionFences(fences, open ? Optional.of(Instant.EPOCH) : Optional.empty());
         }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
@@ -131,6 +131,7 @@
                 0,
                 initial.phase(),
                 Instant.MIN,
+                Instant.MIN,
                 new OutstandingCommands(Set.of(), Set.of(SECOND, THIRD), Optional.of(Instant.EPOCH)),
                 Optional.empty());
     }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_openIntent_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionState_openIntent_Test.java
@@ -1,6 +1,7 @@
 package org.geraniumproxy.core.promotion;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasItem;
@@ -39,15 +40,45 @@
     }
 
     @Test
-    void should_not_replace_a_primary_for_an_open_intent_that_has_taken_effect() {
-        intent = Optional.of(openIntent(SECOND, Optional.of(OTHER_ATTEMPT)));
+    void should_not_replace_a_primary_for_an_intent_that_has_taken_effect() {
+        intent = Optional.of(openIntent(SECOND, Optional.of(OTHER_ATTEMPT)).taken());
         primary = Optional.of(SECOND);
-        newestTerm = TERM;
         reason = Optional.empty();
         begin();
         assertThat(state.phase() instanceof PromotionPhase.Watching, is(true));
     }
 
+    /** Guards against the replacement of a primary because of an intent whose request was never sent. */
+    @Test
+    void should_not_replace_a_primary_for_its_own_intent_without_a_request() {
+        requestAt(12, 10);
+        on(new PromotionEvent.RequestUnanswered());
+        on(new PromotionEvent.RequestAccepted());
+        now = now.plus(PromotionState.SETTLING_TIME);
+        stopAt(12, 14);
+        on(new PromotionEvent.FencingTokenRenewed(true));
+        on(new PromotionEvent.IntentRecorded(new IntentWriteResult.Unconfirmed()));
+        intent = Optional.of(openIntent(THIRD, Optional.of(new AttemptId("vm-1", 2))));
+        answerResumption(SECOND);
+        answerResumption(THIRD);
+        reason = Optional.empty();
+        now = now.plus(PromotionState.ATTEMPT_RETRY_DELAY);
+        begin();
+        assertThat(state.phase() instanceof PromotionPhase.Watching, is(true));
+        assertThat(recordedProgress(), contains(PromotionIntent.Progress.REFUSED));
+    }
+
+    /** Guards against attempts that a slow store ends although all replicas answer. */
+    @Test
+    void should_verify_replicas_after_a_slow_write_of_the_intent() {
+        stopAt(12, 12);
+        now = now.plus(PromotionState.ATTEMPT_TIMEOUT).plusMillis(1);
+        record();
+        begin();
+        answerStopped(12, 12);
+        assertThat(requestedPromotions(), containsInAnyOrder(THIRD));
+    }
+
     /** Guards against an intent that hides an earlier one whose request may still take effect. */
     @Test
     void should_not_refuse_its_intent_while_an_earlier_request_may_take_effect() {
@@ -147,7 +178,7 @@
     @Test
     void should_choose_freely_when_the_request_of_an_open_intent_has_taken_effect() {
         intent = Optional.of(new PromotionIntent(
-                PRIMARY, TERM - 1, PromotionIntent.Progress.OPEN, Optional.empty(), Optional.of(OTHER_ATTEMPT), now));
+                PRIMARY, TERM - 1, PromotionIntent.Progress.TAKEN, Optional.empty(), Optional.of(OTHER_ATTEMPT), now));
         now = now.plus(PromotionState.SETTLING_TIME);
         requestAt(10, 12);
         assertThat(requestedPromotions(), containsInAnyOrder(THIRD));
