Add channels on the database connections of other VMs

A VM has one or two connections to each database in a large fleet, and a connection serves one customer, so that almost every operation opens one. Owners of the connections lend them over multiplexed streams. Not wired into the node yet.

--- a/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
@@ -81,6 +81,16 @@
         return requestId >> REQUEST_BITS;
     }
 
+    /**
+     * Returns the id of the first request of a session. The following ids belong to the same session.
+     *
+     * @param sessionId id of the session
+     * @return id of the request
+     */
+    public static long firstRequestIdOf(long sessionId) {
+        return (sessionId << REQUEST_BITS) + 1;
+    }
+
     /**
      * Applies an event.
      *
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
@@ -98,7 +98,8 @@
         if (commands.isEmpty()) {
             return sendStatement(session, slot, context, effects);
         }
-        effects.add(new SessionEffect.SendCommands(placement.database(), granted.connectionId(), commands));
+        boolean endsSlot = beginsTransaction && current.isBegin();
+        effects.add(new SessionEffect.SendCommands(placement.database(), granted.connectionId(), commands, endsSlot));
         return session.with(new SessionProgress.PreparingConnection(slot, beginsTransaction));
     }
 
@@ -143,7 +144,7 @@
             commands.add(new BackendCommand.Begin(false, Optional.empty()));
             commands.add(new BackendCommand.Rollback());
         }
-        effects.add(new SessionEffect.SendCommands(slot.placement().database(), slot.connectionId(), commands));
+        effects.add(new SessionEffect.SendCommands(slot.placement().database(), slot.connectionId(), commands, true));
         Optional<LogPosition> latest = context.primaryHistory().latest();
         return session.with(new SessionProgress.RunningStatement(slot.withSentAt(context.now(), latest)));
     }
--- a/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
@@ -7,8 +7,10 @@
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.directory.PromotionFences;
+import org.geraniumproxy.core.directory.VmLocation;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 
 /**
@@ -22,6 +24,7 @@
  * @param watchedGroups groups whose primaries this VM probes
  * @param positionSources VMs that tell the positions of the other primaries
  * @param promotionFences bounds that promotions set on the commits of each group
+ * @param vmLocations locations of the registered VMs
  */
 public record TrafficView(
         ServiceConfiguration configuration,
@@ -31,10 +34,11 @@
         int vmCount,
         Set<GroupName> watchedGroups,
         List<PositionSource> positionSources,
-        Map<GroupName, PromotionFences> promotionFences) {
+        Map<GroupName, PromotionFences> promotionFences,
+        Map<VmName, VmLocation> vmLocations) {
     /** The view before any configuration is known. */
     public static final TrafficView NONE = new TrafficView(
-            ServiceConfiguration.NONE, Map.of(), Map.of(), Optional.empty(), 1, Set.of(), List.of(), Map.of());
+            ServiceConfiguration.NONE, Map.of(), Map.of(), Optional.empty(), 1, Set.of(), List.of(), Map.of(), Map.of());
 
     /** Makes unmodifiable copies of the collections. */
     public TrafficView {
@@ -43,6 +47,7 @@
         watchedGroups = Set.copyOf(watchedGroups);
         positionSources = List.copyOf(positionSources);
         promotionFences = Map.copyOf(promotionFences);
+        vmLocations = Map.copyOf(vmLocations);
     }
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -8,6 +8,7 @@
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.RegionName;
@@ -56,12 +57,28 @@
      *
      * @param addresses host and port for peer messages, by VM
      * @param regions regions of the VMs that stated one
+     * @param failureDomains failure domains of the VMs that stated one
      */
-    record VmsListed(Map<VmName, String> addresses, Map<VmName, RegionName> regions) implements FleetEvent {
+    record VmsListed(
+            Map<VmName, String> addresses,
+            Map<VmName, RegionName> regions,
+            Map<VmName, FailureDomain> failureDomains)
+            implements FleetEvent {
         /** Copies the maps. */
         public VmsListed {
             addresses = Map.copyOf(addresses);
             regions = Map.copyOf(regions);
+            failureDomains = Map.copyOf(failureDomains);
+        }
+
+        /**
+         * Creates a list of VMs that state no failure domain.
+         *
+         * @param addresses host and port for peer messages, by VM
+         * @param regions regions of the VMs that stated one
+         */
+        public VmsListed(Map<VmName, String> addresses, Map<VmName, RegionName> regions) {
+            this(addresses, regions, Map.of());
         }
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -408,6 +408,7 @@
                 && databases.equals(other.databases)
                 && peers.addresses().equals(other.peers.addresses())
                 && peers.regions().equals(other.peers.regions())
+                && peers.failureDomains().equals(other.peers.failureDomains())
                 && promotions.fences().equals(other.promotions.fences())
                 && drain.equals(other.drain);
     }
@@ -422,7 +423,8 @@
                 peers.addresses().size() + 1,
                 watchers().watchedBySelf(names),
                 watchers().sources(names),
-                promotions.fences());
+                promotions.fences(),
+                peers.locations());
     }
 
     private GroupWatchers watchers() {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
@@ -6,7 +6,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.geraniumproxy.core.directory.VmLocation;
+import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.VmName;
@@ -18,6 +21,7 @@
  * @param addresses host and port for peer messages, by VM
  * @param registered VMs that the store listed last, this one included
  * @param regions regions of the VMs that stated one, this one included
+ * @param failureDomains failure domains of the VMs that stated one, this one included
  * @param lastMessages last message of each VM that has sent one
  * @param registeredAt time at which the last confirmed registration of this VM was sent, {@link Instant#MIN} if none
  * @param resumed whether this VM, or no VM at all, was listed before this process registered it
@@ -26,6 +30,7 @@
         Map<VmName, String> addresses,
         Set<VmName> registered,
         Map<VmName, RegionName> regions,
+        Map<VmName, FailureDomain> failureDomains,
         Map<VmName, TimestampedPeerMessage> lastMessages,
         Instant registeredAt,
         boolean resumed) {
@@ -57,12 +62,13 @@
     /** Consecutive messages of a larger fleet that may be lost before a peer counts as unreachable. */
     private static final int TOLERATED_LOST_MESSAGES = 3;
 
-    static final TrackedPeers EMPTY = new TrackedPeers(Map.of(), Set.of(), Map.of(), Map.of(), Instant.MIN, false);
+    static final TrackedPeers EMPTY = new TrackedPeers(Map.of(), Set.of(), Map.of(), Map.of(), Map.of(), Instant.MIN, false);
 
     TrackedPeers {
         addresses = Map.copyOf(addresses);
         registered = Set.copyOf(registered);
         regions = Map.copyOf(regions);
+        failureDomains = Map.copyOf(failureDomains);
         lastMessages = Map.copyOf(lastMessages);
     }
 
@@ -75,6 +81,7 @@
                 resumed || (registeredAt.equals(Instant.MIN) && (joined.isEmpty() || joined.containsKey(self)));
         Map<VmName, String> others = new HashMap<>(joined);
         Map<VmName, RegionName> nextRegions = new HashMap<>(listed.regions());
+        Map<VmName, FailureDomain> nextDomains = new HashMap<>(listed.failureDomains());
         for (TimestampedPeerMessage peer : reachable(now)) {
             VmName name = peer.message().sender();
             if (addresses.containsKey(name)) {
@@ -82,18 +89,21 @@
                 if (regions.containsKey(name)) {
                     nextRegions.putIfAbsent(name, regions.get(name));
                 }
+                if (failureDomains.containsKey(name)) {
+                    nextDomains.putIfAbsent(name, failureDomains.get(name));
+                }
             }
         }
         others.remove(self);
         Map<VmName, TimestampedPeerMessage> remaining = new HashMap<>(lastMessages);
         remaining.keySet().retainAll(others.keySet());
-        return new TrackedPeers(others, joined.keySet(), nextRegions, remaining, registeredAt, listedBefore);
+        return new TrackedPeers(others, joined.keySet(), nextRegions, nextDomains, remaining, registeredAt, listedBefore);
     }
 
     TrackedPeers receive(PeerMessage message, Instant now) {
         Map<VmName, TimestampedPeerMessage> next = new HashMap<>(lastMessages);
         next.put(message.sender(), new TimestampedPeerMessage(message, now));
-        return new TrackedPeers(addresses, registered, regions, next, registeredAt, resumed);
+        return new TrackedPeers(addresses, registered, regions, failureDomains, next, registeredAt, resumed);
     }
 
     TrackedPeers confirmRegistration(Instant sentAt) {
@@ -101,6 +111,7 @@
                 addresses,
                 registered,
                 regions,
+                failureDomains,
                 lastMessages,
                 sentAt.isAfter(registeredAt) ? sentAt : registeredAt,
                 resumed);
@@ -134,6 +145,19 @@
         return new RateOwnership(self, members, addresses, unreachable, resumed);
     }
 
+    /** Returns the locations of the VMs that stated a region or a failure domain. */
+    Map<VmName, VmLocation> locations() {
+        Set<VmName> stated = new HashSet<>(regions.keySet());
+        stated.addAll(failureDomains.keySet());
+        Map<VmName, VmLocation> locations = new HashMap<>();
+        for (VmName vm : stated) {
+            locations.put(
+                    vm,
+                    new VmLocation(Optional.ofNullable(failureDomains.get(vm)), Optional.ofNullable(regions.get(vm))));
+        }
+        return locations;
+    }
+
     /** Returns the interval between messages without changes. */
     Duration messageInterval() {
         int vms = addresses.size() + 1;
--- a/core/src/main/java/org/geraniumproxy/core/pool/CustomerPool.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/CustomerPool.java
@@ -65,6 +65,18 @@
         return queue.waiting().size() + queue.running().size();
     }
 
+    /**
+     * Returns the load of the database, as far as its statements pass this pool.
+     *
+     * @return slots in use, waiting requests and service time
+     */
+    public PoolLoad load() {
+        return new PoolLoad(
+                queue.running().size(),
+                queue.waiting().size(),
+                queue.serviceTime().expected());
+    }
+
     /**
      * Returns the customers that have an idle connection.
      *
@@ -152,6 +164,12 @@
     }
 
     private Optional<SlotQueue.Granted> nextGrant(CustomerPoolView view, Instant now) {
+        Optional<SlotQueue.Granted> transaction = view.transactionsFirst()
+                ? queue.grant(SlotRequest::holdsConnection, view.slots(), now)
+                : Optional.empty();
+        if (transaction.isPresent()) {
+            return transaction;
+        }
         return queue.grant(
                 request -> request.holdsConnection() || connections.idleOf(request.customer()) > 0, view.slots(), now);
     }
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -186,7 +186,8 @@
                 1,
                 Set.of(GROUP),
                 List.of(),
-                promotionFences);
+                promotionFences,
+                Map.of());
         return new SessionContext(view, primaryHistory, Map.of(), now);
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/loop/SocketAddresses.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/SocketAddresses.java
@@ -20,4 +20,15 @@
         }
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
+
+    /**
+     * Returns the address for streams of other VMs that use the database connections of a VM.
+     *
+     * @param peerAddress host and port for datagrams of other VMs
+     * @return address with the next port
+     */
+    public static InetSocketAddress relayAddressOf(String peerAddress) {
+        InetSocketAddress peer = parse(peerAddress);
+        return new InetSocketAddress(peer.getAddress(), peer.getPort() + 1);
+    }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -50,6 +50,11 @@
             .help("Operations refused for want of a rate token, by where the token should have come from.")
             .labelNames("source")
             .register(registry);
+    private final Counter sharedConnections = Counter.builder()
+            .name("geraniumproxy_shared_connections")
+            .help("Events in the use of database connections that another VM owns.")
+            .labelNames("event")
+            .register(registry);
     private final Gauge sessions = Gauge.builder()
             .name("geraniumproxy_sessions")
             .help("Connected callers.")
@@ -123,6 +128,15 @@
         operationsOverRate.labelValues(source.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /**
+     * Counts an event in the use of database connections that another VM owns.
+     *
+     * @param event the event, which becomes the label
+     */
+    public void sharedConnection(SharedConnectionEvent event) {
+        sharedConnections.labelValues(event.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /**
      * Updates the gauges.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCommands.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCommands.java
@@ -83,7 +83,7 @@
         DatabaseConnectionPool connectionPool = engine.connectionPool(pending.database());
         pendingCommands.put(granted.slotRequestId(), pending.withConnection(granted.connectionId()));
         slotRequestIdsByConnection.put(granted.connectionId(), granted.slotRequestId());
-        connectionPool.send(granted.connectionId(), List.of(pending.command()));
+        connectionPool.send(granted.connectionId(), List.of(pending.command()), true);
     }
 
     private void complete(SessionEvent.RepliesReceived replied) {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.engine.traffic;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -35,6 +36,7 @@
     private ConnectionState state = ConnectionState.EMPTY;
     private Instant lastReplyAt = Instant.MIN;
     private int expectedReplies;
+    private ByteArrayOutputStream encodedReplies;
     private boolean open;
     private boolean closed;
 
@@ -80,9 +82,27 @@
         stream = connection;
     }
 
+    /** Sends encoded commands, and keeps the bytes of their replies. */
+    void sendEncoded(int replyCount, ByteBuffer commands) {
+        expectedReplies = replyCount;
+        replies.clear();
+        encodedReplies = new ByteArrayOutputStream();
+        byte[] copy = new byte[commands.remaining()];
+        commands.duplicate().get(copy);
+        stream.send(copy);
+    }
+
+    /** Returns the bytes of the replies to the last encoded commands. */
+    ByteBuffer takeEncodedReplies() {
+        ByteBuffer taken = ByteBuffer.wrap(encodedReplies.toByteArray());
+        encodedReplies = null;
+        return taken;
+    }
+
     void send(List<BackendCommand> commands) {
         expectedReplies = commands.size();
         replies.clear();
+        encodedReplies = null;
         for (BackendCommand command : commands) {
             stream.send(protocol.encodeCommand(command));
         }
@@ -101,6 +121,11 @@
 
     @Override
     public void onReceived(ByteBuffer bytes) {
+        if (encodedReplies != null) {
+            byte[] copy = new byte[bytes.remaining()];
+            bytes.duplicate().get(copy);
+            encodedReplies.writeBytes(copy);
+        }
         List<BackendReply> decoded;
         try {
             decoded = decoder.decode(bytes);
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendProtocol.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendProtocol.java
@@ -31,6 +31,13 @@
      */
     Decoder decoder();
 
+    /**
+     * Creates a decoder for the replies of a connection that another VM has opened.
+     *
+     * @return a decoder without pending input, whose first reply is the response to a command
+     */
+    Decoder decoderOfOpenConnection();
+
     /**
      * Encodes the opening request of a connection.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.engine.traffic;
 
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -22,17 +23,19 @@
 import org.geraniumproxy.core.directory.DatabaseCondition;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.pool.ConnectionRole;
 import org.geraniumproxy.core.pool.CustomerPool;
 import org.geraniumproxy.core.pool.CustomerPoolEffect;
 import org.geraniumproxy.core.pool.CustomerPoolEvent;
 import org.geraniumproxy.core.pool.CustomerPoolView;
+import org.geraniumproxy.core.pool.PoolLoad;
 import org.geraniumproxy.core.pool.SlotRequest;
 import org.geraniumproxy.engine.loop.SocketAddresses;
 
 /**
  * Connections of this VM to one database. Applies events to the state of the pool and executes the resulting effects.
  */
-final class DatabaseConnectionPool implements BackendConnection.Listener {
+final class DatabaseConnectionPool implements ConnectionSource, BackendConnection.Listener {
     /**
      * Allows for several round trips between regions and for waiting for the slot that the opening of a connection
      * takes.
@@ -111,11 +114,16 @@
         closeIdleConnectionsIfRemoved();
     }
 
+    boolean isRemoved() {
+        return removed;
+    }
+
     boolean isUnused() {
         return connections.isEmpty();
     }
 
-    void requestSlot(SlotRequest request, long session) {
+    @Override
+    public void requestSlot(SlotRequest request, long session) {
         if (removed && session != AdministrativeCommands.SESSION_ID) {
             engine.deliver(session, new SessionEvent.SlotRefused(request.id(), "the database left", true));
             return;
@@ -124,8 +132,8 @@
         apply(new CustomerPoolEvent.SlotRequested(request));
     }
 
-    /** Cancels a request for a slot. A slot that was granted meanwhile is given back, with its connection. */
-    void cancelRequest(long slotRequestId) {
+    @Override
+    public void cancelRequest(long slotRequestId) {
         if (queuedRequests.remove(slotRequestId)) {
             apply(new CustomerPoolEvent.RequestsCancelled(List.of(slotRequestId)));
             return;
@@ -139,12 +147,13 @@
         }
     }
 
-    /** Returns whether a granted slot is still wanted. The session owns it from then on. */
-    boolean confirmGrant(long slotRequestId) {
+    @Override
+    public boolean confirmGrant(long slotRequestId) {
         return undeliveredGrants.remove(slotRequestId) != null;
     }
 
-    void releaseSlot(long slotRequestId) {
+    @Override
+    public void releaseSlot(long slotRequestId) {
         apply(new CustomerPoolEvent.SlotReleased(slotRequestId));
     }
 
@@ -152,11 +161,28 @@
         return connections.get(connectionId).state();
     }
 
-    void send(long connectionId, List<BackendCommand> commands) {
+    @Override
+    public void send(long connectionId, List<BackendCommand> commands, boolean endsSlot) {
         connections.get(connectionId).send(commands);
     }
 
-    void releaseConnection(long connectionId, ConnectionState state, boolean rollback) {
+    /** Sends commands of another VM, and keeps the replies in their encoded form for it. */
+    void sendEncoded(long connectionId, int replies, ByteBuffer commands) {
+        connections.get(connectionId).sendEncoded(replies, commands);
+    }
+
+    /** Returns the replies to the commands of another VM. */
+    ByteBuffer takeEncodedReplies(long connectionId) {
+        return connections.get(connectionId).takeEncodedReplies();
+    }
+
+    /** Returns the load of the database, as far as its statements pass this VM. */
+    PoolLoad poolLoad() {
+        return poolState.load();
+    }
+
+    @Override
+    public void releaseConnection(long connectionId, ConnectionState state, boolean rollback) {
         BackendConnection connection = connections.get(connectionId);
         sessionsByConnection.remove(connectionId);
         if (connection == null) {
@@ -171,7 +197,8 @@
         }
     }
 
-    void closeConnection(long connectionId) {
+    @Override
+    public void closeConnection(long connectionId) {
         sessionsByConnection.remove(connectionId);
         BackendConnection connection = connections.remove(connectionId);
         if (connection != null) {
@@ -366,8 +393,14 @@
     }
 
     private CustomerPoolView view() {
-        return CustomerPoolView.of(
-                entry.slots(), engine.connectionLimit(entry.group()), engine.vmCount(), SURPLUS_IDLE_TIMEOUT);
+        return switch (engine.connectionRole(entry)) {
+            case ConnectionRole.Divided _ ->
+                CustomerPoolView.of(
+                        entry.slots(), engine.connectionLimit(entry.group()), engine.vmCount(), SURPLUS_IDLE_TIMEOUT);
+            case ConnectionRole.Owner owner ->
+                CustomerPoolView.ofOwner(entry.slots(), owner.connections(), SURPLUS_IDLE_TIMEOUT);
+            case ConnectionRole.User _ -> CustomerPoolView.ofUser(entry.slots(), SURPLUS_IDLE_TIMEOUT);
+        };
     }
 
     private void execute(CustomerPoolEffect effect) {
@@ -424,7 +457,7 @@
 
     private void grant(SlotRequest request, long session, BackendConnection connection) {
         undeliveredGrants.put(request.id(), new UndeliveredGrant(connection.id(), request.holdsConnection()));
-        engine.deliver(session, this, new SessionEvent.SlotGranted(request.id(), connection.id(), connection.state()));
+        engine.deliver(session, this::confirmGrant, new SessionEvent.SlotGranted(request.id(), connection.id(), connection.state()));
     }
 
     private void openConnection(CustomerName customer) {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -6,10 +6,13 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongPredicate;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.CallerSession;
@@ -27,9 +30,14 @@
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.limit.RateOwnership;
+import org.geraniumproxy.core.pool.ConnectionOwnership;
+import org.geraniumproxy.core.pool.ConnectionRole;
+import org.geraniumproxy.core.pool.PoolLoad;
 import org.geraniumproxy.core.pool.SlotRequest;
 import org.geraniumproxy.core.service.ServiceGroup;
 import org.geraniumproxy.core.statement.Statement;
@@ -72,6 +80,11 @@
     private final AdministrativeCommands administrativeCommands = new AdministrativeCommands(this);
     private final PrimaryProber primaryProber;
     private final PeerRequests peerRequests;
+    private final RelayedConnections relayedConnections = new RelayedConnections(this);
+    private final LentConnections lentConnections = new LentConnections(this);
+    private final Map<BackendServerName, ConnectionRole> connectionRoles = new HashMap<>();
+    private ConnectionOwnership connectionOwnership = ConnectionOwnership.alone(VmName.of("unknown"));
+    private boolean lossByOwner;
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
     private long lastConnectionId;
@@ -144,6 +157,7 @@
         boolean fencesChanged = !view.promotionFences().equals(next.promotionFences());
         view = next;
         peerRequests.update(next, ownership);
+        updateConnectionOwnership(ownership);
         Map<BackendServerName, DatabaseEntry> currentDatabases = new HashMap<>();
         for (GroupDirectory group : next.groups().values()) {
             currentDatabases.putAll(group.databases());
@@ -163,7 +177,8 @@
                         !currentDatabases.containsKey(connectionPool.entry().name())
                                 && !next.formerDatabases()
                                         .containsKey(connectionPool.entry().name())
-                                && connectionPool.isUnused());
+                                && isUnused(connectionPool));
+        updateLentConnections();
         if (firstConfiguration && isConfigured()) {
             List.copyOf(sessions.values()).forEach(CallerConnection::handleQueuedMessages);
         }
@@ -181,9 +196,59 @@
      */
     public void update(RateOwnership ownership) {
         peerRequests.update(view, ownership);
+        updateConnectionOwnership(ownership);
+        updateLentConnections();
         runPendingSteps();
     }
 
+    private void updateConnectionOwnership(RateOwnership ownership) {
+        connectionRoles.clear();
+        connectionOwnership = new ConnectionOwnership(ownership.self(), ownership.members(), view.vmLocations());
+        relayedConnections.update(ownership.self(), ownership.addresses());
+    }
+
+    private void updateLentConnections() {
+        Set<BackendServerName> owned = new HashSet<>();
+        for (GroupDirectory group : view.groups().values()) {
+            for (DatabaseEntry entry : group.databases().values()) {
+                if (connectionRole(entry).isOwner()) {
+                    owned.add(entry.name());
+                }
+            }
+        }
+        lentConnections.update(owned, view.drain().isPresent());
+    }
+
+    private boolean isUnused(DatabaseConnectionPool connectionPool) {
+        BackendServerName database = connectionPool.entry().name();
+        return connectionPool.isUnused() && !relayedConnections.uses(database) && !lentConnections.uses(database);
+    }
+
+    /** Returns this VM's part in the use of a database. Computed once, because it hashes the names of all members. */
+    ConnectionRole connectionRole(DatabaseEntry entry) {
+        return connectionRoles.computeIfAbsent(
+                entry.name(), _ -> connectionOwnership.role(entry, connectionLimit(entry.group())));
+    }
+
+    /**
+     * Accepts a stream of another VM that uses the connections of this one.
+     *
+     * @param stream one-element array that holds the connection after the call
+     * @return handler of the stream
+     */
+    public StreamHandler acceptRelay(StreamConnection[] stream) {
+        return lentConnections.accept(stream);
+    }
+
+    /**
+     * Returns the loads that the owners of databases reported last.
+     *
+     * @return load by database, without databases whose owner reported none
+     */
+    public Map<BackendServerName, PoolLoad> ownerLoads() {
+        return relayedConnections.loads();
+    }
+
     /**
      * Returns the requests between this VM and the others.
      *
@@ -224,8 +289,13 @@
         return ended;
     }
 
+    /** Completes a stop when neither a caller nor another VM uses this one. */
+    void completeStopIfUnused() {
+        sessionsEnded.ifPresent(this::completeIfNoSessions);
+    }
+
     private void completeIfNoSessions(CompletableFuture<Void> ended) {
-        if (sessions.isEmpty()) {
+        if (sessions.isEmpty() && lentConnections.isUnused()) {
             ended.complete(null);
         }
     }
@@ -286,6 +356,12 @@
         return connectionPools.get(database);
     }
 
+    private ConnectionSource connections(BackendServerName database) {
+        DatabaseConnectionPool own = connectionPools.get(database);
+        return new DatabaseConnections(
+                own, relayedConnections, database, connectionRole(own.entry()).candidates());
+    }
+
     NodeMetrics metrics() {
         return metrics;
     }
@@ -312,11 +388,26 @@
     private SessionContext context(GroupName group) {
         Map<BackendServerName, DatabaseLoad> loads = new HashMap<>();
         for (BackendServerName database : view.directoryOf(group).databases().keySet()) {
-            loads.put(database, connectionPools.get(database).load());
+            loads.put(database, load(connectionPools.get(database)));
         }
         return new SessionContext(view, positions(group).primaryHistory(), loads, now());
     }
 
+    private DatabaseLoad load(DatabaseConnectionPool connectionPool) {
+        DatabaseLoad own = connectionPool.load();
+        if (connectionRole(connectionPool.entry()).candidates().isEmpty()) {
+            return own;
+        }
+        BackendServerName database = connectionPool.entry().name();
+        Set<CustomerName> customers = new HashSet<>(own.customersWithIdleConnections());
+        customers.addAll(relayedConnections.customers(database));
+        return new DatabaseLoad(
+                own.outstandingStatements() + relayedConnections.outstandingStatements(database),
+                own.latency(),
+                own.avoidUntil(),
+                customers);
+    }
+
     /** Returns the newest position of each primary that this VM watches. */
     Map<GroupName, PrimaryPositionHistory.Sample> watchedPositions() {
         Map<GroupName, PrimaryPositionHistory.Sample> watched = new HashMap<>();
@@ -340,16 +431,32 @@
             administrativeCommands.apply(event);
             return;
         }
+        if (session < AdministrativeCommands.SESSION_ID) {
+            lentConnections.apply(session, event);
+            return;
+        }
         CallerConnection caller = sessions.get(session);
         if (caller != null) {
             caller.apply(event);
         }
     }
 
+    /** Delivers the loss of a connection that is no evidence about the database. */
+    void deliverLossByOwner(long session, SessionEvent.ConnectionLost event) {
+        pendingSteps.add(() -> {
+            lossByOwner = true;
+            try {
+                deliverNow(session, event);
+            } finally {
+                lossByOwner = false;
+            }
+        });
+    }
+
     /** Delivers a granted slot after the current step, unless the session has cancelled its request by then. */
-    void deliver(long session, DatabaseConnectionPool connectionPool, SessionEvent.SlotGranted granted) {
+    void deliver(long session, LongPredicate confirmGrant, SessionEvent.SlotGranted granted) {
         pendingSteps.add(() -> {
-            if (connectionPool.confirmGrant(granted.slotRequestId())) {
+            if (confirmGrant.test(granted.slotRequestId())) {
                 deliverNow(session, granted);
             }
         });
@@ -401,15 +508,15 @@
             case SessionEffect.RequestSlot request -> requestSlot(request);
             case SessionEffect.CancelSlotRequest cancel -> cancelSlotRequest(cancel);
             case SessionEffect.ReleaseSlot release ->
-                connectionPool(release.database()).releaseSlot(release.slotRequestId());
+                connections(release.database()).releaseSlot(release.slotRequestId());
             case SessionEffect.SendCommands send ->
-                connectionPool(send.database()).send(send.connectionId(), send.commands());
+                connections(send.database()).send(send.connectionId(), send.commands(), send.endsSlot());
             case SessionEffect.ReturnConnection returned ->
-                connectionPool(returned.database())
+                connections(returned.database())
                         .releaseConnection(
                                 returned.connectionId(), returned.connectionState(), returned.rollbackRequired());
             case SessionEffect.CloseConnection close ->
-                connectionPool(close.database()).closeConnection(close.connectionId());
+                connections(close.database()).closeConnection(close.connectionId());
             case SessionEffect.RecordPrimaryPosition record -> recordPosition(record.group(), record.sample());
             case SessionEffect.RecordAcknowledgedCommit record ->
                 positions.put(record.group(), positions(record.group()).withAcknowledgedCommit(record.lowerBound()));
@@ -432,12 +539,11 @@
         SlotRequest slot = new SlotRequest(
                 request.slotRequestId(), request.customer(), weight, 1, request.deadline(), request.holdsConnection());
         long session = CallerSession.sessionIdOf(request.slotRequestId());
-        DatabaseConnectionPool connectionPool = connectionPools.get(request.database());
-        if (connectionPool == null) {
+        if (!connectionPools.containsKey(request.database())) {
             deliver(session, new SessionEvent.SlotRefused(request.slotRequestId(), "the database left", true));
             return;
         }
-        connectionPool.requestSlot(slot, session);
+        connections(request.database()).requestSlot(slot, session);
     }
 
     void recordPosition(GroupName group, PrimaryPositionHistory.Sample sample) {
@@ -457,9 +563,8 @@
     }
 
     private void cancelSlotRequest(SessionEffect.CancelSlotRequest cancel) {
-        DatabaseConnectionPool connectionPool = connectionPools.get(cancel.database());
-        if (connectionPool != null) {
-            connectionPool.cancelRequest(cancel.slotRequestId());
+        if (connectionPools.containsKey(cancel.database())) {
+            connections(cancel.database()).cancelRequest(cancel.slotRequestId());
         }
     }
 
@@ -477,8 +582,11 @@
                         .orElse(false));
                 connectionPool.recordReply(answered.latency(), answered.acknowledgedCommit());
             }
-            case DatabaseObservation.Unresponsive unresponsive ->
-                connectionPool.recordFailure(unresponsive.commitUnacknowledged());
+            case DatabaseObservation.Unresponsive unresponsive -> {
+                if (!lossByOwner) {
+                    connectionPool.recordFailure(unresponsive.commitUnacknowledged());
+                }
+            }
             case DatabaseObservation.NotPrimary notPrimary -> observer.onNotPrimary(group, notPrimary.database());
             case DatabaseObservation.Lagging _ -> connectionPool.recordLag();
         }
@@ -496,6 +604,8 @@
         connectionPools.values().forEach(DatabaseConnectionPool::onTick);
         view.groups().forEach(this::probePrimary);
         peerRequests.onTick();
+        relayedConnections.onTick();
+        lentConnections.onTick();
         runPendingSteps();
         if (isDraining()) {
             endDrainedSessions();
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -215,6 +215,7 @@
                 1,
                 Set.of(GROUP),
                 List.of(),
+                Map.of(),
                 Map.of());
     }
 
@@ -235,7 +236,8 @@
                 view.vmCount(),
                 view.watchedGroups(),
                 view.positionSources(),
-                view.promotionFences());
+                view.promotionFences(),
+                view.vmLocations());
         engine.update(draining, RateOwnership.alone(VmName.of("vm-1")));
         var unused = engine.whenSessionsEnd();
     }
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TextProtocol.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TextProtocol.java
@@ -78,6 +78,11 @@
             return bytes -> lines.read(bytes, TextBackendProtocol::decodeReply);
         }
 
+        @Override
+        public BackendProtocol.Decoder decoderOfOpenConnection() {
+            return decoder();
+        }
+
         @Override
         public byte[] encodeOpening(GroupName group, CustomerName customer, BackendServerName database) {
             return line("open " + database + " " + customer);
