--- a/core/src/main/java/org/geraniumproxy/core/pool/ConnectionOwnership.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/ConnectionOwnership.java
@@ -1,13 +1,13 @@
 package org.geraniumproxy.core.pool;
 
-import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
+import java.util.TreeSet;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.VmLocation;
 import org.geraniumproxy.core.identity.FailureDomain;
@@ -18,12 +18,8 @@
 /**
  * Which VMs own the connections to a database. All VMs that read the same registrations agree. Two VMs that don't agree
  * may both act as owners: each keeps to its share, and the database enforces its own limit.
- *
- * @param self name of this VM
- * @param members registered VMs
- * @param locations locations of the members that stated one
  */
-public record ConnectionOwnership(VmName self, Set<VmName> members, Map<VmName, VmLocation> locations) {
+public final class ConnectionOwnership {
     /** Size of the fleet up to which each VM uses connections of its own. */
     public static final int MAXIMUM_DIVIDED_VMS = 8;
 
@@ -35,10 +31,36 @@
 
     private static final int MINIMUM_RESERVE = 2;
 
-    /** Copies the collections. */
-    public ConnectionOwnership {
-        members = Set.copyOf(members);
-        locations = Map.copyOf(locations);
+    private final VmName self;
+    private final Set<VmName> members;
+    private final Map<FailureDomain, Set<VmName>> membersByDomain = new HashMap<>();
+    private final Map<RegionName, Set<VmName>> membersByRegion = new HashMap<>();
+    private final Map<FailureDomain, RegionName> regions = new HashMap<>();
+
+    /**
+     * Creates the ownership that follows from registrations.
+     *
+     * @param self name of this VM
+     * @param members registered VMs
+     * @param locations locations of the members that stated one
+     */
+    public ConnectionOwnership(VmName self, Set<VmName> members, Map<VmName, VmLocation> locations) {
+        this.self = self;
+        this.members = Set.copyOf(members);
+        // Sorted, so that all VMs take the region of a failure domain from the same member if members contradict.
+        for (VmName member : new TreeSet<>(members)) {
+            VmLocation location = locations.getOrDefault(member, VmLocation.UNKNOWN);
+            location.failureDomain()
+                    .ifPresent(domain -> membersByDomain
+                            .computeIfAbsent(domain, _ -> new HashSet<>())
+                            .add(member));
+            location.region()
+                    .ifPresent(region -> membersByRegion
+                            .computeIfAbsent(region, _ -> new HashSet<>())
+                            .add(member));
+            location.failureDomain()
+                    .ifPresent(domain -> location.region().ifPresent(region -> regions.putIfAbsent(domain, region)));
+        }
     }
 
     /**
@@ -87,20 +109,18 @@
      * @param database entry of the database
      * @return two VMs, the preferred one first
      */
-    List<VmName> owners(DatabaseEntry database) {
+    public List<VmName> owners(DatabaseEntry database) {
         FailureDomain domain = database.failureDomain();
-        Optional<RegionName> region = regionOf(domain);
+        Set<VmName> inRegion = Optional.ofNullable(regions.get(domain))
+                .map(membersByRegion::get)
+                .orElse(Set.of());
         Set<VmName> owners = new LinkedHashSet<>();
-        List<Predicate<VmName>> circles = List.of(
-                vm -> location(vm).failureDomain().filter(domain::equals).isPresent(),
-                vm -> region.isPresent() && location(vm).region().equals(region),
-                _ -> true);
-        for (Predicate<VmName> circle : circles) {
+        for (Set<VmName> circle : List.of(membersByDomain.getOrDefault(domain, Set.of()), inRegion, members)) {
             if (owners.size() < OWNERS) {
-                List<VmName> candidates = new ArrayList<>(members);
-                candidates.removeIf(vm -> !circle.test(vm) || owners.contains(vm));
-                RendezvousHash.rank("connections/" + database.name().value(), candidates, VmName::value).stream()
-                        .limit(OWNERS - owners.size())
+                RendezvousHash.rank("connections/" + database.name().value(), circle, VmName::value).stream()
+                        .filter(vm -> !owners.contains(vm))
+                        .limit((long) OWNERS - owners.size())
+                        .toList()
                         .forEach(owners::add);
             }
         }
@@ -126,19 +146,4 @@
     static int share(int connectionLimit) {
         return Math.max(1, (connectionLimit - reserve(connectionLimit)) / OWNERS);
     }
-
-    /** Returns the region that the VMs of a failure domain state; the first VM by name decides if they differ. */
-    private Optional<RegionName> regionOf(FailureDomain domain) {
-        return locations.entrySet().stream()
-                .filter(vm -> members.contains(vm.getKey()))
-                .filter(vm ->
-                        vm.getValue().failureDomain().filter(domain::equals).isPresent())
-                .filter(vm -> vm.getValue().region().isPresent())
-                .min(Comparator.comparing(Map.Entry::getKey))
-                .flatMap(vm -> vm.getValue().region());
-    }
-
-    private VmLocation location(VmName vm) {
-        return locations.getOrDefault(vm, VmLocation.UNKNOWN);
-    }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/relay/RelayFrameCodec.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/relay/RelayFrameCodec.java
@@ -109,7 +109,7 @@
             case RelayMessage.Refused refused ->
                 body.type(REFUSED)
                         .number(refused.channel())
-                        .number(refused.reason().ordinal())
+                        .number(codeOf(refused.reason()))
                         .number(refused.retryAfter().toMillis())
                         .load(refused.load());
             case RelayMessage.Replies replies ->
@@ -183,6 +183,15 @@
         };
     }
 
+    private static int codeOf(RefusalReason reason) {
+        return switch (reason) {
+            case NOT_OWNER -> 1;
+            case STOPPING -> 2;
+            case DATABASE_UNAVAILABLE -> 3;
+            case QUEUE -> 4;
+        };
+    }
+
     /** Decoder of one stream. Not thread-safe. */
     static final class Decoder {
         private ByteBuffer pending = ByteBuffer.allocate(0);
@@ -390,11 +399,14 @@
         }
 
         RefusalReason reason() {
-            int ordinal = smallNumber();
-            if (ordinal >= RefusalReason.values().length) {
-                throw new IllegalArgumentException("unknown reason " + ordinal);
-            }
-            return RefusalReason.values()[ordinal];
+            int code = smallNumber();
+            return switch (code) {
+                case 1 -> RefusalReason.NOT_OWNER;
+                case 2 -> RefusalReason.STOPPING;
+                case 3 -> RefusalReason.DATABASE_UNAVAILABLE;
+                case 4 -> RefusalReason.QUEUE;
+                default -> throw new IllegalArgumentException("unknown reason " + code);
+            };
         }
 
         Optional<PoolLoad> load() {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -29,6 +29,7 @@
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.directory.VmLocation;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
@@ -84,6 +85,8 @@
     private final LentConnections lentConnections = new LentConnections(this);
     private final Map<BackendServerName, ConnectionRole> connectionRoles = new HashMap<>();
     private ConnectionOwnership connectionOwnership = ConnectionOwnership.alone(VmName.of("unknown"));
+    private Set<VmName> sharingMembers = Set.of();
+    private Map<VmName, VmLocation> sharingLocations = Map.of();
     private boolean lossByOwner;
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
@@ -203,7 +206,11 @@
 
     private void updateConnectionOwnership(RateOwnership ownership) {
         connectionRoles.clear();
-        connectionOwnership = new ConnectionOwnership(ownership.self(), ownership.members(), view.vmLocations());
+        if (!ownership.members().equals(sharingMembers) || !view.vmLocations().equals(sharingLocations)) {
+            sharingMembers = ownership.members();
+            sharingLocations = view.vmLocations();
+            connectionOwnership = new ConnectionOwnership(ownership.self(), sharingMembers, sharingLocations);
+        }
         relayedConnections.update(ownership.self(), ownership.addresses());
     }
 
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -179,6 +180,42 @@
         return runOnLoop(() -> engine.update(view, ownership));
     }
 
+    /** Accepts streams of other VMs, and returns the address under which this VM registers. */
+    String lendConnections() throws Exception {
+        int relayPort = freePort();
+        runOnLoop(() -> {
+            try {
+                loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), relayPort), engine::acceptRelay);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        return "127.0.0.1:" + (relayPort - 1);
+    }
+
+    /** Begins the periodic tick, which finds silent VMs. */
+    EngineFixture startTicks() {
+        loop.execute(engine::start);
+        return this;
+    }
+
+    /** Applies new members when the view stays the same. */
+    EngineFixture applyMembers(RateOwnership ownership) throws Exception {
+        return runOnLoop(() -> engine.update(ownership));
+    }
+
+    /** Starts a planned stop. The result completes when neither a caller nor another VM uses this one. */
+    CompletableFuture<Void> stop(RateOwnership ownership) throws Exception {
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        Instant now = engine.now();
+        Instant end = now.plus(STATEMENT_TIMEOUT);
+        runOnLoop(() -> {
+            engine.update(draining(new CallerDrain(now, end, end)), ownership);
+            var unused = engine.whenSessionsEnd().thenAccept(ended::complete);
+        });
+        return ended;
+    }
+
     /** Applies a configuration without customers when the loop's current step is finished. */
     void removeCustomerLater(Consistency consistency, RateOwnership ownership) {
         TrafficView withoutCustomers = view(consistency, Map.of());
@@ -228,18 +265,21 @@
     void startDraining(Duration untilAnswersAreDue) {
         Instant now = engine.now();
         Instant end = now.plus(untilAnswersAreDue);
-        TrafficView draining = new TrafficView(
+        engine.update(draining(new CallerDrain(now, end, end)), RateOwnership.alone(VmName.of("vm-1")));
+        var unused = engine.whenSessionsEnd();
+    }
+
+    private TrafficView draining(CallerDrain drain) {
+        return new TrafficView(
                 view.configuration(),
                 view.groups(),
                 view.formerDatabases(),
-                Optional.of(new CallerDrain(now, end, end)),
+                Optional.of(drain),
                 view.vmCount(),
                 view.watchedGroups(),
                 view.positionSources(),
                 view.promotionFences(),
                 view.vmLocations());
-        engine.update(draining, RateOwnership.alone(VmName.of("vm-1")));
-        var unused = engine.whenSessionsEnd();
     }
 
     /** Delivers the answer of another VM. */
