Test failures of owners, entry VMs, streams and databases one at a time

Ten cases on loopback sockets pass: an owner that ends, restarts, doesn't respond or is cut off one way, stops, and loses its ownership; a stopping entry VM; a lost database connection; a malformed frame.

--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
@@ -97,8 +97,7 @@
      * @param commands the commands in order
      * @param endsSlot whether the session needs the slot no longer once the last reply has arrived
      */
-    record SendCommands(
-            BackendServerName database, long connectionId, List<BackendCommand> commands, boolean endsSlot)
+    record SendCommands(BackendServerName database, long connectionId, List<BackendCommand> commands, boolean endsSlot)
             implements SessionEffect {
         /** Makes an unmodifiable copy of the commands. */
         public SendCommands {
--- a/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
@@ -38,7 +38,15 @@
         Map<VmName, VmLocation> vmLocations) {
     /** The view before any configuration is known. */
     public static final TrafficView NONE = new TrafficView(
-            ServiceConfiguration.NONE, Map.of(), Map.of(), Optional.empty(), 1, Set.of(), List.of(), Map.of(), Map.of());
+            ServiceConfiguration.NONE,
+            Map.of(),
+            Map.of(),
+            Optional.empty(),
+            1,
+            Set.of(),
+            List.of(),
+            Map.of(),
+            Map.of());
 
     /** Makes unmodifiable copies of the collections. */
     public TrafficView {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -60,9 +60,7 @@
      * @param failureDomains failure domains of the VMs that stated one
      */
     record VmsListed(
-            Map<VmName, String> addresses,
-            Map<VmName, RegionName> regions,
-            Map<VmName, FailureDomain> failureDomains)
+            Map<VmName, String> addresses, Map<VmName, RegionName> regions, Map<VmName, FailureDomain> failureDomains)
             implements FleetEvent {
         /** Copies the maps. */
         public VmsListed {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
@@ -62,7 +62,8 @@
     /** Consecutive messages of a larger fleet that may be lost before a peer counts as unreachable. */
     private static final int TOLERATED_LOST_MESSAGES = 3;
 
-    static final TrackedPeers EMPTY = new TrackedPeers(Map.of(), Set.of(), Map.of(), Map.of(), Map.of(), Instant.MIN, false);
+    static final TrackedPeers EMPTY =
+            new TrackedPeers(Map.of(), Set.of(), Map.of(), Map.of(), Map.of(), Instant.MIN, false);
 
     TrackedPeers {
         addresses = Map.copyOf(addresses);
@@ -97,7 +98,8 @@
         others.remove(self);
         Map<VmName, TimestampedPeerMessage> remaining = new HashMap<>(lastMessages);
         remaining.keySet().retainAll(others.keySet());
-        return new TrackedPeers(others, joined.keySet(), nextRegions, nextDomains, remaining, registeredAt, listedBefore);
+        return new TrackedPeers(
+                others, joined.keySet(), nextRegions, nextDomains, remaining, registeredAt, listedBefore);
     }
 
     TrackedPeers receive(PeerMessage message, Instant now) {
--- a/core/src/main/java/org/geraniumproxy/core/relay/EntryChannels.java
+++ b/core/src/main/java/org/geraniumproxy/core/relay/EntryChannels.java
@@ -132,7 +132,8 @@
         SlotRequest request = requested.request();
         EntryChannel held = channels.get(requested.channel());
         if (held != null) {
-            effects.add(new EntryChannelEffect.Send(held.owner(), acquire(held.number(), held.database(), request, now)));
+            effects.add(
+                    new EntryChannelEffect.Send(held.owner(), acquire(held.number(), held.database(), request, now)));
             return with(held.requestedAgain(request, now));
         }
         return ask(requested.channel(), requested.database(), request, requested.owners(), now, effects);
@@ -156,8 +157,7 @@
             return without(number);
         }
         VmName owner = chosen.get();
-        List<VmName> others =
-                owners.subList(owners.indexOf(owner) + 1, owners.size());
+        List<VmName> others = owners.subList(owners.indexOf(owner) + 1, owners.size());
         effects.add(new EntryChannelEffect.Send(owner, acquire(number, database, request, now)));
         effects.add(new EntryChannelEffect.WakeAt(now.plus(selection.responseTimeout(owner))));
         return with(new EntryChannel(
@@ -212,7 +212,8 @@
         }
         if (channel.get().phase() == EntryChannel.Phase.GRANTED) {
             effects.add(new EntryChannelEffect.Send(
-                    channel.get().owner(), new RelayMessage.ReleaseSlot(channel.get().number())));
+                    channel.get().owner(),
+                    new RelayMessage.ReleaseSlot(channel.get().number())));
         }
         return with(channel.get().with(EntryChannel.Phase.PARKED));
     }
@@ -239,8 +240,7 @@
     }
 
     /** Messages for channels that have ended crossed the message that ended them, and are ignored. */
-    private EntryChannels receive(
-            VmName owner, RelayMessage message, Instant now, List<EntryChannelEffect> effects) {
+    private EntryChannels receive(VmName owner, RelayMessage message, Instant now, List<EntryChannelEffect> effects) {
         return switch (message) {
             case RelayMessage.Queued queued -> queued(find(owner, queued.channel()), now);
             case RelayMessage.Granted granted -> granted(find(owner, granted.channel()), granted, now, effects);
@@ -256,7 +256,8 @@
                     RelayMessage.Release _,
                     RelayMessage.Cancel _,
                     RelayMessage.Close _ ->
-                throw new IllegalArgumentException("an owner does not send " + message.getClass().getSimpleName());
+                throw new IllegalArgumentException(
+                        "an owner does not send " + message.getClass().getSimpleName());
         };
     }
 
@@ -267,10 +268,7 @@
     }
 
     private EntryChannels granted(
-            Optional<EntryChannel> found,
-            RelayMessage.Granted granted,
-            Instant now,
-            List<EntryChannelEffect> effects) {
+            Optional<EntryChannel> found, RelayMessage.Granted granted, Instant now, List<EntryChannelEffect> effects) {
         if (found.filter(EntryChannel::awaitsGrant).isEmpty()) {
             return this;
         }
@@ -281,10 +279,7 @@
     }
 
     private EntryChannels refused(
-            Optional<EntryChannel> found,
-            RelayMessage.Refused refused,
-            Instant now,
-            List<EntryChannelEffect> effects) {
+            Optional<EntryChannel> found, RelayMessage.Refused refused, Instant now, List<EntryChannelEffect> effects) {
         if (found.filter(EntryChannel::awaitsGrant).isEmpty()) {
             return this;
         }
@@ -332,8 +327,8 @@
         }
         effects.add(new EntryChannelEffect.Log(
                 "connection lost",
-                "database=" + channel.get().database() + " owner=" + channel.get().owner() + " reason=\""
-                        + lost.reason() + "\""));
+                "database=" + channel.get().database() + " owner="
+                        + channel.get().owner() + " reason=\"" + lost.reason() + "\""));
         effects.add(new EntryChannelEffect.LoseConnection(
                 channel.get().request(), channel.get().number(), true));
         return without(channel.get().number());
--- a/core/src/main/java/org/geraniumproxy/core/relay/OwnerChannels.java
+++ b/core/src/main/java/org/geraniumproxy/core/relay/OwnerChannels.java
@@ -101,8 +101,7 @@
      * @return false if none is left
      */
     public boolean uses(BackendServerName database) {
-        return channels.values().stream()
-                .anyMatch(channel -> channel.database().equals(database));
+        return channels.values().stream().anyMatch(channel -> channel.database().equals(database));
     }
 
     /**
@@ -129,8 +128,8 @@
                         .orElse(this);
             case OwnerChannelEvent.SlotPending pending -> {
                 find(pending.session())
-                        .ifPresent(channel ->
-                                send(channel, new RelayMessage.Queued(channel.key().channel(), pending.load()), effects));
+                        .ifPresent(channel -> send(
+                                channel, new RelayMessage.Queued(channel.key().channel(), pending.load()), effects));
                 yield this;
             }
             case OwnerChannelEvent.Answered answered ->
@@ -138,15 +137,16 @@
                         .map(channel -> answered(channel, answered, effects))
                         .orElse(this);
             case OwnerChannelEvent.ConnectionLost lost ->
-                find(lost.session()).map(channel -> lost(channel, lost, effects)).orElse(this);
+                find(lost.session())
+                        .map(channel -> lost(channel, lost, effects))
+                        .orElse(this);
             case OwnerChannelEvent.StreamEnded ended -> endStream(ended.stream(), effects);
             case OwnerChannelEvent.RolesChanged changed -> changeRoles(changed, effects);
         };
     }
 
     /** Messages for channels that have ended crossed the message that ended them, and are ignored. */
-    private OwnerChannels receive(
-            long stream, RelayMessage message, Instant now, List<OwnerChannelEffect> effects) {
+    private OwnerChannels receive(long stream, RelayMessage message, Instant now, List<OwnerChannelEffect> effects) {
         return switch (message) {
             case RelayMessage.Hello _ -> this;
             case RelayMessage.Ping _ -> {
@@ -189,7 +189,8 @@
     private OwnerChannels acquire(
             long stream, RelayMessage.Acquire acquire, Instant now, List<OwnerChannelEffect> effects) {
         Optional<OwnerChannel> held = find(stream, acquire.channel()).filter(OwnerChannel::hasConnection);
-        if (acquire.holdsConnection() != held.isPresent() || held.filter(OwnerChannel::holdsSlot).isPresent()) {
+        if (acquire.holdsConnection() != held.isPresent()
+                || held.filter(OwnerChannel::holdsSlot).isPresent()) {
             if (held.isPresent()) {
                 throw new IllegalArgumentException("a channel requests a slot although it has one");
             }
@@ -200,13 +201,12 @@
         if (held.isEmpty() && (stopping || !owned.contains(acquire.database()))) {
             RefusalReason reason = stopping ? RefusalReason.STOPPING : RefusalReason.NOT_OWNER;
             effects.add(new OwnerChannelEffect.Send(
-                    stream,
-                    new RelayMessage.Refused(acquire.channel(), reason, Duration.ZERO, Optional.empty())));
+                    stream, new RelayMessage.Refused(acquire.channel(), reason, Duration.ZERO, Optional.empty())));
             return this;
         }
         long session = held.map(OwnerChannel::session).orElse(lastSession - 1);
-        long requestId = held.map(channel -> channel.request().id() + 1)
-                .orElse(CallerSession.firstRequestIdOf(session));
+        long requestId =
+                held.map(channel -> channel.request().id() + 1).orElse(CallerSession.firstRequestIdOf(session));
         SlotRequest request = new SlotRequest(
                 requestId,
                 acquire.customer(),
@@ -340,8 +340,7 @@
 
     /** Channels that hold a connection go on; requests that wait for one move to the next owner. */
     private OwnerChannels changeRoles(OwnerChannelEvent.RolesChanged changed, List<OwnerChannelEffect> effects) {
-        OwnerChannels next =
-                new OwnerChannels(channels, sessions, changed.owned(), changed.stopping(), lastSession);
+        OwnerChannels next = new OwnerChannels(channels, sessions, changed.owned(), changed.stopping(), lastSession);
         if (changed.owned().equals(owned) && changed.stopping() == stopping) {
             return next;
         }
@@ -351,8 +350,7 @@
                 RefusalReason reason = changed.stopping() ? RefusalReason.STOPPING : RefusalReason.NOT_OWNER;
                 send(
                         channel,
-                        new RelayMessage.Refused(
-                                channel.key().channel(), reason, Duration.ZERO, Optional.empty()),
+                        new RelayMessage.Refused(channel.key().channel(), reason, Duration.ZERO, Optional.empty()),
                         effects);
                 next = next.close(channel, effects);
             }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -457,7 +457,10 @@
 
     private void grant(SlotRequest request, long session, BackendConnection connection) {
         undeliveredGrants.put(request.id(), new UndeliveredGrant(connection.id(), request.holdsConnection()));
-        engine.deliver(session, this::confirmGrant, new SessionEvent.SlotGranted(request.id(), connection.id(), connection.state()));
+        engine.deliver(
+                session,
+                this::confirmGrant,
+                new SessionEvent.SlotGranted(request.id(), connection.id(), connection.state()));
     }
 
     private void openConnection(CustomerName customer) {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnections.java
@@ -20,8 +20,7 @@
         implements ConnectionSource {
     @Override
     public void requestSlot(SlotRequest request, long session) {
-        boolean isHandled =
-                request.holdsConnection() && relayed.requestSlotOfChannel(request, session, database);
+        boolean isHandled = request.holdsConnection() && relayed.requestSlotOfChannel(request, session, database);
         if (isHandled) {
             return;
         }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
@@ -136,8 +136,8 @@
         if (message instanceof RelayMessage.Acquire acquire) {
             state.session(stream.id(), acquire.channel())
                     .filter(state::isWaiting)
-                    .ifPresent(session -> apply(
-                            new OwnerChannelEvent.SlotPending(session, report(session, acquire.database()))));
+                    .ifPresent(session ->
+                            apply(new OwnerChannelEvent.SlotPending(session, report(session, acquire.database()))));
         }
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
@@ -97,8 +97,7 @@
     /** Requests a slot for a session that holds no connection. */
     void requestSlot(SlotRequest request, long session, BackendServerName database, List<VmName> candidates) {
         long channel = engine.nextConnectionId();
-        Use use = new Use(
-                channel, session, database, engine.backendProtocol().decoderOfOpenConnection());
+        Use use = new Use(channel, session, database, engine.backendProtocol().decoderOfOpenConnection());
         usesByChannel.put(channel, use);
         usesByRequest.put(request.id(), use);
         apply(new EntryChannelEvent.Requested(request, channel, database, candidates));
@@ -166,8 +165,8 @@
         Use use = usesByChannel.get(connectionId);
         List<byte[]> encoded =
                 commands.stream().map(engine.backendProtocol()::encodeCommand).toList();
-        ByteBuffer joined =
-                ByteBuffer.allocate(encoded.stream().mapToInt(part -> part.length).sum());
+        ByteBuffer joined = ByteBuffer.allocate(
+                encoded.stream().mapToInt(part -> part.length).sum());
         encoded.forEach(joined::put);
         joined.flip();
         if (state.holds(connectionId) && !streamOf(connectionId).accepts(joined.remaining())) {
@@ -342,8 +341,7 @@
         }
         engine.deliver(
                 use.session,
-                new SessionEvent.SlotRefused(
-                        refuse.request().id(), refuse.reason(), refuse.retryOnOtherDatabase()));
+                new SessionEvent.SlotRefused(refuse.request().id(), refuse.reason(), refuse.retryOnOtherDatabase()));
     }
 
     private void deliver(RelayMessage.Replies message) {
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
@@ -1,13 +1,12 @@
 package org.geraniumproxy.engine.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Collections;
 import java.util.HashMap;
@@ -17,7 +16,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.FailureDomain;
@@ -33,17 +34,22 @@
  * another VM, and against connections of each VM where a few owners suffice.
  */
 class TrafficEngine_relay_Test {
-    /** Its owners don't own the rate of the customer, so that the entry VM may do so and borrows no token. */
-    private static final String DATABASE = "db-2";
+    private static final VmName NONE = VmName.of("none");
 
     private final Set<VmName> members = memberNames();
-    private final List<VmName> owners =
-            new ConnectionOwnership(VmName.of("none"), members, Map.of()).owners(entry());
-    private final VmName entryVm = new RateOwnership(VmName.of("none"), members, Map.of(), Set.of(), true)
+    /** This VM owns the rate of the customer, so that it borrows no token. */
+    private final VmName entryVm = new RateOwnership(NONE, members, Map.of(), Set.of(), true)
             .holders(EngineFixture.CUSTOMER, 1000)
             .getFirst();
 
+    /** A database whose connections other VMs own. */
+    private final String database = IntStream.rangeClosed(1, 100)
+            .mapToObj(number -> "db-" + number)
+            .filter(name -> !owners(name).contains(entryVm))
+            .findFirst()
+            .orElseThrow();
 
+    private final List<VmName> owners = owners(database);
     private final Map<VmName, String> addresses = new HashMap<>();
 
     @Test
@@ -61,21 +67,235 @@
                 second.send("read second" + round);
                 assertThat(second.readLine(), is("completed signed"));
             }
+            assertThat(owners, not(hasItem(entryVm)));
             assertThat(opened(primary), is(1L));
             assertThat(Collections.frequency(primary.receivedLines(), "run first0"), is(1));
-            owner.awaitOutstandingStatements(DATABASE, 0);
+            owner.awaitOutstandingStatements(database, 0);
         }
     }
 
+    /** Guards against a second run of a statement whose outcome is unknown, and against an answer "not run". */
+    @Test
+    void should_tell_that_the_outcome_is_unknown_when_the_owner_ends_while_a_write_runs() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(TrafficEngine_relay_Test::answerUnlessLost);
+                EngineFixture owner = owner(primary, 0);
+                FaultyLink link = linkTo(0);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            caller.send("write lost");
+            primary.awaitLine("run lost");
+            link.reset();
+            assertThat(caller.readLine(), is("failed IN_DOUBT"));
+            caller.send("write next");
+            assertThat(caller.readLine(), is("completed signed"));
+            assertThat(Collections.frequency(primary.receivedLines(), "run lost"), is(1));
+            owner.awaitOutstandingStatements(database, 0);
+        }
+    }
+
+    /** Guards against a statement that waits for a suspended owner until its own timeout. */
+    @Test
+    void should_use_a_connection_of_its_own_when_no_owner_responds() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture owner = owner(primary, 0);
+                FaultyLink link = linkTo(0);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect()) {
+            link.dropRequests();
+            assertThat(caller.readLine(), is("accepted"));
+            caller.send("write r1");
+            assertThat(caller.readLine(), is("completed signed"));
+            entry.awaitLogLine("owner does not respond");
+            entry.awaitLogLine("connection used directly");
+            assertThat(owner.logText(), not(containsString("connection opened")));
+            assertThat(Collections.frequency(primary.receivedLines(), "run r1"), is(1));
+        }
+    }
+
+    /** Guards against a session that waits for replies that can't arrive, and against a second run. */
+    @Test
+    void should_give_up_an_owner_whose_answers_do_not_arrive() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture owner = owner(primary, 0);
+                FaultyLink link = linkTo(0);
+                EngineFixture entry = entryVm(primary).startTicks();
+                EngineFixture.TestCaller caller = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            caller.send("write r0");
+            assertThat(caller.readLine(), is("completed signed"));
+            link.dropResponses();
+            caller.send("write cut");
+            // The request for a slot gets no response, and nothing was sent: a connection of this VM is used.
+            assertThat(caller.readLine(), is("completed signed"));
+            assertThat(Collections.frequency(primary.receivedLines(), "run cut"), is(1));
+            caller.send("write r2");
+            assertThat(caller.readLine(), is("completed signed"));
+            assertThat(Collections.frequency(primary.receivedLines(), "run r2"), is(1));
+            owner.awaitOutstandingStatements(database, 0);
+        }
+    }
+
+    /** Guards against a failed first owner that takes the connections of the second one out of use. */
+    @Test
+    void should_use_the_second_owner_while_the_first_one_restarts() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture first = owner(primary, 0);
+                FaultyLink link = linkTo(0);
+                EngineFixture second = owner(primary, 1);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            caller.send("write r1");
+            assertThat(caller.readLine(), is("completed signed"));
+            link.disconnect();
+            caller.send("write r2");
+            assertThat(caller.readLine(), is("completed signed"));
+            caller.send("write r3");
+            assertThat(caller.readLine(), is("completed signed"));
+            assertThat(opened(primary), is(2L));
+            assertThat(entry.logText(), not(containsString("connection used directly")));
+            first.awaitOutstandingStatements(database, 0);
+            second.awaitOutstandingStatements(database, 0);
+        }
+    }
+
+    /** Guards against a stop that cuts the statements of other VMs, or goes on to lend. */
+    @Test
+    void should_finish_a_running_statement_and_decline_new_ones_when_the_owner_stops() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (ScriptedDatabase primary = new ScriptedDatabase(line -> answerAfter(line, answer));
+                EngineFixture owner = owner(primary, 0);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect();
+                EngineFixture.TestCaller other = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            assertThat(other.readLine(), is("accepted"));
+            caller.send("write held");
+            primary.awaitLine("run held");
+            CompletableFuture<Void> ended = owner.stop(ownership(owners.get(0)));
+            other.send("write r2");
+            assertThat(other.readLine(), is("completed signed"));
+            entry.awaitLogLine("owner declined");
+            assertThat(ended.isDone(), is(false));
+            answer.countDown();
+            assertThat(caller.readLine(), is("completed signed"));
+            ended.get(EngineFixture.REPLY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Guards against an entry VM whose stop cuts a statement at the owner. */
+    @Test
+    void should_finish_a_running_statement_when_the_entry_vm_stops() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (ScriptedDatabase primary = new ScriptedDatabase(line -> answerAfter(line, answer));
+                EngineFixture owner = owner(primary, 0);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            caller.send("write held");
+            primary.awaitLine("run held");
+            CompletableFuture<Void> ended = entry.stop(ownership(entryVm));
+            answer.countDown();
+            assertThat(caller.readLine(), is("completed signed"));
+            ended.get(EngineFixture.REPLY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            owner.awaitOutstandingStatements(database, 0);
+        }
+    }
+
+    /** Guards against a channel in use that is cut by a change of the members, and a former owner that lends on. */
+    @Test
+    void should_drain_the_channels_of_a_vm_that_is_no_longer_an_owner() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (ScriptedDatabase primary = new ScriptedDatabase(line -> answerAfter(line, answer));
+                EngineFixture owner = owner(primary, 0);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            caller.send("write held");
+            primary.awaitLine("run held");
+            Set<VmName> others = new HashSet<>(members);
+            others.remove(owners.get(0));
+            owner.applyMembers(new RateOwnership(owners.get(0), others, addresses, Set.of(), true));
+            answer.countDown();
+            assertThat(caller.readLine(), is("completed signed"));
+            caller.send("write r2");
+            assertThat(caller.readLine(), is("completed signed"));
+            entry.awaitLogLine("owner declined");
+        }
+    }
+
+    /** Guards against an answer "not run" for a write that the database may have run. */
+    @Test
+    void should_tell_that_the_outcome_is_unknown_when_the_database_closes_the_connection() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(TrafficEngine_relay_Test::answerUnlessLost);
+                EngineFixture owner = owner(primary, 0);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            caller.send("write lost");
+            primary.awaitLine("run lost").dropConnections();
+            assertThat(caller.readLine(), is("failed IN_DOUBT"));
+            caller.send("write r2");
+            assertThat(caller.readLine(), is("completed signed"));
+            owner.awaitOutstandingStatements(database, 0);
+        }
+    }
+
+    /** Guards against a malformed frame that ends the thread of the owner, or other streams. */
+    @Test
+    void should_close_only_the_stream_that_sent_a_malformed_frame() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture owner = owner(primary, 0);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            caller.send("write r1");
+            assertThat(caller.readLine(), is("completed signed"));
+            String address = addresses.get(owners.get(0));
+            int port = Integer.parseInt(address.substring(address.indexOf(':') + 1)) + 1;
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                socket.setSoTimeout((int) EngineFixture.REPLY_TIMEOUT.toMillis());
+                socket.getOutputStream().write(new byte[] {3, 99, 1, 1});
+                assertThat(socket.getInputStream().read(), is(-1));
+            }
+            caller.send("write r2");
+            assertThat(caller.readLine(), is("completed signed"));
+            assertThat(opened(primary), is(1L));
+            owner.awaitOutstandingStatements(database, 0);
+        }
+    }
+
+    private static Optional<String> answerUnlessLost(String line) {
+        return line.equals("run lost") ? Optional.empty() : Optional.of("ok");
+    }
+
+    private static Optional<String> answerAfter(String line, CountDownLatch answer) {
+        if (line.equals("run held")) {
+            try {
+                answer.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        return Optional.of("ok");
+    }
+
+    private FaultyLink linkTo(int rank) throws Exception {
+        FaultyLink link = new FaultyLink(addresses.get(owners.get(rank)));
+        addresses.put(owners.get(rank), link.address());
+        return link;
+    }
+
     private EngineFixture owner(ScriptedDatabase primary, int rank) throws Exception {
-        EngineFixture owner = new EngineFixture().withDatabase(DATABASE, primary, true);
+        EngineFixture owner = new EngineFixture().withDatabase(database, primary, true);
         addresses.put(owners.get(rank), owner.lendConnections());
         return owner.configure(Consistency.PRIMARY, ownership(owners.get(rank)));
     }
 
     private EngineFixture entryVm(ScriptedDatabase primary) throws Exception {
         return new EngineFixture()
-                .withDatabase(DATABASE, primary, true)
+                .withDatabase(database, primary, true)
                 .configure(Consistency.PRIMARY, ownership(entryVm));
     }
 
@@ -97,9 +317,13 @@
         return names;
     }
 
-    private static DatabaseEntry entry() {
+    private List<VmName> owners(String name) {
+        return new ConnectionOwnership(NONE, members, Map.of()).owners(entry(name));
+    }
+
+    private static DatabaseEntry entry(String name) {
         return new DatabaseEntry(
-                BackendServerName.of(DATABASE),
+                BackendServerName.of(name),
                 EngineFixture.GROUP,
                 "127.0.0.1:1",
                 FailureDomain.of("zone"),
