--- a/core/src/main/java/org/geraniumproxy/core/relay/EntryChannels.java
+++ b/core/src/main/java/org/geraniumproxy/core/relay/EntryChannels.java
@@ -291,7 +291,11 @@
             return responded.with(channel.with(EntryChannel.Phase.PARKED));
         }
         return switch (refused.reason()) {
-            case NOT_OWNER, STOPPING -> {
+            case NOT_OWNER -> {
+                effects.add(new EntryChannelEffect.Log("owner declined", detail));
+                yield responded.askNext(channel, now, effects);
+            }
+            case STOPPING -> {
                 effects.add(new EntryChannelEffect.Log("owner declined", detail));
                 yield responded.avoid(channel.owner(), now).askNext(channel, now, effects);
             }
--- a/core/src/main/java/org/geraniumproxy/core/relay/OwnerChannels.java
+++ b/core/src/main/java/org/geraniumproxy/core/relay/OwnerChannels.java
@@ -84,6 +84,17 @@
         return find(session).map(channel -> channel.key().stream());
     }
 
+    /**
+     * Returns the connection of a channel.
+     *
+     * @param stream stream of the entry VM
+     * @param channel number of the channel
+     * @return id of the connection, empty if the channel holds none or has ended
+     */
+    public Optional<Long> connection(long stream, long channel) {
+        return find(stream, channel).filter(OwnerChannel::hasConnection).map(OwnerChannel::connection);
+    }
+
     /**
      * Returns whether a stream has channels.
      *
@@ -233,8 +244,7 @@
         boolean held = channel.hasConnection();
         send(
                 channel,
-                new RelayMessage.Granted(
-                        channel.key().channel(),
+                new RelayMessage.Granted(channel.key().channel(), granted.connection(),
                         held ? Optional.empty() : Optional.of(granted.state()),
                         granted.load()),
                 effects);
--- a/core/src/main/java/org/geraniumproxy/core/relay/RelayMessage.java
+++ b/core/src/main/java/org/geraniumproxy/core/relay/RelayMessage.java
@@ -100,10 +100,13 @@
      * Owner to entry VM: the channel has a slot and a connection.
      *
      * @param channel number of the channel
-     * @param state state of the connection, empty if the channel held it already
+     * @param connection number of the connection at the owner, never reused
+     * @param state state of the connection, empty if the channel held it already; a frame also omits a state that the
+     *     entry VM knows
      * @param load load of the database, empty if it was reported recently
      */
-    record Granted(long channel, Optional<ConnectionState> state, Optional<PoolLoad> load) implements RelayMessage {}
+    record Granted(long channel, long connection, Optional<ConnectionState> state, Optional<PoolLoad> load)
+            implements RelayMessage {}
 
     /**
      * Owner to entry VM: the request is refused. A channel that holds a connection keeps it.
--- a/core/src/test/java/org/geraniumproxy/core/relay/EntryChannels_on_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/relay/EntryChannels_on_Test.java
@@ -64,7 +64,7 @@
     void should_ignore_a_grant_that_crossed_the_withdrawal() {
         request(1, List.of(FIRST));
         on(new EntryChannelEvent.Cancelled(1));
-        on(received(new RelayMessage.Granted(CHANNEL, Optional.of(ConnectionState.EMPTY), Optional.empty())));
+        on(received(new RelayMessage.Granted(CHANNEL, 11, Optional.of(ConnectionState.EMPTY), Optional.empty())));
         assertThat(effects, empty());
     }
 
@@ -114,7 +114,7 @@
         now = now.plus(Duration.ofSeconds(1));
         on(new EntryChannelEvent.TimePassed());
         assertThat(effects, empty());
-        on(received(new RelayMessage.Granted(CHANNEL, Optional.empty(), Optional.empty())));
+        on(received(new RelayMessage.Granted(CHANNEL, 11, Optional.empty(), Optional.empty())));
         assertThat(effects, hasItem(new EntryChannelEffect.Grant(slot(2, true), CHANNEL, ConnectionState.EMPTY)));
         on(new EntryChannelEvent.ConnectionReturned(CHANNEL, ConnectionState.EMPTY, true));
         assertThat(effects, hasItem(send(new RelayMessage.Release(CHANNEL, Optional.empty(), true))));
@@ -123,7 +123,7 @@
 
     private void granted() {
         request(1, List.of(FIRST));
-        on(received(new RelayMessage.Granted(CHANNEL, Optional.of(ConnectionState.EMPTY), Optional.empty())));
+        on(received(new RelayMessage.Granted(CHANNEL, 11, Optional.of(ConnectionState.EMPTY), Optional.empty())));
         assertThat(effects, hasItem(new EntryChannelEffect.Grant(slot(1, false), CHANNEL, ConnectionState.EMPTY)));
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/relay/RelayFrameCodec.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/relay/RelayFrameCodec.java
@@ -104,6 +104,7 @@
             case RelayMessage.Granted granted ->
                 body.type(GRANTED)
                         .number(granted.channel())
+                        .number(granted.connection())
                         .state(granted.state())
                         .load(granted.load());
             case RelayMessage.Refused refused ->
@@ -168,7 +169,7 @@
             case CANCEL -> new RelayMessage.Cancel(input.number());
             case CLOSE -> new RelayMessage.Close(input.number());
             case QUEUED -> new RelayMessage.Queued(input.number(), input.load());
-            case GRANTED -> new RelayMessage.Granted(input.number(), input.state(), input.load());
+            case GRANTED -> new RelayMessage.Granted(input.number(), input.number(), input.state(), input.load());
             case REFUSED ->
                 new RelayMessage.Refused(
                         input.number(), input.reason(), Duration.ofMillis(input.smallNumber()), input.load());
--- a/engine/src/main/java/org/geraniumproxy/engine/relay/RelayStream.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/relay/RelayStream.java
@@ -171,6 +171,15 @@
         return pingedAt;
     }
 
+    /**
+     * Returns whether a ping has no response yet.
+     *
+     * @return false after any input
+     */
+    public boolean isPinged() {
+        return !pingedAt.equals(Instant.MIN);
+    }
+
     /** Asks the other VM to respond. */
     public void ping() {
         pingedAt = clock.get();
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
@@ -21,6 +21,7 @@
 import org.geraniumproxy.core.routing.RendezvousHash;
 import org.geraniumproxy.engine.loop.StreamConnection;
 import org.geraniumproxy.engine.loop.StreamHandler;
+import org.geraniumproxy.engine.relay.KnownStates;
 import org.geraniumproxy.engine.relay.RelayStream;
 import org.geraniumproxy.engine.telemetry.SharedConnectionEvent;
 
@@ -43,6 +44,7 @@
     private static final class Peer {
         private final RelayStream stream;
         private final Map<BackendServerName, Report> reports = new HashMap<>();
+        private final KnownStates knownStates = KnownStates.ofOwner();
         private String name = "unknown";
 
         Peer(RelayStream stream) {
@@ -131,6 +133,10 @@
         if (message instanceof RelayMessage.Hello hello) {
             peers.get(stream.id()).name = hello.sender().value();
         }
+        if (message instanceof RelayMessage.Release release) {
+            release.changedState().ifPresent(changed -> state.connection(stream.id(), release.channel())
+                    .ifPresent(connection -> peers.get(stream.id()).knownStates.put(connection, changed)));
+        }
         apply(new OwnerChannelEvent.Received(stream.id(), message));
         engine.runPendingSteps();
         if (message instanceof RelayMessage.Acquire acquire) {
@@ -186,7 +192,7 @@
             case OwnerChannelEffect.Send send -> {
                 Peer peer = peers.get(send.stream());
                 if (peer != null) {
-                    peer.stream.send(send.message());
+                    peer.stream.send(withoutKnownState(peer, send.message()));
                 }
             }
             case OwnerChannelEffect.RequestSlot request -> requestSlot(request.database(), request.request());
@@ -204,6 +210,18 @@
         }
     }
 
+    private static RelayMessage withoutKnownState(Peer peer, RelayMessage message) {
+        if (!(message instanceof RelayMessage.Granted granted) || granted.state().isEmpty()) {
+            return message;
+        }
+        if (peer.knownStates.get(granted.connection()).equals(granted.state())) {
+            return new RelayMessage.Granted(
+                    granted.channel(), granted.connection(), Optional.empty(), granted.load());
+        }
+        peer.knownStates.put(granted.connection(), granted.state().get());
+        return message;
+    }
+
     private void requestSlot(BackendServerName database, SlotRequest request) {
         long session = CallerSession.sessionIdOf(request.id());
         DatabaseConnectionPool pool = engine.connectionPool(database);
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
@@ -30,6 +30,7 @@
 import org.geraniumproxy.core.relay.RelayMessage;
 import org.geraniumproxy.engine.loop.SocketAddresses;
 import org.geraniumproxy.engine.loop.StreamConnection;
+import org.geraniumproxy.engine.relay.KnownStates;
 import org.geraniumproxy.engine.relay.RelayStream;
 import org.geraniumproxy.engine.telemetry.SharedConnectionEvent;
 
@@ -50,6 +51,7 @@
     private final TrafficEngine engine;
     private final Map<VmName, RelayStream> streams = new HashMap<>();
     private final Map<Long, VmName> owners = new HashMap<>();
+    private final Map<Long, KnownStates> knownStates = new HashMap<>();
     private final Map<Long, Use> usesByChannel = new HashMap<>();
     private final Map<Long, Use> usesByRequest = new HashMap<>();
     private final Set<Long> undeliveredGrants = new HashSet<>();
@@ -65,6 +67,7 @@
         private final BackendServerName database;
         private final BackendProtocol.Decoder decoder;
         private final List<BackendReply> replies = new ArrayList<>();
+        private long ownersConnection;
         private TransactionState transactionState = TransactionState.IDLE;
         private int expectedReplies;
 
@@ -196,7 +199,10 @@
     }
 
     void releaseConnection(long connectionId, ConnectionState connectionState, boolean rollback) {
-        usesByChannel.remove(connectionId);
+        Use use = usesByChannel.remove(connectionId);
+        state.ownerOf(connectionId)
+                .map(streams::get)
+                .ifPresent(stream -> knownStates.get(stream.id()).put(use.ownersConnection, connectionState));
         apply(new EntryChannelEvent.ConnectionReturned(connectionId, connectionState, rollback));
     }
 
@@ -209,31 +215,54 @@
     void onTick() {
         logLines = 0;
         Instant now = engine.now();
-        for (VmName owner : state.ownersInUse()) {
-            RelayStream stream = streams.get(owner);
-            if (stream == null) {
-                continue;
-            }
-            boolean pinged = !stream.pingedAt().equals(Instant.MIN);
-            if (pinged && !now.isBefore(stream.pingedAt().plus(PING_TIMEOUT))) {
-                stream.close("the owner does not respond");
-            } else if (!pinged && !now.isBefore(stream.lastReceivedAt().plus(SILENCE_BEFORE_PING))) {
+        Set<VmName> inUse = state.ownersInUse();
+        Map.copyOf(streams).forEach((owner, stream) -> {
+            if (stream.isPinged()) {
+                if (!now.isBefore(stream.pingedAt().plus(PING_TIMEOUT))) {
+                    stream.close("the owner does not respond");
+                }
+            } else if (inUse.contains(owner)
+                    && !now.isBefore(stream.lastReceivedAt().plus(SILENCE_BEFORE_PING))) {
                 stream.ping();
             }
-        }
+        });
     }
 
     @Override
     public void onMessage(RelayStream stream, RelayMessage message) {
         recordLoad(message);
-        apply(new EntryChannelEvent.Received(owners.get(stream.id()), message));
+        RelayMessage complete =
+                message instanceof RelayMessage.Granted granted ? withKnownState(stream, granted) : message;
+        apply(new EntryChannelEvent.Received(owners.get(stream.id()), complete));
         engine.runPendingSteps();
     }
 
+    /** Adds the state that the owner left out, also for the record if the session has withdrawn its request. */
+    private RelayMessage withKnownState(RelayStream stream, RelayMessage.Granted granted) {
+        KnownStates known = knownStates.get(stream.id());
+        Use use = usesByChannel.get(granted.channel());
+        if (use != null) {
+            use.ownersConnection = granted.connection();
+        }
+        if (granted.state().isPresent()) {
+            known.put(granted.connection(), granted.state().get());
+            return granted;
+        }
+        if (use == null || state.holds(granted.channel())) {
+            return granted;
+        }
+        Optional<ConnectionState> omitted = known.get(granted.connection());
+        if (omitted.isEmpty()) {
+            throw new IllegalArgumentException("the state of a connection was left out and is unknown");
+        }
+        return new RelayMessage.Granted(granted.channel(), granted.connection(), omitted, granted.load());
+    }
+
     @Override
     public void onEnded(RelayStream stream, String reason) {
         VmName owner = owners.remove(stream.id());
         streams.remove(owner, stream);
+        knownStates.remove(stream.id());
         engine.metrics().sharedConnection(SharedConnectionEvent.STREAM_ENDED);
         apply(new EntryChannelEvent.StreamEnded(owner, reason));
         engine.runPendingSteps();
@@ -268,7 +297,12 @@
                 if (send.message() instanceof RelayMessage.Acquire) {
                     engine.metrics().sharedConnection(SharedConnectionEvent.REQUESTED);
                 }
-                stream(send.owner()).send(send.message());
+                RelayStream stream = stream(send.owner());
+                stream.send(send.message());
+                if (send.message() instanceof RelayMessage.Cancel && !stream.isPinged()) {
+                    // A request is mostly withdrawn because the owner doesn't respond; its stream may be dead.
+                    stream.ping();
+                }
             }
             case EntryChannelEffect.Grant grant -> grant(grant);
             case EntryChannelEffect.UseOwnConnections own -> useOwnConnections(own.request());
@@ -298,6 +332,7 @@
         RelayStream opened = new RelayStream(engine.nextConnectionId(), connection, this, engine::now);
         streams.put(owner, opened);
         owners.put(opened.id(), owner);
+        knownStates.put(opened.id(), KnownStates.ofEntryVm());
         engine.metrics().sharedConnection(SharedConnectionEvent.STREAM_OPENED);
         opened.send(new RelayMessage.Hello(state.self()));
         String address = addresses.get(owner);
