--- a/core/src/main/java/org/geraniumproxy/core/relay/OwnerChannels.java
+++ b/core/src/main/java/org/geraniumproxy/core/relay/OwnerChannels.java
@@ -371,14 +371,12 @@
     }
 
     private static void releaseSlotOf(OwnerChannel channel, List<OwnerChannelEffect> effects) {
-        switch (channel.slot()) {
-            case WAITING ->
-                effects.add(new OwnerChannelEffect.CancelRequest(
-                        channel.database(), channel.request().id()));
-            case HELD, ENDING ->
-                effects.add(new OwnerChannelEffect.ReleaseSlot(
-                        channel.database(), channel.request().id()));
-            case NONE -> {}
+        if (channel.slot() == OwnerChannel.Slot.WAITING) {
+            effects.add(new OwnerChannelEffect.CancelRequest(
+                    channel.database(), channel.request().id()));
+        } else if (channel.holdsSlot()) {
+            effects.add(new OwnerChannelEffect.ReleaseSlot(
+                    channel.database(), channel.request().id()));
         }
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -394,7 +394,7 @@
     }
 
     private CustomerPoolView view() {
-        return switch (engine.connectionRole(entry)) {
+        return switch (engine.sharedConnections().role(entry)) {
             case ConnectionRole.Divided _ ->
                 CustomerPoolView.of(
                         entry.slots(), engine.connectionLimit(entry.group()), engine.vmCount(), SURPLUS_IDLE_TIMEOUT);
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
@@ -369,7 +369,7 @@
             engine.deliver(use.session, new SessionEvent.SlotRefused(request.id(), "the database left", true));
             return;
         }
-        if (!engine.connectionRole(own.entry()).isOwner()) {
+        if (!engine.sharedConnections().role(own.entry()).isOwner()) {
             engine.metrics().sharedConnection(SharedConnectionEvent.USED_DIRECTLY);
         }
         own.requestSlot(request, use.session);
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -6,11 +6,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongPredicate;
 import org.geraniumproxy.core.caller.BackendCommand;
@@ -29,16 +27,10 @@
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.GroupDirectory;
-import org.geraniumproxy.core.directory.VmLocation;
 import org.geraniumproxy.core.identity.BackendServerName;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
-import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.limit.RateOwnership;
-import org.geraniumproxy.core.pool.ConnectionOwnership;
-import org.geraniumproxy.core.pool.ConnectionRole;
-import org.geraniumproxy.core.pool.PoolLoad;
 import org.geraniumproxy.core.pool.SlotRequest;
 import org.geraniumproxy.core.service.ServiceGroup;
 import org.geraniumproxy.core.statement.Statement;
@@ -81,12 +73,7 @@
     private final AdministrativeCommands administrativeCommands = new AdministrativeCommands(this);
     private final PrimaryProber primaryProber;
     private final PeerRequests peerRequests;
-    private final RelayedConnections relayedConnections = new RelayedConnections(this);
-    private final LentConnections lentConnections = new LentConnections(this);
-    private final Map<BackendServerName, ConnectionRole> connectionRoles = new HashMap<>();
-    private ConnectionOwnership connectionOwnership = ConnectionOwnership.alone(VmName.of("unknown"));
-    private Set<VmName> sharingMembers = Set.of();
-    private Map<VmName, VmLocation> sharingLocations = Map.of();
+    private final SharedConnections sharedConnections = new SharedConnections(this);
     private boolean lossByOwner;
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
@@ -160,7 +147,7 @@
         boolean fencesChanged = !view.promotionFences().equals(next.promotionFences());
         view = next;
         peerRequests.update(next, ownership);
-        updateConnectionOwnership(ownership);
+        sharedConnections.updateOwners(view, ownership);
         Map<BackendServerName, DatabaseEntry> currentDatabases = new HashMap<>();
         for (GroupDirectory group : next.groups().values()) {
             currentDatabases.putAll(group.databases());
@@ -180,8 +167,8 @@
                         !currentDatabases.containsKey(connectionPool.entry().name())
                                 && !next.formerDatabases()
                                         .containsKey(connectionPool.entry().name())
-                                && isUnused(connectionPool));
-        updateLentConnections();
+                                && sharedConnections.isUnused(connectionPool));
+        sharedConnections.updateLent(view);
         if (firstConfiguration && isConfigured()) {
             List.copyOf(sessions.values()).forEach(CallerConnection::handleQueuedMessages);
         }
@@ -199,75 +186,27 @@
      */
     public void update(RateOwnership ownership) {
         peerRequests.update(view, ownership);
-        updateConnectionOwnership(ownership);
-        updateLentConnections();
+        sharedConnections.updateOwners(view, ownership);
+        sharedConnections.updateLent(view);
         runPendingSteps();
     }
 
-    private void updateConnectionOwnership(RateOwnership ownership) {
-        connectionRoles.clear();
-        if (!ownership.members().equals(sharingMembers) || !view.vmLocations().equals(sharingLocations)) {
-            sharingMembers = ownership.members();
-            sharingLocations = view.vmLocations();
-            connectionOwnership = new ConnectionOwnership(ownership.self(), sharingMembers, sharingLocations);
-        }
-        relayedConnections.update(ownership.self(), ownership.addresses());
-    }
-
-    private void updateLentConnections() {
-        Set<BackendServerName> owned = new HashSet<>();
-        for (GroupDirectory group : view.groups().values()) {
-            for (DatabaseEntry entry : group.databases().values()) {
-                if (connectionRole(entry).isOwner()) {
-                    owned.add(entry.name());
-                }
-            }
-        }
-        lentConnections.update(owned, view.drain().isPresent());
-    }
-
-    private boolean isUnused(DatabaseConnectionPool connectionPool) {
-        BackendServerName database = connectionPool.entry().name();
-        return connectionPool.isUnused() && !relayedConnections.uses(database) && !lentConnections.uses(database);
-    }
-
-    /** Returns this VM's part in the use of a database. Computed once, because it hashes the names of all members. */
-    ConnectionRole connectionRole(DatabaseEntry entry) {
-        return connectionRoles.computeIfAbsent(
-                entry.name(), _ -> connectionOwnership.role(entry, connectionLimit(entry.group())));
-    }
-
-    /** Sets the margin for the responses of owners; a test on a busy machine needs a long one. */
-    void setResponseMargin(Duration margin) {
-        relayedConnections.setResponseMargin(margin);
-    }
-
     /**
-     * Accepts a stream of another VM that uses the connections of this one.
-     *
-     * @param stream one-element array that holds the connection after the call
-     * @return handler of the stream
-     */
-    public StreamHandler acceptRelay(StreamConnection[] stream) {
-        return lentConnections.accept(stream);
-    }
-
-    /**
-     * Returns the loads that the owners of databases reported last.
+     * Returns the requests between this VM and the others.
      *
-     * @return load by database, without databases whose owner reported none
+     * @return handler of the requests; must be used on the loop's thread
      */
-    public Map<BackendServerName, PoolLoad> ownerLoads() {
-        return relayedConnections.loads();
+    public PeerRequests peerRequests() {
+        return peerRequests;
     }
 
     /**
-     * Returns the requests between this VM and the others.
+     * Returns the use of database connections by several VMs.
      *
-     * @return handler of the requests; must be used on the loop's thread
+     * @return connections that are lent to and by other VMs; must be used on the loop's thread
      */
-    public PeerRequests peerRequests() {
-        return peerRequests;
+    public SharedConnections sharedConnections() {
+        return sharedConnections;
     }
 
     /**
@@ -307,7 +246,7 @@
     }
 
     private void completeIfNoSessions(CompletableFuture<Void> ended) {
-        if (sessions.isEmpty() && lentConnections.isUnused()) {
+        if (sessions.isEmpty() && sharedConnections.lent().isUnused()) {
             ended.complete(null);
         }
     }
@@ -368,12 +307,6 @@
         return connectionPools.get(database);
     }
 
-    private ConnectionSource connections(BackendServerName database) {
-        DatabaseConnectionPool own = connectionPools.get(database);
-        return new DatabaseConnections(
-                own, relayedConnections, database, connectionRole(own.entry()).candidates());
-    }
-
     NodeMetrics metrics() {
         return metrics;
     }
@@ -400,26 +333,11 @@
     private SessionContext context(GroupName group) {
         Map<BackendServerName, DatabaseLoad> loads = new HashMap<>();
         for (BackendServerName database : view.directoryOf(group).databases().keySet()) {
-            loads.put(database, load(connectionPools.get(database)));
+            loads.put(database, sharedConnections.load(connectionPools.get(database)));
         }
         return new SessionContext(view, positions(group).primaryHistory(), loads, now());
     }
 
-    private DatabaseLoad load(DatabaseConnectionPool connectionPool) {
-        DatabaseLoad own = connectionPool.load();
-        if (connectionRole(connectionPool.entry()).candidates().isEmpty()) {
-            return own;
-        }
-        BackendServerName database = connectionPool.entry().name();
-        Set<CustomerName> customers = new HashSet<>(own.customersWithIdleConnections());
-        customers.addAll(relayedConnections.customers(database));
-        return new DatabaseLoad(
-                own.outstandingStatements() + relayedConnections.outstandingStatements(database),
-                own.latency(),
-                own.avoidUntil(),
-                customers);
-    }
-
     /** Returns the newest position of each primary that this VM watches. */
     Map<GroupName, PrimaryPositionHistory.Sample> watchedPositions() {
         Map<GroupName, PrimaryPositionHistory.Sample> watched = new HashMap<>();
@@ -444,7 +362,7 @@
             return;
         }
         if (session < AdministrativeCommands.SESSION_ID) {
-            lentConnections.apply(session, event);
+            sharedConnections.lent().apply(session, event);
             return;
         }
         CallerConnection caller = sessions.get(session);
@@ -520,15 +438,16 @@
             case SessionEffect.RequestSlot request -> requestSlot(request);
             case SessionEffect.CancelSlotRequest cancel -> cancelSlotRequest(cancel);
             case SessionEffect.ReleaseSlot release ->
-                connections(release.database()).releaseSlot(release.slotRequestId());
+                sharedConnections.of(release.database()).releaseSlot(release.slotRequestId());
             case SessionEffect.SendCommands send ->
-                connections(send.database()).send(send.connectionId(), send.commands(), send.endsSlot());
+                sharedConnections.of(send.database()).send(send.connectionId(), send.commands(), send.endsSlot());
             case SessionEffect.ReturnConnection returned ->
-                connections(returned.database())
+                sharedConnections
+                        .of(returned.database())
                         .releaseConnection(
                                 returned.connectionId(), returned.connectionState(), returned.rollbackRequired());
             case SessionEffect.CloseConnection close ->
-                connections(close.database()).closeConnection(close.connectionId());
+                sharedConnections.of(close.database()).closeConnection(close.connectionId());
             case SessionEffect.RecordPrimaryPosition record -> recordPosition(record.group(), record.sample());
             case SessionEffect.RecordAcknowledgedCommit record ->
                 positions.put(record.group(), positions(record.group()).withAcknowledgedCommit(record.lowerBound()));
@@ -555,7 +474,7 @@
             deliver(session, new SessionEvent.SlotRefused(request.slotRequestId(), "the database left", true));
             return;
         }
-        connections(request.database()).requestSlot(slot, session);
+        sharedConnections.of(request.database()).requestSlot(slot, session);
     }
 
     void recordPosition(GroupName group, PrimaryPositionHistory.Sample sample) {
@@ -576,7 +495,7 @@
 
     private void cancelSlotRequest(SessionEffect.CancelSlotRequest cancel) {
         if (connectionPools.containsKey(cancel.database())) {
-            connections(cancel.database()).cancelRequest(cancel.slotRequestId());
+            sharedConnections.of(cancel.database()).cancelRequest(cancel.slotRequestId());
         }
     }
 
@@ -616,8 +535,7 @@
         connectionPools.values().forEach(DatabaseConnectionPool::onTick);
         view.groups().forEach(this::probePrimary);
         peerRequests.onTick();
-        relayedConnections.onTick();
-        lentConnections.onTick();
+        sharedConnections.onTick();
         runPendingSteps();
         if (isDraining()) {
             endDrainedSessions();
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -109,7 +109,7 @@
 
     /** Sets the margin for the responses of owners. */
     EngineFixture withResponseMargin(Duration margin) throws Exception {
-        return runOnLoop(() -> engine.setResponseMargin(margin));
+        return runOnLoop(() -> engine.sharedConnections().setResponseMargin(margin));
     }
 
     /** Sets the number of connections that each database accepts. */
@@ -197,7 +197,9 @@
         int relayPort = freePort();
         runOnLoop(() -> {
             try {
-                loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), relayPort), engine::acceptRelay);
+                loop.listen(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), relayPort),
+                        engine.sharedConnections()::accept);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
