--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongPredicate;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.CallerSession;
@@ -72,6 +73,8 @@
     private final AdministrativeCommands administrativeCommands = new AdministrativeCommands(this);
     private final PrimaryProber primaryProber;
     private final PeerRequests peerRequests;
+    private final SharedConnections sharedConnections = new SharedConnections(this);
+    private boolean lossByOwner;
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
     private long lastConnectionId;
@@ -144,6 +147,7 @@
         boolean fencesChanged = !view.promotionFences().equals(next.promotionFences());
         view = next;
         peerRequests.update(next, ownership);
+        sharedConnections.updateOwners(view, ownership);
         Map<BackendServerName, DatabaseEntry> currentDatabases = new HashMap<>();
         for (GroupDirectory group : next.groups().values()) {
             currentDatabases.putAll(group.databases());
@@ -163,7 +167,8 @@
                         !currentDatabases.containsKey(connectionPool.entry().name())
                                 && !next.formerDatabases()
                                         .containsKey(connectionPool.entry().name())
-                                && connectionPool.isUnused());
+                                && sharedConnections.isUnused(connectionPool));
+        sharedConnections.updateLent(view);
         if (firstConfiguration && isConfigured()) {
             List.copyOf(sessions.values()).forEach(CallerConnection::handleQueuedMessages);
         }
@@ -181,6 +186,8 @@
      */
     public void update(RateOwnership ownership) {
         peerRequests.update(view, ownership);
+        sharedConnections.updateOwners(view, ownership);
+        sharedConnections.updateLent(view);
         runPendingSteps();
     }
 
@@ -193,6 +200,15 @@
         return peerRequests;
     }
 
+    /**
+     * Returns the use of database connections by several VMs.
+     *
+     * @return connections that are lent to and by other VMs; must be used on the loop's thread
+     */
+    public SharedConnections sharedConnections() {
+        return sharedConnections;
+    }
+
     /**
      * Sends an administrative command to a database. Must be called on the loop's thread.
      *
@@ -224,8 +240,13 @@
         return ended;
     }
 
+    /** Completes a stop when neither a caller nor another VM uses this one. */
+    void completeStopIfUnused() {
+        sessionsEnded.ifPresent(this::completeIfNoSessions);
+    }
+
     private void completeIfNoSessions(CompletableFuture<Void> ended) {
-        if (sessions.isEmpty()) {
+        if (sessions.isEmpty() && sharedConnections.lent().isUnused()) {
             ended.complete(null);
         }
     }
@@ -312,7 +333,7 @@
     private SessionContext context(GroupName group) {
         Map<BackendServerName, DatabaseLoad> loads = new HashMap<>();
         for (BackendServerName database : view.directoryOf(group).databases().keySet()) {
-            loads.put(database, connectionPools.get(database).load());
+            loads.put(database, sharedConnections.load(connectionPools.get(database)));
         }
         return new SessionContext(view, positions(group).primaryHistory(), loads, now());
     }
@@ -340,16 +361,32 @@
             administrativeCommands.apply(event);
             return;
         }
+        if (session < AdministrativeCommands.SESSION_ID) {
+            sharedConnections.lent().apply(session, event);
+            return;
+        }
         CallerConnection caller = sessions.get(session);
         if (caller != null) {
             caller.apply(event);
         }
     }
 
+    /** Delivers the loss of a connection that is no evidence about the database. */
+    void deliverLossByOwner(long session, SessionEvent.ConnectionLost event) {
+        pendingSteps.add(() -> {
+            lossByOwner = true;
+            try {
+                deliverNow(session, event);
+            } finally {
+                lossByOwner = false;
+            }
+        });
+    }
+
     /** Delivers a granted slot after the current step, unless the session has cancelled its request by then. */
-    void deliver(long session, DatabaseConnectionPool connectionPool, SessionEvent.SlotGranted granted) {
+    void deliver(long session, LongPredicate confirmGrant, SessionEvent.SlotGranted granted) {
         pendingSteps.add(() -> {
-            if (connectionPool.confirmGrant(granted.slotRequestId())) {
+            if (confirmGrant.test(granted.slotRequestId())) {
                 deliverNow(session, granted);
             }
         });
@@ -401,15 +438,16 @@
             case SessionEffect.RequestSlot request -> requestSlot(request);
             case SessionEffect.CancelSlotRequest cancel -> cancelSlotRequest(cancel);
             case SessionEffect.ReleaseSlot release ->
-                connectionPool(release.database()).releaseSlot(release.slotRequestId());
+                sharedConnections.of(release.database()).releaseSlot(release.slotRequestId());
             case SessionEffect.SendCommands send ->
-                connectionPool(send.database()).send(send.connectionId(), send.commands());
+                sharedConnections.of(send.database()).send(send.connectionId(), send.commands(), send.endsSlot());
             case SessionEffect.ReturnConnection returned ->
-                connectionPool(returned.database())
+                sharedConnections
+                        .of(returned.database())
                         .releaseConnection(
                                 returned.connectionId(), returned.connectionState(), returned.rollbackRequired());
             case SessionEffect.CloseConnection close ->
-                connectionPool(close.database()).closeConnection(close.connectionId());
+                sharedConnections.of(close.database()).closeConnection(close.connectionId());
             case SessionEffect.RecordPrimaryPosition record -> recordPosition(record.group(), record.sample());
             case SessionEffect.RecordAcknowledgedCommit record ->
                 positions.put(record.group(), positions(record.group()).withAcknowledgedCommit(record.lowerBound()));
@@ -432,12 +470,11 @@
         SlotRequest slot = new SlotRequest(
                 request.slotRequestId(), request.customer(), weight, 1, request.deadline(), request.holdsConnection());
         long session = CallerSession.sessionIdOf(request.slotRequestId());
-        DatabaseConnectionPool connectionPool = connectionPools.get(request.database());
-        if (connectionPool == null) {
+        if (!connectionPools.containsKey(request.database())) {
             deliver(session, new SessionEvent.SlotRefused(request.slotRequestId(), "the database left", true));
             return;
         }
-        connectionPool.requestSlot(slot, session);
+        sharedConnections.of(request.database()).requestSlot(slot, session);
     }
 
     void recordPosition(GroupName group, PrimaryPositionHistory.Sample sample) {
@@ -457,9 +494,8 @@
     }
 
     private void cancelSlotRequest(SessionEffect.CancelSlotRequest cancel) {
-        DatabaseConnectionPool connectionPool = connectionPools.get(cancel.database());
-        if (connectionPool != null) {
-            connectionPool.cancelRequest(cancel.slotRequestId());
+        if (connectionPools.containsKey(cancel.database())) {
+            sharedConnections.of(cancel.database()).cancelRequest(cancel.slotRequestId());
         }
     }
 
@@ -477,8 +513,11 @@
                         .orElse(false));
                 connectionPool.recordReply(answered.latency(), answered.acknowledgedCommit());
             }
-            case DatabaseObservation.Unresponsive unresponsive ->
-                connectionPool.recordFailure(unresponsive.commitUnacknowledged());
+            case DatabaseObservation.Unresponsive unresponsive -> {
+                if (!lossByOwner) {
+                    connectionPool.recordFailure(unresponsive.commitUnacknowledged());
+                }
+            }
             case DatabaseObservation.NotPrimary notPrimary -> observer.onNotPrimary(group, notPrimary.database());
             case DatabaseObservation.Lagging _ -> connectionPool.recordLag();
         }
@@ -496,6 +535,7 @@
         connectionPools.values().forEach(DatabaseConnectionPool::onTick);
         view.groups().forEach(this::probePrimary);
         peerRequests.onTick();
+        sharedConnections.onTick();
         runPendingSteps();
         if (isDraining()) {
             endDrainedSessions();
