Run statements only in allowed regions and outside evacuated failure domains

Cause: a route or customer could not be confined to regions, and a failure domain could be emptied only by draining each of its databases.

PlacementConstraints decides from the regions of route and customer and from the evacuations in progress; Placement chooses among what it allows. Without an allowed database a statement is refused before it takes a token, with the reason REGION_NOT_ALLOWED or EVACUATED (BUSY on the wire).

TrackedEvacuations keeps the orders with the store revision at which the set was valid, so that the later of two VMs that disagree is right. A process that has just started assumes that the time limit is over. An evacuated database has the availability EVACUATED, beside LEFT and GONE: it gets no statement but stays a member that confirms commits. A primary serves until it is replaced (reasons EVACUATING, EVACUATED) or until 1.5 s before the time limit; open transactions are then rolled back, and connections in use closed 300 ms later. No evacuated database is promoted, and none steps down without a successor elsewhere.

--- a/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
@@ -113,7 +113,8 @@
             CallerSession session, SessionEvent event, SessionContext context, List<SessionEffect> effects) {
         return switch (event) {
             case SessionEvent.CallerDisconnected _, SessionEvent.ProcessEnding _ -> session;
-            default -> SessionDrain.afterEvent(session, context, effects);
+            default ->
+                SessionDrain.afterEvent(SessionEvacuation.afterEvent(session, context, effects), context, effects);
         };
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/caller/ErrorCode.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/ErrorCode.java
@@ -22,6 +22,10 @@
     CONNECTION_LIMIT(true),
     /** No prepared statement has the given name. */
     UNKNOWN_STATEMENT(true),
+    /** No database is in a region that both the route and the customer allow. */
+    REGION_NOT_ALLOWED(true),
+    /** Only a primary in an evacuated failure domain could run the statement. */
+    EVACUATED(true),
     /** The statement was run and failed. */
     FAILED(false),
     /** No answer arrived before the deadline; the statement may have run. */
--- a/core/src/main/java/org/geraniumproxy/core/caller/Placement.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/Placement.java
@@ -9,7 +9,9 @@
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.routing.PlacementConstraints;
 import org.geraniumproxy.core.service.Consistency;
+import org.geraniumproxy.core.service.ServiceCustomer;
 import org.geraniumproxy.core.service.ServiceRoute;
 
 /**
@@ -47,7 +49,12 @@
             Instant arrivedAt,
             SessionContext context) {
         GroupDirectory group = context.view().directoryOf(route.group());
-        Optional<DatabaseEntry> primary = group.primary().filter(entry -> !excludedDatabases.contains(entry.name()));
+        PlacementConstraints constraints = context.view().constraints();
+        ServiceRoute newest = PlacementRefusal.newest(route, context.view());
+        Optional<ServiceCustomer> limits = PlacementRefusal.customer(customer, context.view());
+        Optional<DatabaseEntry> primary = group.primary()
+                .filter(entry -> !excludedDatabases.contains(entry.name()))
+                .filter(entry -> constraints.allows(entry, newest, limits));
         Optional<Placement> atPrimary = primary.map(entry -> new Placement(entry.name(), true, Optional.empty()));
         if (!mayUseReplica || route.consistency() == Consistency.PRIMARY) {
             return atPrimary;
@@ -60,6 +67,9 @@
         double bestCost = primary.map(entry -> cost(entry, customer, context) * PRIMARY_COST_FACTOR)
                 .orElse(Double.MAX_VALUE);
         for (DatabaseEntry entry : group.readableReplicas()) {
+            if (!constraints.allows(entry, newest, limits)) {
+                continue;
+            }
             double cost = cost(entry, customer, context);
             if (!excludedDatabases.contains(entry.name()) && cost < bestCost) {
                 best = new Placement(entry.name(), false, required);
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
@@ -200,8 +200,9 @@
             SessionContext context,
             List<SessionEffect> effects) {
         ServiceConfiguration configuration = context.view().configuration();
-        Optional<StatementResult.Failed> refusal =
-                SessionDrain.refusal(received.statement(), context).or(() -> refusal(session, configuration));
+        Optional<StatementResult.Failed> refusal = SessionDrain.refusal(received.statement(), context)
+                .or(() -> refusal(session, configuration))
+                .or(() -> placementRefusal(session, received.statement(), context));
         if (refusal.isPresent()) {
             effects.add(new SessionEffect.Log(
                     received.requestId(), "refused", describe(refusal.get()) + " version=" + configuration.version()));
@@ -220,6 +221,21 @@
         return awaiting;
     }
 
+    /** Refuses a statement before it takes a token if no database may run it. */
+    private static Optional<StatementResult.Failed> placementRefusal(
+            CallerSession session, Statement statement, SessionContext context) {
+        ServiceConfiguration configuration = context.view().configuration();
+        ServiceRoute route =
+                configuration.route(session.database().orElseThrow()).orElseThrow();
+        CustomerName customer = session.customer(route, configuration).orElseThrow();
+        boolean mayUseReplica = switch (statement) {
+            case Statement.Begin begin -> begin.readOnly();
+            case Statement.Write _ -> false;
+            default -> true;
+        };
+        return PlacementRefusal.of(route, customer, mayUseReplica, context.view());
+    }
+
     private static CallerSession start(
             CallerSession session,
             SessionEvent.StatementReceived received,
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
@@ -35,6 +35,12 @@
         Optional<OpenTransaction.PinnedConnection> pinned =
                 session.transaction().flatMap(OpenTransaction::pinnedConnection);
         if (pinned.isPresent()) {
+            Optional<StatementResult.Failed> refusal = PlacementRefusal.pinned(
+                    current.route(), customer.get(), pinned.get().placement().database(), context.view());
+            if (refusal.isPresent()) {
+                return StatementCompletion.failWithRollback(
+                        session, refusal.get().code(), refusal.get().text(), effects);
+            }
             return requestSlot(session.with(current), pinned.get().placement(), customer.get(), true, effects);
         }
         Optional<Placement> chosen = Placement.choose(
@@ -46,12 +52,31 @@
                 current.arrivedAt(),
                 context);
         if (chosen.isEmpty()) {
+            Optional<StatementResult.Failed> refusal = refusal(session, current, customer.get(), context);
+            if (refusal.isPresent()) {
+                return StatementCompletion.failWithRollback(
+                        session, refusal.get().code(), refusal.get().text(), effects);
+            }
             return scheduleRetry(
                     session, session.currentStatement().orElseThrow().withoutExclusions(), context.now(), effects);
         }
         return requestSlot(session.with(current), chosen.get(), customer.get(), false, effects);
     }
 
+    /**
+     * Returns the refusal of a statement that could not be placed. A read waits for the primary only if no replica may
+     * serve it soon: databases that refused it once may have caught up.
+     */
+    private static Optional<StatementResult.Failed> refusal(
+            CallerSession session, CurrentStatement current, CustomerName customer, SessionContext context) {
+        boolean mayUseReplica = mayUseReplica(session, current);
+        Optional<StatementResult.Failed> refusal =
+                PlacementRefusal.of(current.route(), customer, mayUseReplica, context.view());
+        return refusal.isEmpty() && current.excludedDatabases().isEmpty()
+                ? PlacementRefusal.evacuated(current.route(), context.view())
+                : refusal;
+    }
+
     static CallerSession scheduleRetry(
             CallerSession session, CurrentStatement current, Instant now, List<SessionEffect> effects) {
         Instant retryAt = now.plus(RETRY_DELAY);
--- a/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
@@ -4,11 +4,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.geraniumproxy.core.directory.DatabaseAvailability;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.directory.PromotionFences;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.routing.PlacementConstraints;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 
 /**
@@ -22,6 +25,7 @@
  * @param watchedGroups groups whose primaries this VM probes
  * @param positionSources VMs that tell the positions of the other primaries
  * @param promotionFences bounds that promotions set on the commits of each group
+ * @param constraints where statements may run
  */
 public record TrafficView(
         ServiceConfiguration configuration,
@@ -31,11 +35,45 @@
         int vmCount,
         Set<GroupName> watchedGroups,
         List<PositionSource> positionSources,
-        Map<GroupName, PromotionFences> promotionFences) {
+        Map<GroupName, PromotionFences> promotionFences,
+        PlacementConstraints constraints) {
     /** The view before any configuration is known. */
     public static final TrafficView NONE = new TrafficView(
             ServiceConfiguration.NONE, Map.of(), Map.of(), Optional.empty(), 1, Set.of(), List.of(), Map.of());
 
+    /**
+     * Creates a view in which statements may run at all databases.
+     *
+     * @param configuration the latest configuration
+     * @param groups databases that accept statements, by group
+     * @param formerDatabases databases that no longer accept statements but can be queried for their status
+     * @param drain times by which sessions must have ended because this VM stops, or empty while it doesn't stop
+     * @param vmCount number of VMs that share the connections of a database, at least 1
+     * @param watchedGroups groups whose primaries this VM probes
+     * @param positionSources VMs that tell the positions of the other primaries
+     * @param promotionFences bounds that promotions set on the commits of each group
+     */
+    public TrafficView(
+            ServiceConfiguration configuration,
+            Map<GroupName, GroupDirectory> groups,
+            Map<BackendServerName, DatabaseEntry> formerDatabases,
+            Optional<CallerDrain> drain,
+            int vmCount,
+            Set<GroupName> watchedGroups,
+            List<PositionSource> positionSources,
+            Map<GroupName, PromotionFences> promotionFences) {
+        this(
+                configuration,
+                groups,
+                formerDatabases,
+                drain,
+                vmCount,
+                watchedGroups,
+                positionSources,
+                promotionFences,
+                PlacementConstraints.NONE);
+    }
+
     /** Makes unmodifiable copies of the collections. */
     public TrafficView {
         groups = Map.copyOf(groups);
@@ -55,6 +93,36 @@
         return groups.getOrDefault(group, GroupDirectory.EMPTY);
     }
 
+    /**
+     * Returns a database of a group, whether it accepts statements or not.
+     *
+     * @param group name of the group
+     * @param database name of the database
+     * @return its entry, or empty if it is unknown
+     */
+    public Optional<DatabaseEntry> database(GroupName group, BackendServerName database) {
+        return Optional.ofNullable(directoryOf(group).databases().get(database))
+                .or(() -> Optional.ofNullable(formerDatabases.get(database)));
+    }
+
+    /**
+     * Counts the databases that accept no statements by the reason. A database in an evacuated failure domain counts as
+     * evacuated, whatever else is true of it.
+     *
+     * @return number of databases by their availability
+     */
+    public Map<DatabaseAvailability, Long> formerDatabaseCounts() {
+        return formerDatabases.values().stream()
+                .collect(Collectors.groupingBy(this::reasonOutOfUse, Collectors.counting()));
+    }
+
+    private DatabaseAvailability reasonOutOfUse(DatabaseEntry entry) {
+        if (constraints.phaseOf(entry).isPresent()) {
+            return DatabaseAvailability.EVACUATED;
+        }
+        return entry.draining() ? DatabaseAvailability.LEFT : DatabaseAvailability.GONE;
+    }
+
     /**
      * Returns the bounds that promotions set on the commits of a group.
      *
--- a/core/src/main/java/org/geraniumproxy/core/directory/DatabaseAvailability.java
+++ b/core/src/main/java/org/geraniumproxy/core/directory/DatabaseAvailability.java
@@ -11,6 +11,12 @@
      */
     LEFT,
 
+    /**
+     * The failure domain is evacuated, so the database gets no statements. It still receives and confirms commits, and
+     * is used again when the evacuation ends.
+     */
+    EVACUATED,
+
     /**
      * The entry has been missing for longer than the grace period. The database may still run, partitioned from the
      * store.
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -1,13 +1,16 @@
 package org.geraniumproxy.core.fleet;
 
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.geraniumproxy.core.caller.CallerDrain;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.DatabaseHealth;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.RegionName;
@@ -51,6 +54,34 @@
      */
     record DatabaseEntryMissing(BackendServerName database) implements FleetEvent {}
 
+    /**
+     * The store listed the keys with which the operator orders evacuations. They replace the known ones.
+     *
+     * @param revision store revision at which the list was valid
+     * @param failureDomains failure domains named by the keys, known or not
+     */
+    record EvacuationsListed(StoreRevision revision, Set<FailureDomain> failureDomains) implements FleetEvent {
+        /** Copies the set. */
+        public EvacuationsListed {
+            failureDomains = Set.copyOf(failureDomains);
+        }
+    }
+
+    /**
+     * The store reported that the operator ordered or ended evacuations.
+     *
+     * @param changes changes in the order of their revisions
+     */
+    record EvacuationsChanged(List<EvacuationChange> changes) implements FleetEvent {
+        /** Copies the list. */
+        public EvacuationsChanged {
+            changes = List.copyOf(changes);
+        }
+    }
+
+    /** The store answered a watch; all changes before it are known. */
+    record StoreAnswered() implements FleetEvent {}
+
     /**
      * The store listed all VMs of the fleet.
      *
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,9 +22,11 @@
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.limit.RateOwnership;
 import org.geraniumproxy.core.promotion.PromotionIntent;
+import org.geraniumproxy.core.service.AllowedRegions;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 
 /**
@@ -71,10 +74,22 @@
      * @return a state without configuration, databases and peers
      */
     public static FleetState initial(VmName self, FleetTiming timing) {
+        return initial(self, timing, EvacuationRules.NONE);
+    }
+
+    /**
+     * Returns the state at process start in a deployment whose failure domains may be evacuated.
+     *
+     * @param self name of this VM
+     * @param timing drain notice and catch-up time of the deployment
+     * @param rules failure domains of the deployment and the time limit of their evacuation
+     * @return a state without configuration, databases and peers
+     */
+    public static FleetState initial(VmName self, FleetTiming timing, EvacuationRules rules) {
         return new FleetState(
                 self,
                 ServiceConfiguration.NONE,
-                TrackedDatabases.empty(timing),
+                TrackedDatabases.empty(timing, rules),
                 TrackedPeers.EMPTY,
                 Map.of(),
                 new FleetEvent.TrafficReported(Map.of(), Map.of(), Map.of(), Map.of()),
@@ -123,13 +138,13 @@
 
     /**
      * Returns the databases of a group that have an entry. A drained database gets no statements, but confirms commits
-     * until it stops.
+     * until it stops, and so does an evacuated one.
      *
      * @param group name of the group
      * @return its directory, empty if no database of the group is known
      */
     public GroupDirectory members(GroupName group) {
-        return databases.directory(group, Set.of(DatabaseAvailability.USED, DatabaseAvailability.LEFT));
+        return databases.directory(group, EnumSet.complementOf(EnumSet.of(DatabaseAvailability.GONE)));
     }
 
     /**
@@ -168,6 +183,19 @@
         return known != null && known.availability() == DatabaseAvailability.USED;
     }
 
+    /**
+     * Returns the databases of a group in evacuated failure domains.
+     *
+     * @param group name of the group
+     * @return names of databases, also of those whose entry expired
+     */
+    public Set<BackendServerName> evacuated(GroupName group) {
+        return databases.evacuated().values().stream()
+                .filter(entry -> entry.group().equals(group))
+                .map(DatabaseEntry::name)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Returns the VMs that probe the primary of a group.
      *
@@ -281,6 +309,12 @@
             case FleetEvent.DatabaseEntryChanged changed -> with(databases.updateEntry(changed.entry(), now, effects));
             case FleetEvent.DatabaseEntryMissing missing ->
                 with(databases.markMissing(missing.database(), now, effects));
+            case FleetEvent.EvacuationsListed listed ->
+                with(databases.with(databases.evacuations().listed(listed, now, effects)));
+            case FleetEvent.EvacuationsChanged changed ->
+                with(databases.with(databases.evacuations().changed(changed.changes(), now, effects)));
+            case FleetEvent.StoreAnswered _ ->
+                with(databases.with(databases.evacuations().answered(now)));
             case FleetEvent.VmsListed update -> with(peers.update(update, self, now));
             case FleetEvent.RegistrationConfirmed confirmed -> with(peers.confirmRegistration(confirmed.sentAt()));
             case FleetEvent.PeerMessageReceived received -> receive(received.message(), now, effects);
@@ -334,16 +368,43 @@
         }
         effects.add(new FleetEffect.Log(
                 "configuration in force", "version=" + newest.version() + " previous=" + configuration.version()));
+        logUnknownRegions(newest, effects);
         return new FleetState(
                 self, newest, databases, peers, acknowledged, lastReport, exchange, ownership, drain, promotions);
     }
 
+    /** Logs regions that no failure domain has. What allows only such regions runs nowhere. */
+    private void logUnknownRegions(ServiceConfiguration newest, List<FleetEffect> effects) {
+        Collection<RegionName> regions =
+                databases.evacuations().rules().regions().values();
+        newest.routes()
+                .values()
+                .forEach(route -> logUnknownRegions("route=" + route.name(), route.regionsAllowed(), regions, effects));
+        newest.customers()
+                .values()
+                .forEach(customer ->
+                        logUnknownRegions("customer=" + customer.name(), customer.regionsAllowed(), regions, effects));
+    }
+
+    private static void logUnknownRegions(
+            String owner, AllowedRegions allowed, Collection<RegionName> regions, List<FleetEffect> effects) {
+        Set<String> unknown = allowed.unknown(regions);
+        if (!unknown.isEmpty()) {
+            effects.add(new FleetEffect.Log(
+                    "unknown region",
+                    "key=\"op/config\" " + owner + " regions=" + unknown
+                            + " reason=\"no failure domain of the settings is in this region\""));
+        }
+    }
+
     private FleetState receive(PeerMessage message, Instant now, List<FleetEffect> effects) {
         String address = peers.addresses().get(message.sender());
         if (message.configurationVersion() > configuration.version() && address != null) {
             effects.add(new FleetEffect.FetchConfiguration(message.sender(), address, message.configurationVersion()));
         }
-        TrackedDatabases updated = databases;
+        TrackedDatabases updated = message.evacuations()
+                .map(notice -> databases.with(databases.evacuations().learn(notice, now, effects)))
+                .orElse(databases);
         for (Map.Entry<GroupName, PrimaryClaim> claim : message.claims().entrySet()) {
             updated = updated.addClaim(claim.getKey(), claim.getValue(), effects);
         }
@@ -405,7 +466,7 @@
      */
     private boolean hasSameViewAs(FleetState other) {
         return configuration.equals(other.configuration)
-                && databases.equals(other.databases)
+                && databases.hasSameUseAs(other.databases)
                 && peers.addresses().equals(other.peers.addresses())
                 && peers.regions().equals(other.peers.regions())
                 && promotions.fences().equals(other.promotions.fences())
@@ -422,7 +483,8 @@
                 peers.addresses().size() + 1,
                 watchers().watchedBySelf(names),
                 watchers().sources(names),
-                promotions.fences());
+                promotions.fences(),
+                databases.constraints());
     }
 
     private GroupWatchers watchers() {
@@ -447,7 +509,8 @@
                 lastReport.newestTerms(),
                 positions,
                 databases.claims(),
-                notices(now));
+                notices(now),
+                databases.evacuations().notice(now));
     }
 
     private Map<GroupName, PromotionNotice> notices(Instant now) {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/PeerMessage.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PeerMessage.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.VmName;
@@ -22,6 +25,7 @@
  * @param acknowledged last acknowledged position of each group that the sender knows
  * @param claims newest primary claim of each group that the sender knows
  * @param promotions promotions of groups that may be in progress
+ * @param evacuations evacuated failure domains, empty if the sender has never known of one
  */
 public record PeerMessage(
         VmName sender,
@@ -32,7 +36,8 @@
         Map<GroupName, Long> newestTerms,
         Map<GroupName, LogPosition> acknowledged,
         Map<GroupName, PrimaryClaim> claims,
-        Map<GroupName, PromotionNotice> promotions) {
+        Map<GroupName, PromotionNotice> promotions,
+        Optional<EvacuationNotice> evacuations) {
     /** Copies the maps. */
     public PeerMessage {
         failingFor = Map.copyOf(failingFor);
@@ -43,6 +48,42 @@
         promotions = Map.copyOf(promotions);
     }
 
+    /**
+     * Creates a message of a VM that has never known of an evacuation.
+     *
+     * @param sender VM that sent the message
+     * @param configurationVersion newest configuration version that the sender knows
+     * @param registered whether the store confirmed the sender's registration so recently that it cannot have expired
+     * @param failingFor databases that don't answer the sender, with the time since the first failure
+     * @param commitsFailingFor databases that acknowledge no commit, with the time since the first failure
+     * @param newestTerms newest term of each group that a primary reported to the sender
+     * @param acknowledged last acknowledged position of each group that the sender knows
+     * @param claims newest primary claim of each group that the sender knows
+     * @param promotions promotions of groups that may be in progress
+     */
+    public PeerMessage(
+            VmName sender,
+            long configurationVersion,
+            boolean registered,
+            Map<BackendServerName, Duration> failingFor,
+            Map<BackendServerName, Duration> commitsFailingFor,
+            Map<GroupName, Long> newestTerms,
+            Map<GroupName, LogPosition> acknowledged,
+            Map<GroupName, PrimaryClaim> claims,
+            Map<GroupName, PromotionNotice> promotions) {
+        this(
+                sender,
+                configurationVersion,
+                registered,
+                failingFor,
+                commitsFailingFor,
+                newestTerms,
+                acknowledged,
+                claims,
+                promotions,
+                Optional.empty());
+    }
+
     /** Returns an empty message, which stands for the last sent one at process start. */
     static PeerMessage initial(VmName sender) {
         return new PeerMessage(sender, 0, false, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
@@ -59,12 +100,19 @@
                 Map.of(),
                 Map.of(),
                 withClaims ? claims : Map.of(),
-                promotions);
+                promotions,
+                evacuations);
     }
 
-    /** Returns whether both messages have the same configuration version and registration. */
+    /** Returns whether both messages have the same configuration version, registration and evacuations. */
     boolean hasSameHeaderAs(PeerMessage other) {
-        return configurationVersion == other.configurationVersion && registered == other.registered;
+        return configurationVersion == other.configurationVersion
+                && registered == other.registered
+                && evacuated().equals(other.evacuated());
+    }
+
+    private Set<FailureDomain> evacuated() {
+        return evacuations.map(notice -> notice.ages().keySet()).orElse(Set.of());
     }
 
     /** Returns whether a promotion of which the recipients may wait for a confirmation may take effect. */
--- a/core/src/main/java/org/geraniumproxy/core/fleet/PrimaryReplacementPolicy.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PrimaryReplacementPolicy.java
@@ -33,7 +33,8 @@
 
     /**
      * Returns why the primary of a group must be replaced. A VM that is the only one without answers is probably
-     * partitioned itself, so its own observation needs confirmation by another VM if any is reachable.
+     * partitioned itself, so its own observation needs confirmation by another VM if any is reachable. A group that is
+     * evacuated as a whole has no database that may be promoted, so its primary stays.
      *
      * @param state what this VM knows
      * @param group name of the group
@@ -45,6 +46,10 @@
         if (directory.databases().isEmpty()) {
             return Optional.empty();
         }
+        Set<BackendServerName> evacuated = state.evacuated(group);
+        if (evacuated.containsAll(directory.databases().keySet())) {
+            return Optional.empty();
+        }
         Optional<DatabaseEntry> primary = directory.primary();
         if (primary.isEmpty()) {
             return Optional.of(PromotionReason.NONE_LEADS);
@@ -58,8 +63,11 @@
         if (failure.isPresent()) {
             return failure;
         }
-        return state.missingDuration(name, now).compareTo(MISSING_ENTRY_TIMEOUT) > 0
-                ? Optional.of(PromotionReason.MISSING)
+        if (state.missingDuration(name, now).compareTo(MISSING_ENTRY_TIMEOUT) > 0) {
+            return Optional.of(PromotionReason.MISSING);
+        }
+        return evacuated.contains(name)
+                ? Optional.of(state.isUsed(name) ? PromotionReason.EVACUATING : PromotionReason.EVACUATED)
                 : Optional.empty();
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
@@ -75,9 +75,13 @@
                 : new TrackedDatabase(entry, availability, Optional.of(now), drainingSince, restartedAt);
     }
 
-    /** Recomputes the availability. */
-    TrackedDatabase refresh(FleetTiming timing, Instant now) {
-        DatabaseAvailability current = availabilityAt(timing, now);
+    /**
+     * Recomputes the availability.
+     *
+     * @param evacuated whether the evacuation of the failure domain ends the use of this database
+     */
+    TrackedDatabase refresh(FleetTiming timing, boolean evacuated, Instant now) {
+        DatabaseAvailability current = availabilityAt(timing, evacuated, now);
         return current == availability
                 ? this
                 : new TrackedDatabase(entry, current, missingSince, drainingSince, restartedAt);
@@ -91,10 +95,13 @@
         return restartedAt.isPresent() && !hasElapsed(restartedAt, timing.catchUpTime(), now);
     }
 
-    private DatabaseAvailability availabilityAt(FleetTiming timing, Instant now) {
+    private DatabaseAvailability availabilityAt(FleetTiming timing, boolean evacuated, Instant now) {
         if (hasElapsed(missingSince, missingGracePeriod(), now)) {
             return DatabaseAvailability.GONE;
         }
+        if (evacuated) {
+            return DatabaseAvailability.EVACUATED;
+        }
         return hasElapsed(drainingSince, timing.drainGracePeriod(), now)
                 ? DatabaseAvailability.LEFT
                 : DatabaseAvailability.USED;
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,6 +17,8 @@
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.StoreRevision;
+import org.geraniumproxy.core.routing.EvacuationPhase;
+import org.geraniumproxy.core.routing.PlacementConstraints;
 
 /**
  * The databases known to this VM and the primary of each group.
@@ -23,20 +27,22 @@
  * @param byName databases by name
  * @param claims newest primary claim of each group from a promotion or from a database
  * @param demotedRevisions entry revision of each database at which it refused a write as a replica
+ * @param evacuations evacuated failure domains
  */
 record TrackedDatabases(
         FleetTiming timing,
         Map<BackendServerName, TrackedDatabase> byName,
         Map<GroupName, PrimaryClaim> claims,
-        Map<BackendServerName, StoreRevision> demotedRevisions) {
+        Map<BackendServerName, StoreRevision> demotedRevisions,
+        TrackedEvacuations evacuations) {
     TrackedDatabases {
         byName = Map.copyOf(byName);
         claims = Map.copyOf(claims);
         demotedRevisions = Map.copyOf(demotedRevisions);
     }
 
-    static TrackedDatabases empty(FleetTiming timing) {
-        return new TrackedDatabases(timing, Map.of(), Map.of(), Map.of());
+    static TrackedDatabases empty(FleetTiming timing, EvacuationRules rules) {
+        return new TrackedDatabases(timing, Map.of(), Map.of(), Map.of(), TrackedEvacuations.none(rules));
     }
 
     /** Groups the databases whose availability is one of those given. */
@@ -165,7 +171,7 @@
         next.put(group, newer);
         Map<BackendServerName, StoreRevision> remaining = new HashMap<>(demotedRevisions);
         remaining.remove(newer.database());
-        return new TrackedDatabases(timing, byName, next, remaining);
+        return new TrackedDatabases(timing, byName, next, remaining, evacuations);
     }
 
     TrackedDatabases markDemoted(FleetEvent.WriteRefusedByReplica refused, List<FleetEffect> effects) {
@@ -181,19 +187,83 @@
                     "write refused by replica",
                     "group=" + refused.group() + " database=" + refused.database() + " revision=" + revision));
         }
-        return new TrackedDatabases(timing, byName, claims, next);
+        return new TrackedDatabases(timing, byName, claims, next, evacuations);
     }
 
-    /** Recomputes the availability of each database and drops databases whose entry has been missing too long. */
+    TrackedDatabases with(TrackedEvacuations next) {
+        return new TrackedDatabases(timing, byName, claims, demotedRevisions, next);
+    }
+
+    /** Returns the databases in evacuated failure domains. */
+    Map<BackendServerName, DatabaseEntry> evacuated() {
+        if (evacuations.phases().isEmpty()) {
+            return Map.of();
+        }
+        Map<BackendServerName, DatabaseEntry> evacuated = new HashMap<>();
+        byName.forEach((name, database) -> {
+            if (evacuations.phases().containsKey(database.entry().failureDomain())) {
+                evacuated.put(name, database.entry());
+            }
+        });
+        return evacuated;
+    }
+
+    /** Returns where statements may run. */
+    PlacementConstraints constraints() {
+        Set<GroupName> closedGroups = new HashSet<>();
+        presumedPrimaries().forEach((group, primary) -> {
+            if (byName.get(primary).availability() == DatabaseAvailability.EVACUATED) {
+                closedGroups.add(group);
+            }
+        });
+        return new PlacementConstraints(evacuations.rules().regions(), evacuations.phases(), closedGroups);
+    }
+
+    /** Returns whether both states let the same databases be used, whenever the store confirmed them. */
+    boolean hasSameUseAs(TrackedDatabases other) {
+        return with(evacuations.withoutConfirmation()).equals(other.with(other.evacuations.withoutConfirmation()));
+    }
+
+    /** Returns the primaries of the groups that have a database in an evacuated failure domain. */
+    private Map<GroupName, BackendServerName> presumedPrimaries() {
+        Map<GroupName, BackendServerName> primaries = new HashMap<>();
+        evacuated().values().stream()
+                .map(DatabaseEntry::group)
+                .distinct()
+                .forEach(group -> directory(group, EnumSet.complementOf(EnumSet.of(DatabaseAvailability.GONE)))
+                        .primary()
+                        .ifPresent(primary -> primaries.put(group, primary.name())));
+        return primaries;
+    }
+
+    /**
+     * Recomputes the evacuations and the availability of each database, and drops databases whose entry has been
+     * missing too long.
+     */
     TrackedDatabases refresh(Instant now, List<FleetEffect> effects) {
+        TrackedEvacuations refreshed = evacuations.refresh(now, effects);
+        TrackedDatabases current = refreshed.equals(evacuations) ? this : with(refreshed);
+        return current.refreshAvailability(now, effects);
+    }
+
+    /** A primary in an evacuated failure domain serves until its replacement or until the failure domain is closed. */
+    private boolean isOutOfUse(DatabaseEntry entry, Map<GroupName, BackendServerName> primaries) {
+        EvacuationPhase phase = evacuations.phases().get(entry.failureDomain());
+        boolean serves = phase == EvacuationPhase.REPLACING && entry.name().equals(primaries.get(entry.group()));
+        return phase != null && !serves;
+    }
+
+    private TrackedDatabases refreshAvailability(Instant now, List<FleetEffect> effects) {
+        Map<GroupName, BackendServerName> primaries = presumedPrimaries();
         Map<BackendServerName, TrackedDatabase> next = new HashMap<>();
         byName.forEach((name, database) -> {
-            TrackedDatabase refreshed = database.refresh(timing, now);
+            TrackedDatabase refreshed = database.refresh(timing, isOutOfUse(database.entry(), primaries), now);
             if (refreshed.availability() != database.availability()) {
                 effects.add(new FleetEffect.Log(
                         "database standing changed",
                         "database=" + name + " standing=" + refreshed.availability() + " previous="
-                                + database.availability() + " revision="
+                                + database.availability() + " zone="
+                                + database.entry().failureDomain() + " revision="
                                 + database.entry().revision()));
             }
             if (!refreshed.isExpired(now)) {
@@ -210,6 +280,6 @@
     }
 
     private TrackedDatabases with(Map<BackendServerName, TrackedDatabase> next) {
-        return new TrackedDatabases(timing, next, claims, demotedRevisions);
+        return new TrackedDatabases(timing, next, claims, demotedRevisions, evacuations);
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/AttemptSteps.java
@@ -87,7 +87,7 @@
         if (!primary.get().primary()) {
             return new AttemptSteps(attempt.withoutPrimary(), now, effects).stop();
         }
-        if (attempt.snapshot().primaryServesSome() && !isReplaceable(querying)) {
+        if (attempt.snapshot().isReplacedOnlyByKnownSuccessor() && !isReplaceable(querying)) {
             return abandon(Set.of(), "no replica that stays answers with all acknowledged commits", Optional.empty());
         }
         sendStepDown();
@@ -337,6 +337,9 @@
                     + ", before the acknowledged position "
                     + PromotionChoice.text(snapshot.acknowledged().get()));
         }
+        if (snapshot.evacuated().contains(candidate.database())) {
+            return Optional.of("the failure domain of " + candidate.database() + " is evacuated");
+        }
         Set<BackendServerName> uncounted = candidate.proof().uncounted(snapshot.replicas());
         return uncounted.isEmpty()
                 ? Optional.empty()
--- a/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
@@ -24,6 +24,7 @@
  * @param acknowledged position that a log must reach to hold every commit that is known to be acknowledged
  * @param intent last recorded promotion intent
  * @param unfenced VMs in contact that have not confirmed that they enforce the intent
+ * @param evacuated databases in evacuated failure domains, which must not be promoted
  */
 public record GroupSnapshot(
         Map<BackendServerName, DatabaseEntry> databases,
@@ -35,13 +36,15 @@
         int synchronousReplicas,
         Optional<LogPosition> acknowledged,
         Optional<PromotionIntent> intent,
-        Set<VmName> unfenced) {
+        Set<VmName> unfenced,
+        Set<BackendServerName> evacuated) {
     /** Copies the collections. */
     public GroupSnapshot {
         databases = Map.copyOf(databases);
         suspected = Map.copyOf(suspected);
         recentlyRestarted = Set.copyOf(recentlyRestarted);
         unfenced = Set.copyOf(unfenced);
+        evacuated = Set.copyOf(evacuated);
     }
 
     /**
@@ -52,7 +55,14 @@
     boolean asksPrimaryFirst() {
         return primary.isPresent()
                 && reason.filter(known -> switch (known) {
-                            case LEAVING, LEFT, FAILING_FOR_OTHERS, MISSING, NONE_LEADS, UNSETTLED -> true;
+                            case LEAVING,
+                                    LEFT,
+                                    EVACUATING,
+                                    EVACUATED,
+                                    FAILING_FOR_OTHERS,
+                                    MISSING,
+                                    NONE_LEADS,
+                                    UNSETTLED -> true;
                             case FAILING -> !suspected.isEmpty();
                         })
                         .isPresent();
@@ -60,13 +70,17 @@
 
     /** Returns whether the primary gets statements until it is replaced. */
     boolean primaryServes() {
-        return reason.equals(Optional.of(PromotionReason.LEAVING));
+        return reason.equals(Optional.of(PromotionReason.LEAVING))
+                || reason.equals(Optional.of(PromotionReason.EVACUATING));
     }
 
-    /** Returns whether callers of some VMs still get answers from the primary. */
-    boolean primaryServesSome() {
+    /**
+     * Returns whether the primary steps down only if another database can take over: callers of some VMs still get
+     * answers from it, or it serves again when the evacuation ends.
+     */
+    boolean isReplacedOnlyByKnownSuccessor() {
         return reason.filter(known -> switch (known) {
-                    case LEAVING, FAILING, FAILING_FOR_OTHERS -> true;
+                    case LEAVING, EVACUATING, EVACUATED, FAILING, FAILING_FOR_OTHERS -> true;
                     case LEFT, MISSING, NONE_LEADS, UNSETTLED -> false;
                 })
                 .isPresent();
@@ -84,7 +98,8 @@
                 latest.synchronousReplicas,
                 latest.acknowledged,
                 latest.intent,
-                latest.unfenced);
+                latest.unfenced,
+                latest.evacuated);
     }
 
     /** Returns the state of a group whose supposed primary is a replica. */
@@ -99,7 +114,8 @@
                 synchronousReplicas,
                 acknowledged,
                 intent,
-                unfenced);
+                unfenced,
+                evacuated);
     }
 
     /** Returns the state of a group whose primary is replaced although it may serve. */
@@ -114,7 +130,8 @@
                 synchronousReplicas,
                 acknowledged,
                 intent,
-                unfenced);
+                unfenced,
+                evacuated);
     }
 
     /** Returns the databases that a promotion stops: all that may confirm a commit, except the primary. */
@@ -139,7 +156,8 @@
         String entry = suspected.containsKey(replica)
                 ? "expired"
                 : databases.get(replica).draining() ? "draining" : "present";
-        return "entry:" + entry + (recentlyRestarted.contains(replica) ? ",restarted" : "") + ",stopped:"
+        return "entry:" + entry + (recentlyRestarted.contains(replica) ? ",restarted" : "")
+                + (evacuated.contains(replica) ? ",evacuated" : "") + ",stopped:"
                 + status.map(DatabaseStatus::received)
                         .map(PromotionChoice::text)
                         .orElse("no");
@@ -155,6 +173,7 @@
                 && !entry.draining()
                 && !status.primary()
                 && !recentlyRestarted.contains(replica)
+                && !evacuated.contains(replica)
                 && acknowledged
                         .filter(_ -> synchronousReplicas > 0)
                         .map(position -> status.received().compareTo(position) >= 0)
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -17,8 +17,8 @@
  * primary and enough replicas hold it. There are two proofs. A primary that has stepped down acknowledges nothing
  * beyond its last position, so a log that reaches this position is safe. Otherwise enough replicas must have stopped
  * receiving that at least one of them holds each acknowledged commit, and no stopped log may be ahead of the chosen
- * one. In a group whose primary acknowledges commits alone the second proof does not hold; all replicas are stopped and
- * the longest log is chosen.
+ * one. A database in an evacuated failure domain counts for either proof, but is never chosen. In a group whose primary
+ * acknowledges commits alone the second proof does not hold; all replicas are stopped and the longest log is chosen.
  */
 public sealed interface PromotionChoice {
     /**
@@ -50,8 +50,8 @@
             return holder.get();
         }
         if (attempt.lastPosition().isPresent() && attempt.snapshot().primary().isPresent()) {
-            return new Insufficient("no database that stopped has the last position "
-                    + text(attempt.lastPosition().get()) + " of the old primary");
+            return new Insufficient("no database that stopped" + outsideEvacuation(attempt.snapshot())
+                    + " has the last position " + text(attempt.lastPosition().get()) + " of the old primary");
         }
         return longestLog(attempt, stopped, resumable);
     }
@@ -73,6 +73,7 @@
         return attempt.lastPosition()
                 .flatMap(last -> stopped.keySet().stream()
                         .filter(database -> stopped.get(database).received().compareTo(last) >= 0)
+                        .filter(database -> !attempt.snapshot().evacuated().contains(database))
                         .filter(eligible)
                         .max(preference(attempt))
                         .<PromotionChoice>map(database -> new Chosen(new PromotionCandidate(
@@ -106,12 +107,24 @@
         Predicate<BackendServerName> steady = target -> countSteady(proven, resumable, target) >= needed;
         return stopped.keySet().stream()
                 .filter(database -> stopped.get(database).received().equals(highest))
+                .filter(database -> !snapshot.evacuated().contains(database))
                 .max(Comparator.comparing(attempt::isPendingTarget)
                         .thenComparing(database -> isRemaining(snapshot, database))
                         .thenComparing(steady::test)
                         .thenComparing(BackendServerName::value))
                 .map(target -> confirm(snapshot, stopped, target, steady.test(target)))
-                .orElseGet(() -> new Insufficient("no database has stopped"));
+                .orElseGet(() -> new Insufficient("no database that stopped" + outsideEvacuation(snapshot)
+                        + " has the highest position " + text(highest)));
+    }
+
+    private static String outsideEvacuation(GroupSnapshot snapshot) {
+        return snapshot.evacuated().isEmpty()
+                ? ""
+                : ", outside the evacuated "
+                        + snapshot.evacuated().stream()
+                                .map(BackendServerName::value)
+                                .sorted()
+                                .toList() + ",";
     }
 
     private static String unproven(GroupSnapshot snapshot, Set<BackendServerName> proven) {
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionReason.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionReason.java
@@ -6,6 +6,10 @@
     LEAVING,
     /** The primary is draining, and its notice is over or it fails. */
     LEFT,
+    /** The failure domain of the primary is evacuated; the primary serves until it is replaced. */
+    EVACUATING,
+    /** The failure domain of the primary is evacuated, and the primary gets no statements any more. */
+    EVACUATED,
     /** Several VMs get no answer or no acknowledged commit from the primary. */
     FAILING,
     /** Other VMs get no answer or no acknowledged commit from the primary, while this VM does. */
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -306,12 +306,16 @@
         return begin(watching, snapshot, now, effects);
     }
 
+    /**
+     * Queries replicas that may be stopped. Those in evacuated failure domains follow when the evacuation has ended.
+     */
     private static Resumption resume(
             Resumption resumption, GroupSnapshot snapshot, Instant now, List<PromotionEffect> effects) {
         Set<BackendServerName> due = resumption.due(snapshot.replicas(), now);
+        due.removeAll(snapshot.evacuated());
         due.forEach(replica -> effects.add(
                 new PromotionEffect.SendCommand(replica, new BackendCommand.ReadStatus(), Optional.empty())));
-        return due.isEmpty() ? resumption : resumption.queried(due, now);
+        return due.isEmpty() ? resumption : resumption.queried(due, snapshot.evacuated(), now);
     }
 
     private PromotionPhase begin(
--- a/core/src/main/java/org/geraniumproxy/core/promotion/Resumption.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/Resumption.java
@@ -25,18 +25,22 @@
         pending = pending.map(Set::copyOf);
     }
 
-    /** Returns the replicas to query now, none before the retry time. */
+    /** Returns the replicas to query now, none before the retry time, in a set that may be changed. */
     Set<BackendServerName> due(Set<BackendServerName> replicas, Instant now) {
         if (now.isBefore(retryAt)) {
-            return Set.of();
+            return new HashSet<>();
         }
         Set<BackendServerName> due = new HashSet<>(pending.orElse(replicas));
         due.retainAll(replicas);
         return due;
     }
 
-    Resumption queried(Set<BackendServerName> replicas, Instant now) {
-        return new Resumption(Optional.of(replicas), now.plus(RETRY_DELAY));
+    /** Returns the state after some replicas were queried, while others that may be stopped, too, must not be. */
+    Resumption queried(Set<BackendServerName> replicas, Set<BackendServerName> postponed, Instant now) {
+        Set<BackendServerName> remaining = new HashSet<>(pending.orElse(postponed));
+        remaining.retainAll(postponed);
+        remaining.addAll(replicas);
+        return new Resumption(Optional.of(remaining), now.plus(RETRY_DELAY));
     }
 
     Resumption without(BackendServerName replica) {
--- a/core/src/main/java/org/geraniumproxy/core/service/ServiceRoute.java
+++ b/core/src/main/java/org/geraniumproxy/core/service/ServiceRoute.java
@@ -16,6 +16,7 @@
  * @param targetLatency time within which an operation should be answered
  * @param priority priority of the operations; 0 is the highest
  * @param allowsAnonymous whether callers may connect without a key
+ * @param regionsAllowed regions in which its statements may run
  */
 public record ServiceRoute(
         RouteName name,
@@ -26,7 +27,8 @@
         Duration statementTimeout,
         Duration targetLatency,
         int priority,
-        boolean allowsAnonymous) {
+        boolean allowsAnonymous,
+        AllowedRegions regionsAllowed) {
     /** A fifth of the target latency, because a refusal must not come later than a quarter of the target latency. */
     private static final int TOKEN_WAIT_DIVISOR = 5;
 
@@ -39,6 +41,42 @@
     /** Lowest priority that shortens the wait further; the users' routes have priorities from 1 to 3. */
     private static final int LOWEST_PRIORITY = 4;
 
+    /**
+     * Creates a route whose statements may run in all regions.
+     *
+     * @param name name of the route
+     * @param database database name that callers connect to
+     * @param group database group that serves the route
+     * @param consistency consistency guarantee for reads
+     * @param maximumStaleness maximum age of the data of a read
+     * @param statementTimeout maximum time for one statement, positive
+     * @param targetLatency time within which an operation should be answered
+     * @param priority priority of the operations; 0 is the highest
+     * @param allowsAnonymous whether callers may connect without a key
+     */
+    public ServiceRoute(
+            RouteName name,
+            String database,
+            GroupName group,
+            Consistency consistency,
+            Duration maximumStaleness,
+            Duration statementTimeout,
+            Duration targetLatency,
+            int priority,
+            boolean allowsAnonymous) {
+        this(
+                name,
+                database,
+                group,
+                consistency,
+                maximumStaleness,
+                statementTimeout,
+                targetLatency,
+                priority,
+                allowsAnonymous,
+                AllowedRegions.ALL);
+    }
+
     /**
      * Validates timeout, staleness and priority.
      *
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -17,8 +17,12 @@
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
+import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.RouteName;
 import org.geraniumproxy.core.identity.StoreRevision;
+import org.geraniumproxy.core.routing.EvacuationPhase;
+import org.geraniumproxy.core.routing.PlacementConstraints;
+import org.geraniumproxy.core.service.AllowedRegions;
 import org.geraniumproxy.core.service.Consistency;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 import org.geraniumproxy.core.service.ServiceCustomer;
@@ -35,6 +39,8 @@
     static final Duration TIMEOUT = Duration.ofMillis(800);
 
     private static final long CONNECTION = 7;
+    private static final FailureDomain LIMA = FailureDomain.of("lima-a");
+    private static final FailureDomain CUSCO = FailureDomain.of("cusco-a");
 
     private PrimaryPositionHistory primaryHistory = PrimaryPositionHistory.NONE;
     private Instant now = Instant.EPOCH;
@@ -42,6 +48,8 @@
     private Duration statementTimeout = TIMEOUT;
     private Optional<CallerDrain> drain = Optional.empty();
     private Map<GroupName, PromotionFences> promotionFences = Map.of();
+    private AllowedRegions regionsAllowed = AllowedRegions.ALL;
+    private Optional<EvacuationPhase> phaseOfPrimary = Optional.empty();
     private CallerSession session = CallerSession.create(1, Instant.EPOCH);
     private List<SessionEffect> effects = List.of();
 
@@ -85,6 +93,18 @@
         return this;
     }
 
+    /** Allows the routes only some regions. The primary is in lima, the replica in cusco. */
+    CallerSessionFixture allowsRegions(Set<String> regions) {
+        regionsAllowed = new AllowedRegions(regions);
+        return this;
+    }
+
+    /** Evacuates the failure domain of the primary, which accepts statements in the first phase only. */
+    CallerSessionFixture evacuatesPrimary(EvacuationPhase phase) {
+        phaseOfPrimary = Optional.of(phase);
+        return this;
+    }
+
     CallerSessionFixture advance(Duration duration) {
         now = now.plus(duration);
         return this;
@@ -174,19 +194,31 @@
     }
 
     private SessionContext context() {
-        DatabaseEntry primary = entry(PRIMARY, true);
-        DatabaseEntry replica = entry(REPLICA, false);
-        GroupDirectory directory =
-                new GroupDirectory(Map.of(PRIMARY, primary, REPLICA, replica), Optional.empty(), Map.of());
+        Map<BackendServerName, DatabaseEntry> databases = new HashMap<>();
+        databases.put(PRIMARY, entry(PRIMARY, LIMA, true));
+        databases.put(REPLICA, entry(REPLICA, CUSCO, false));
+        Map<BackendServerName, DatabaseEntry> former = new HashMap<>();
+        boolean closed = phaseOfPrimary
+                .filter(phase -> phase != EvacuationPhase.REPLACING)
+                .isPresent();
+        if (closed) {
+            former.put(PRIMARY, databases.remove(PRIMARY));
+        }
+        PlacementConstraints constraints = new PlacementConstraints(
+                Map.of(LIMA, RegionName.of("lima"), CUSCO, RegionName.of("cusco")),
+                phaseOfPrimary.map(phase -> Map.of(LIMA, phase)).orElse(Map.of()),
+                closed ? Set.of(GROUP) : Set.of());
+        GroupDirectory directory = new GroupDirectory(databases, Optional.empty(), Map.of());
         TrafficView view = new TrafficView(
                 configuration(),
                 Map.of(GROUP, directory),
-                Map.of(),
+                former,
                 drain,
                 1,
                 Set.of(GROUP),
                 List.of(),
-                promotionFences);
+                promotionFences,
+                constraints);
         return new SessionContext(view, primaryHistory, Map.of(), now);
     }
 
@@ -205,7 +237,8 @@
                             statementTimeout,
                             Duration.ofMillis(400),
                             1,
-                            false));
+                            false,
+                            regionsAllowed));
         }
         Set<KeyDigest> keys = keyConfigured ? Set.of(KEY) : Set.of();
         CustomerName name = CustomerName.of("troupe");
@@ -218,8 +251,8 @@
                 Duration.ofSeconds(3));
     }
 
-    private static DatabaseEntry entry(BackendServerName name, boolean primary) {
+    private static DatabaseEntry entry(BackendServerName name, FailureDomain failureDomain, boolean primary) {
         return new DatabaseEntry(
-                name, GROUP, "10.0.0.1:1", FailureDomain.of("a"), 2, false, primary, 1, 1, new StoreRevision(1, 1));
+                name, GROUP, "10.0.0.1:1", failureDomain, 2, false, primary, 1, 1, new StoreRevision(1, 1));
     }
 }
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -974,7 +974,8 @@
                 omittedRule == OmittedRule.ALL_REPLICAS ? 2 : 1,
                 acknowledged,
                 omittedRule == OmittedRule.INTENT ? Optional.empty() : store.intent(),
-                unfenced);
+                unfenced,
+                Set.of());
     }
 
     private DatabaseEntry entry(int index) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
@@ -37,6 +37,7 @@
     Optional<PromotionIntent> intent = Optional.empty();
     Optional<LogPosition> acknowledged = Optional.empty();
     Set<VmName> unfenced = Set.of();
+    Set<BackendServerName> evacuated = Set.of();
     Optional<BackendServerName> primary = Optional.of(PRIMARY);
     long newestTerm = TERM - 1;
     List<BackendServerName> members = List.of(PRIMARY, SECOND, THIRD);
@@ -217,7 +218,8 @@
                 1,
                 acknowledged,
                 intent,
-                unfenced);
+                unfenced,
+                evacuated);
     }
 
     PromotionIntent openIntent(BackendServerName target, Optional<AttemptId> attempt) {
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -161,7 +161,8 @@
                 state.acknowledgedPosition(group.name(), now),
                 intent,
                 intent.map(known -> state.unfenced(group.name(), known.fence().promotion(), now))
-                        .orElse(Set.of()));
+                        .orElse(Set.of()),
+                state.evacuated(group.name()));
     }
 
     /** Applies the result of an effect, after what has become known since the last evaluation of the group. */
