Tell other VMs of evacuations and end sessions at evacuated databases

Cause: a VM whose watch has gone silent learns of an order seconds late, and an idle session in a transaction gets no event when its failure domain is closed.

The notice stands at the end of the message between VMs, where VMs of an earlier release ignore it; a message without a notice has the same bytes as before. The traffic thread checks all sessions when the constraints of the view change. Two gauges show evacuated failure domains and the databases out of use by reason. EngineFixture puts each database in a failure domain of its own, which no existing test depends on.

--- a/engine/src/main/java/org/geraniumproxy/engine/peer/PeerMessageCodec.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/peer/PeerMessageCodec.java
@@ -11,9 +11,11 @@
 import java.util.Map;
 import java.util.Optional;
 import org.geraniumproxy.core.directory.PrimaryClaim;
+import org.geraniumproxy.core.fleet.EvacuationNotice;
 import org.geraniumproxy.core.fleet.PeerMessage;
 import org.geraniumproxy.core.fleet.PromotionNotice;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.StoreRevision;
@@ -56,6 +58,10 @@
                 PeerEncoding.writeVarint(out, claim.term());
             });
             writeMap(output, message.promotions(), PeerMessageCodec::writeGroup, PeerMessageCodec::writePromotion);
+            // At the end, so that VMs of an earlier release ignore it.
+            if (message.evacuations().isPresent()) {
+                writeEvacuations(output, message.evacuations().get());
+            }
         }
         return bytes.toByteArray();
     }
@@ -81,8 +87,19 @@
                     in -> new PrimaryClaim(readDatabase(in), PeerEncoding.readVarint(in)));
             Map<GroupName, PromotionNotice> promotions =
                     readMap(input, PeerMessageCodec::readGroup, PeerMessageCodec::readPromotion);
+            Optional<EvacuationNotice> evacuations =
+                    input.available() > 0 ? Optional.of(readEvacuations(input)) : Optional.empty();
             return new PeerMessage(
-                    sender, version, registered, failing, commits, terms, acknowledged, claims, promotions);
+                    sender,
+                    version,
+                    registered,
+                    failing,
+                    commits,
+                    terms,
+                    acknowledged,
+                    claims,
+                    promotions,
+                    evacuations);
         } catch (IllegalArgumentException e) {
             throw new IOException("invalid name or number in a peer message", e);
         }
@@ -134,6 +151,23 @@
         return new PromotionNotice(intent, revision, input.readBoolean());
     }
 
+    private static void writeEvacuations(DataOutputStream output, EvacuationNotice notice) throws IOException {
+        PeerEncoding.writeVarint(output, notice.revision().era());
+        PeerEncoding.writeVarint(output, notice.revision().number());
+        writeMap(
+                output,
+                notice.ages(),
+                (out, failureDomain) -> PeerEncoding.writeText(out, failureDomain.value()),
+                PeerEncoding::writeMilliseconds);
+    }
+
+    private static EvacuationNotice readEvacuations(DataInputStream input) throws IOException {
+        StoreRevision revision = new StoreRevision(PeerEncoding.readVarint(input), PeerEncoding.readVarint(input));
+        return new EvacuationNotice(
+                revision,
+                readMap(input, in -> FailureDomain.of(PeerEncoding.readText(in)), PeerEncoding::readMilliseconds));
+    }
+
     private static <T> void writeOptional(DataOutputStream output, Optional<T> value, Writer<T> writer)
             throws IOException {
         output.writeBoolean(value.isPresent());
--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -9,7 +9,9 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Map;
 import org.geraniumproxy.core.caller.ErrorCode;
+import org.geraniumproxy.core.directory.DatabaseAvailability;
 import org.geraniumproxy.core.limit.TokenSource;
 
 /** Prometheus metrics of a node. */
@@ -68,6 +70,16 @@
             .help("Times that the whole content of the store was read.")
             .register(registry);
 
+    private final Gauge evacuatedFailureDomains = Gauge.builder()
+            .name("geraniumproxy_evacuated_failure_domains")
+            .help("Failure domains that the operator evacuates.")
+            .register(registry);
+    private final Gauge databasesOutOfUse = Gauge.builder()
+            .name("geraniumproxy_databases_out_of_use")
+            .help("Known databases that get no statements, by the reason.")
+            .labelNames("reason")
+            .register(registry);
+
     /** Counts a statement that succeeded. */
     public void statementCompleted() {
         statements.labelValues("completed").inc();
@@ -134,6 +146,23 @@
         configurationVersion.set((double) version);
     }
 
+    /**
+     * Updates the gauges of the databases.
+     *
+     * @param evacuated number of evacuated failure domains
+     * @param outOfUse number of databases that get no statements, by their availability
+     */
+    public void updateDatabases(int evacuated, Map<DatabaseAvailability, Long> outOfUse) {
+        evacuatedFailureDomains.set(evacuated);
+        for (DatabaseAvailability reason : DatabaseAvailability.values()) {
+            if (reason != DatabaseAvailability.USED) {
+                databasesOutOfUse
+                        .labelValues(reason.name().toLowerCase(Locale.ROOT))
+                        .set(outOfUse.getOrDefault(reason, 0L));
+            }
+        }
+    }
+
     /**
      * Updates the era of the store.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -142,6 +142,7 @@
     public void update(TrafficView next, RateOwnership ownership) {
         boolean firstConfiguration = !isConfigured();
         boolean fencesChanged = !view.promotionFences().equals(next.promotionFences());
+        boolean constraintsChanged = !view.constraints().equals(next.constraints());
         view = next;
         peerRequests.update(next, ownership);
         Map<BackendServerName, DatabaseEntry> currentDatabases = new HashMap<>();
@@ -168,6 +169,10 @@
             List.copyOf(sessions.values()).forEach(CallerConnection::handleQueuedMessages);
         }
         runPendingSteps();
+        if (constraintsChanged) {
+            checkSessions();
+        }
+        metrics.updateDatabases(next.constraints().evacuated().size(), next.formerDatabaseCounts());
         if (fencesChanged) {
             // A promotion waits until this VM has confirmed that it enforces it.
             observer.onReport(report());
@@ -219,7 +224,7 @@
         CompletableFuture<Void> ended = new CompletableFuture<>();
         log("-", "waiting for sessions", "sessions=" + sessions.size());
         sessionsEnded = Optional.of(ended);
-        endDrainedSessions();
+        checkSessions();
         completeIfNoSessions(ended);
         return ended;
     }
@@ -498,17 +503,17 @@
         peerRequests.onTick();
         runPendingSteps();
         if (isDraining()) {
-            endDrainedSessions();
+            checkSessions();
         }
         metrics.updateState(sessionCount(), view.configuration().version());
         observer.onReport(report());
     }
 
     /**
-     * Ends the sessions whose time has come. A statement that has arrived is handled first: a connection that is closed
-     * with unread input is reset, and the statement would get no answer.
+     * Ends the sessions whose time has come, and what they do at evacuated databases. A statement that has arrived is
+     * handled first: a connection that is closed with unread input is reset, and the statement would get no answer.
      */
-    private void endDrainedSessions() {
+    private void checkSessions() {
         for (CallerConnection caller : List.copyOf(sessions.values())) {
             try {
                 checkTime(caller);
--- a/engine/src/test/java/org/geraniumproxy/engine/peer/PeerMessageCodec_decode_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/peer/PeerMessageCodec_decode_Test.java
@@ -12,9 +12,11 @@
 import java.util.Map;
 import java.util.Optional;
 import org.geraniumproxy.core.directory.PrimaryClaim;
+import org.geraniumproxy.core.fleet.EvacuationNotice;
 import org.geraniumproxy.core.fleet.PeerMessage;
 import org.geraniumproxy.core.fleet.PromotionNotice;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.StoreRevision;
@@ -63,6 +65,29 @@
         assertThat(PeerMessageCodec.decode(bytes, bytes.length), is(message));
     }
 
+    /** Guards against a VM of an earlier release that can't read the messages, and against lost evacuations. */
+    @Test
+    void should_decode_the_evacuations_at_the_end_of_a_message() throws IOException {
+        PeerMessage message = new PeerMessage(
+                VmName.of("vm-1"),
+                1,
+                true,
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Map.of(),
+                Optional.of(new EvacuationNotice(
+                        new StoreRevision(1, 900), Map.of(FailureDomain.of("lima-a"), Duration.ofMillis(300)))));
+        byte[] bytes = PeerMessageCodec.encode(message);
+        assertThat(PeerMessageCodec.decode(bytes, bytes.length), is(message));
+        PeerMessage before =
+                new PeerMessage(VmName.of("vm-1"), 1, true, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+        byte[] known = PeerMessageCodec.encode(before);
+        assertThat(Arrays.copyOf(bytes, known.length), is(known));
+    }
+
     /** Guards against encoding small numbers with their full width. */
     @Test
     void should_encode_small_numbers_compactly() throws IOException {
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -42,6 +42,8 @@
 import org.geraniumproxy.core.limit.RateOwnership;
 import org.geraniumproxy.core.limit.TokenAnswer;
 import org.geraniumproxy.core.limit.TokenRequest;
+import org.geraniumproxy.core.routing.EvacuationPhase;
+import org.geraniumproxy.core.routing.PlacementConstraints;
 import org.geraniumproxy.core.service.Consistency;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 import org.geraniumproxy.core.service.ServiceCustomer;
@@ -133,7 +135,7 @@
                 server,
                 GROUP,
                 database.address(),
-                FailureDomain.of("zone"),
+                FailureDomain.of("zone-of-" + name),
                 slots,
                 false,
                 primary,
@@ -179,6 +181,24 @@
         return runOnLoop(() -> engine.update(view, ownership));
     }
 
+    /** Ends the evacuation of the failure domain of a database, which is closed; the others are elsewhere. */
+    EngineFixture endEvacuationOf(String name) throws Exception {
+        DatabaseEntry closed = databases.remove(BackendServerName.of(name));
+        formerDatabases.put(closed.name(), closed);
+        TrafficView current = view(Consistency.PRIMARY, Map.of(CUSTOMER, customer()));
+        view = new TrafficView(
+                current.configuration(),
+                current.groups(),
+                current.formerDatabases(),
+                current.drain(),
+                current.vmCount(),
+                current.watchedGroups(),
+                current.positionSources(),
+                current.promotionFences(),
+                new PlacementConstraints(Map.of(), Map.of(closed.failureDomain(), EvacuationPhase.ENDED), Set.of()));
+        return runOnLoop(() -> engine.update(view, RateOwnership.alone(VmName.of("vm-1"))));
+    }
+
     /** Applies a configuration without customers when the loop's current step is finished. */
     void removeCustomerLater(Consistency consistency, RateOwnership ownership) {
         TrafficView withoutCustomers = view(consistency, Map.of());
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_update_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_update_Test.java
@@ -56,6 +56,23 @@
         }
     }
 
+    /** Guards against a connection in an evacuated failure domain that stays in use until its statement times out. */
+    @Test
+    void should_close_connections_in_use_when_the_evacuation_of_their_failure_domain_ends() throws Exception {
+        try (ScriptedDatabase evacuated = new ScriptedDatabase(this::respond);
+                ScriptedDatabase remaining = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture fixture = new EngineFixture()
+                        .withDatabase("db-1", evacuated, true)
+                        .configure(Consistency.PRIMARY)) {
+            EngineFixture.TestCaller caller = newCaller(fixture).send("read r1");
+            evacuated.awaitLine("run r1");
+            fixture.withDatabase("db-2", remaining, true).endEvacuationOf("db-1");
+            fixture.awaitUnused("db-1");
+            assertThat(caller.readLine(), is("completed signed"));
+            assertThat(remaining.receivedLines(), hasItems("run r1"));
+        }
+    }
+
     /** Guards against a connection to a database that left, which stays open until the next update. */
     @Test
     void should_close_a_connection_that_opens_after_its_database_left() throws Exception {
