--- a/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/TrafficView.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.geraniumproxy.core.directory.DatabaseAvailability;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.directory.PromotionFences;
@@ -11,6 +13,7 @@
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.VmName;
+import org.geraniumproxy.core.routing.PlacementConstraints;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 
 /**
@@ -25,6 +28,7 @@
  * @param positionSources VMs that tell the positions of the other primaries
  * @param promotionFences bounds that promotions set on the commits of each group
  * @param vmLocations locations of the registered VMs
+ * @param constraints where statements may run
  */
 public record TrafficView(
         ServiceConfiguration configuration,
@@ -35,7 +39,8 @@
         Set<GroupName> watchedGroups,
         List<PositionSource> positionSources,
         Map<GroupName, PromotionFences> promotionFences,
-        Map<VmName, VmLocation> vmLocations) {
+        Map<VmName, VmLocation> vmLocations,
+        PlacementConstraints constraints) {
     /** The view before any configuration is known. */
     public static final TrafficView NONE = new TrafficView(
             ServiceConfiguration.NONE,
@@ -46,7 +51,8 @@
             Set.of(),
             List.of(),
             Map.of(),
-            Map.of());
+            Map.of(),
+            PlacementConstraints.NONE);
 
     /** Makes unmodifiable copies of the collections. */
     public TrafficView {
@@ -68,6 +74,36 @@
         return groups.getOrDefault(group, GroupDirectory.EMPTY);
     }
 
+    /**
+     * Returns a database of a group, whether it accepts statements or not.
+     *
+     * @param group name of the group
+     * @param database name of the database
+     * @return its entry, or empty if it is unknown
+     */
+    public Optional<DatabaseEntry> database(GroupName group, BackendServerName database) {
+        return Optional.ofNullable(directoryOf(group).databases().get(database))
+                .or(() -> Optional.ofNullable(formerDatabases.get(database)));
+    }
+
+    /**
+     * Counts the databases that accept no statements by the reason. A database in an evacuated failure domain counts as
+     * evacuated, whatever else is true of it.
+     *
+     * @return number of databases by their availability
+     */
+    public Map<DatabaseAvailability, Long> formerDatabaseCounts() {
+        return formerDatabases.values().stream()
+                .collect(Collectors.groupingBy(this::reasonOutOfUse, Collectors.counting()));
+    }
+
+    private DatabaseAvailability reasonOutOfUse(DatabaseEntry entry) {
+        if (constraints.phaseOf(entry).isPresent()) {
+            return DatabaseAvailability.EVACUATED;
+        }
+        return entry.draining() ? DatabaseAvailability.LEFT : DatabaseAvailability.GONE;
+    }
+
     /**
      * Returns the bounds that promotions set on the commits of a group.
      *
--- a/core/src/main/java/org/geraniumproxy/core/pool/ConnectionOwnership.java
+++ b/core/src/main/java/org/geraniumproxy/core/pool/ConnectionOwnership.java
@@ -97,17 +97,21 @@
             return new ConnectionRole.Divided();
         }
         List<VmName> owners = owners(database);
+        if (owners.isEmpty()) {
+            return new ConnectionRole.Divided();
+        }
         return owners.contains(self)
                 ? new ConnectionRole.Owner(share(connectionLimit), owners)
                 : new ConnectionRole.User(owners);
     }
 
     /**
-     * Returns the owners of a database: first the members in its failure domain, then those in its region, then all
-     * others. A short way to the database keeps the time between a release and the next statement short.
+     * Returns the owners of a database: first the members in its failure domain, then those in its region. A short way
+     * to the database keeps the time between a release and the next statement short. VMs in other regions own nothing,
+     * because the text of a statement must reach no region that its route or customer doesn't allow.
      *
      * @param database entry of the database
-     * @return two VMs, the preferred one first
+     * @return at most two VMs, the preferred one first; empty if no member is known in the region of the database
      */
     public List<VmName> owners(DatabaseEntry database) {
         FailureDomain domain = database.failureDomain();
@@ -115,7 +119,7 @@
                 .map(membersByRegion::get)
                 .orElse(Set.of());
         Set<VmName> owners = new LinkedHashSet<>();
-        for (Set<VmName> circle : List.of(membersByDomain.getOrDefault(domain, Set.of()), inRegion, members)) {
+        for (Set<VmName> circle : List.of(membersByDomain.getOrDefault(domain, Set.of()), inRegion)) {
             if (owners.size() < OWNERS) {
                 RendezvousHash.rank("connections/" + database.name().value(), circle, VmName::value).stream()
                         .filter(vm -> !owners.contains(vm))
--- a/core/src/test/java/org/geraniumproxy/core/pool/ConnectionOwnership_role_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/pool/ConnectionOwnership_role_Test.java
@@ -54,8 +54,9 @@
         }
     }
 
+    /** Guards against statements whose text reaches a region that their route doesn't allow. */
     @Test
-    void should_prefer_the_failure_domain_then_the_region_then_others() {
+    void should_prefer_the_failure_domain_then_the_region_and_use_no_vm_elsewhere() {
         Map<VmName, VmLocation> locations = new HashMap<>();
         Set<VmName> members = members(12);
         VmName inDomain = VmName.of("vm-3");
@@ -64,11 +65,10 @@
         locations.put(inRegion, location("b", "north"));
         ConnectionOwnership ownership = new ConnectionOwnership(inDomain, members, locations);
         assertThat(ownership.owners(database("a")), contains(inDomain, inRegion));
-        assertThat(
-                new ConnectionOwnership(inDomain, members, Map.of())
-                        .owners(database("a"))
-                        .size(),
-                is(2));
+        ConnectionOwnership elsewhere = new ConnectionOwnership(
+                inDomain, members, Map.of(inDomain, location("c", "south"), inRegion, location("d", "south")));
+        assertThat(elsewhere.owners(database("a")), is(List.of()));
+        assertThat(elsewhere.role(database("a"), 10), instanceOf(ConnectionRole.Divided.class));
     }
 
     private static ConnectionOwnership fleet(int size, VmName self) {
