--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/balance/package-info.java
@@ -0,0 +1,2 @@
+/** Distribution of reads over the databases of a group: load reports, the random choice, and ejection. */
+package org.geraniumproxy.core.balance;
