Carry load reports on position messages and place reads by them

Cause: a VM knew only its own statements at a database.

Both decoders accept messages without loads, from VMs of an earlier version. LoadBalancer keeps the state on the traffic thread; Placement chooses with ReplicaChoice among the databases that may serve the read. Refusals as busy and errors are a new observation. Ejections and re-admissions are logged and counted.

--- a/core/src/main/java/org/geraniumproxy/core/caller/DatabaseObservation.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/DatabaseObservation.java
@@ -30,6 +30,13 @@
      */
     record Unresponsive(BackendServerName database, boolean commitUnacknowledged) implements DatabaseObservation {}
 
+    /**
+     * The database refused the statement as busy, or failed to run it.
+     *
+     * @param database name of the database
+     */
+    record Refused(BackendServerName database) implements DatabaseObservation {}
+
     /**
      * The database was addressed as the primary and refused the statement as a replica.
      *
--- a/core/src/main/java/org/geraniumproxy/core/caller/Placement.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/Placement.java
@@ -1,9 +1,12 @@
 package org.geraniumproxy.core.caller;
 
-import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.geraniumproxy.core.balance.LoadEstimate;
+import org.geraniumproxy.core.balance.ReplicaChoice;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.identity.BackendServerName;
@@ -20,12 +23,6 @@
  * @param minimumPosition log position that a replica must have reached, empty at the primary
  */
 public record Placement(BackendServerName database, boolean primary, Optional<LogPosition> minimumPosition) {
-    /** Cost factor of the primary for reads, so that reads load the primary only if replicas are this much slower. */
-    private static final double PRIMARY_COST_FACTOR = 2.0;
-
-    /** Cost of a read that needs a new connection: opening one takes a slot and a round trip. */
-    private static final Duration NEW_CONNECTION_COST = Duration.ofMillis(40);
-
     /**
      * Chooses a database for a statement or transaction.
      *
@@ -56,17 +53,42 @@
         if (required.isEmpty()) {
             return atPrimary;
         }
-        Placement best = atPrimary.orElse(null);
-        double bestCost = primary.map(entry -> cost(entry, customer, context) * PRIMARY_COST_FACTOR)
-                .orElse(Double.MAX_VALUE);
-        for (DatabaseEntry entry : group.readableReplicas()) {
-            double cost = cost(entry, customer, context);
-            if (!excludedDatabases.contains(entry.name()) && cost < bestCost) {
-                best = new Placement(entry.name(), false, required);
-                bestCost = cost;
-            }
-        }
-        return Optional.ofNullable(best);
+        List<DatabaseEntry> allowed = new ArrayList<>(group.readableReplicas());
+        primary.ifPresent(allowed::add);
+        allowed.removeIf(entry -> excludedDatabases.contains(entry.name()));
+        Optional<BackendServerName> primaryName = primary.map(DatabaseEntry::name);
+        return ReplicaChoice.choose(candidates(allowed, primaryName, customer, context), context.random())
+                .map(chosen -> primaryName.equals(Optional.of(chosen))
+                        ? atPrimary.orElseThrow()
+                        : new Placement(chosen, false, required));
+    }
+
+    private static List<ReplicaChoice.Candidate> candidates(
+            List<DatabaseEntry> allowed,
+            Optional<BackendServerName> primary,
+            CustomerName customer,
+            SessionContext context) {
+        List<LoadEstimate> estimates =
+                allowed.stream().map(entry -> load(entry, context).estimate()).toList();
+        double meanReported = LoadEstimate.meanReported(estimates, context.now());
+        return allowed.stream()
+                .map(entry -> {
+                    DatabaseLoad load = load(entry, context);
+                    return new ReplicaChoice.Candidate(
+                            entry.name(),
+                            primary.equals(Optional.of(entry.name())),
+                            entry.slots(),
+                            load.estimate().expected(meanReported, context.now()),
+                            load.serviceTime(),
+                            !load.customersWithIdleConnections().contains(customer),
+                            load.admittedShare(),
+                            context.now().isBefore(load.avoidUntil()));
+                })
+                .toList();
+    }
+
+    private static DatabaseLoad load(DatabaseEntry entry, SessionContext context) {
+        return context.loads().getOrDefault(entry.name(), DatabaseLoad.UNKNOWN);
     }
 
     private static Optional<LogPosition> requiredPosition(
@@ -79,15 +101,4 @@
         return primaryPosition.map(position ->
                 lastCommit.filter(commit -> commit.compareTo(position) > 0).orElse(position));
     }
-
-    private static double cost(DatabaseEntry entry, CustomerName customer, SessionContext context) {
-        DatabaseLoad load = context.loads().getOrDefault(entry.name(), DatabaseLoad.UNKNOWN);
-        if (context.now().isBefore(load.avoidUntil())) {
-            return Double.MAX_VALUE / 4;
-        }
-        double queueFactor = 1 + (double) load.outstandingStatements() / Math.max(1, entry.slots());
-        double connectionCost =
-                load.customersWithIdleConnections().contains(customer) ? 0 : NEW_CONNECTION_COST.toNanos();
-        return load.latency().toNanos() * queueFactor + connectionCost;
-    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/caller/PositionAnswer.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/PositionAnswer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import org.geraniumproxy.core.balance.LoadReports;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 
@@ -12,8 +13,9 @@
  *
  * @param requestId identifier of the request
  * @param positions newest position of each group
+ * @param loads load of the databases that the request named, by the other VMs that asked
  */
-public record PositionAnswer(long requestId, Map<GroupName, AgedPosition> positions) {
+public record PositionAnswer(long requestId, Map<GroupName, AgedPosition> positions, LoadReports.Sums loads) {
     /**
      * A position of a primary.
      *
--- a/core/src/main/java/org/geraniumproxy/core/caller/PositionPolling.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/PositionPolling.java
@@ -83,6 +83,16 @@
         return samples;
     }
 
+    /**
+     * Returns the time at which an answer was asked for.
+     *
+     * @param answer answer of another VM
+     * @return time of the request, empty unless the answer is awaited
+     */
+    public Optional<Instant> askedAt(PositionAnswer answer) {
+        return pending.filter(_ -> awaits(answer)).map(Pending::sentAt);
+    }
+
     /**
      * Ends the pending request if the answer belongs to it.
      *
--- a/core/src/main/java/org/geraniumproxy/core/caller/SlotEffects.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SlotEffects.java
@@ -63,6 +63,8 @@
             reportObservation(session, new DatabaseObservation.NotPrimary(placement.database()), effects);
         } else if (code == ErrorCode.LAGGING) {
             reportObservation(session, new DatabaseObservation.Lagging(placement.database()), effects);
+        } else if (code == ErrorCode.BUSY || code == ErrorCode.FAILED || code == ErrorCode.UNKNOWN) {
+            reportObservation(session, new DatabaseObservation.Refused(placement.database()), effects);
         }
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -187,7 +187,7 @@
                 Set.of(GROUP),
                 List.of(),
                 promotionFences);
-        return new SessionContext(view, primaryHistory, Map.of(), now);
+        return new SessionContext(view, primaryHistory, Map.of(), now, 0);
     }
 
     private ServiceConfiguration configuration() {
--- a/core/src/test/java/org/geraniumproxy/core/caller/PositionPolling_samples_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/PositionPolling_samples_Test.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.geraniumproxy.core.balance.LoadReports;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.identity.VmName;
@@ -48,7 +49,9 @@
     @Test
     void should_ignore_groups_that_the_source_does_not_watch() {
         PositionAnswer.AgedPosition aged = new PositionAnswer.AgedPosition(POSITION, Duration.ZERO);
-        assertThat(asked.samples(new PositionAnswer(1, Map.of(GroupName.of("other"), aged))), is(Map.of()));
+        assertThat(
+                asked.samples(new PositionAnswer(1, Map.of(GroupName.of("other"), aged), LoadReports.Sums.NONE)),
+                is(Map.of()));
     }
 
     @Test
@@ -67,6 +70,7 @@
     private static PositionAnswer answer(long requestId, long ageMilliseconds) {
         return new PositionAnswer(
                 requestId,
-                Map.of(GROUP, new PositionAnswer.AgedPosition(POSITION, Duration.ofMillis(ageMilliseconds))));
+                Map.of(GROUP, new PositionAnswer.AgedPosition(POSITION, Duration.ofMillis(ageMilliseconds))),
+                LoadReports.Sums.NONE);
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/peer/PositionMessageCodec.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/peer/PositionMessageCodec.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import org.geraniumproxy.core.balance.LoadReports;
 import org.geraniumproxy.core.caller.PositionAnswer;
 import org.geraniumproxy.core.caller.PositionRequest;
 import org.geraniumproxy.core.identity.GroupName;
@@ -26,6 +27,7 @@
             output.writeByte(REQUEST);
             PeerEncoding.writeText(output, request.requester().value());
             PeerEncoding.writeVarint(output, request.requestId());
+            LoadEncoding.write(output, request.loads());
         }
         return bytes.toByteArray();
     }
@@ -44,13 +46,16 @@
                 PeerEncoding.writeVarint(output, entry.getValue().position().position());
                 PeerEncoding.writeMicroseconds(output, entry.getValue().age());
             }
+            PeerEncoding.writeVarint(output, answer.loads().vms());
+            LoadEncoding.write(output, answer.loads().loads());
         }
         return bytes.toByteArray();
     }
 
     static PositionRequest decodeRequest(byte[] bytes, int length) throws IOException {
         try (DataInputStream input = new DataInputStream(new ByteArrayInputStream(bytes, 1, length - 1))) {
-            return new PositionRequest(VmName.of(PeerEncoding.readText(input)), PeerEncoding.readVarint(input));
+            return new PositionRequest(
+                    VmName.of(PeerEncoding.readText(input)), PeerEncoding.readVarint(input), LoadEncoding.read(input));
         } catch (IllegalArgumentException e) {
             throw new IOException("invalid name in a position request", e);
         }
@@ -66,9 +71,16 @@
                 LogPosition position = LogPosition.of(PeerEncoding.readVarint(input), PeerEncoding.readVarint(input));
                 positions.put(group, new PositionAnswer.AgedPosition(position, PeerEncoding.readMicroseconds(input)));
             }
-            return new PositionAnswer(requestId, positions);
+            return new PositionAnswer(requestId, positions, readSums(input));
         } catch (IllegalArgumentException e) {
             throw new IOException("invalid name or number in a position answer", e);
         }
     }
+
+    /** Returns no sums if the answer is that of a VM of an earlier version, which sends none. */
+    private static LoadReports.Sums readSums(DataInputStream input) throws IOException {
+        return input.available() == 0
+                ? LoadReports.Sums.NONE
+                : new LoadReports.Sums(PeerEncoding.readInt(input), LoadEncoding.read(input));
+    }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -9,6 +9,7 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.Locale;
+import org.geraniumproxy.core.balance.EjectionChange;
 import org.geraniumproxy.core.caller.ErrorCode;
 import org.geraniumproxy.core.limit.TokenSource;
 
@@ -17,6 +18,9 @@
     /** Bucket bounds around the target latencies of routes, which are between 0.4 s and 1 s. */
     private static final double[] LATENCY_BUCKETS_SECONDS = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2};
 
+    /** Bucket bounds around the interval of the reports, 0.5 s, up to the age from which they are ignored. */
+    private static final double[] REPORT_AGE_BUCKETS_SECONDS = {0.1, 0.25, 0.5, 0.75, 1, 1.5, 3};
+
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -50,6 +54,22 @@
             .help("Operations refused for want of a rate token, by where the token should have come from.")
             .labelNames("source")
             .register(registry);
+    private final Counter choices = Counter.builder()
+            .name("geraniumproxy_balance_choices")
+            .help("Databases chosen for a statement, by the load figures that were known of them.")
+            .labelNames("figures")
+            .register(registry);
+    private final Counter ejections = Counter.builder()
+            .name("geraniumproxy_balance_ejections")
+            .help("Changes of the share of reads of databases that were ejected, by kind.")
+            .labelNames("change")
+            .register(registry);
+    private final Histogram reportAge = Histogram.builder()
+            .name("geraniumproxy_balance_report_age_seconds")
+            .help("Age of the load reports with which databases were chosen.")
+            .classicOnly()
+            .classicUpperBounds(REPORT_AGE_BUCKETS_SECONDS)
+            .register(registry);
     private final Gauge sessions = Gauge.builder()
             .name("geraniumproxy_sessions")
             .help("Connected callers.")
@@ -123,6 +143,33 @@
         operationsOverRate.labelValues(source.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /**
+     * Counts the choice of a database for a statement.
+     *
+     * @param reportKnown whether the load by other VMs was known
+     */
+    public void databaseChosen(boolean reportKnown) {
+        choices.labelValues(reportKnown ? "reported" : "own").inc();
+    }
+
+    /**
+     * Records the age of the report of a chosen database.
+     *
+     * @param age age of its figures
+     */
+    public void loadReportUsed(Duration age) {
+        reportAge.observe(age.toNanos() / NANOSECONDS_PER_SECOND);
+    }
+
+    /**
+     * Counts an ejection or re-admission.
+     *
+     * @param kind what changed
+     */
+    public void ejectionChanged(EjectionChange.Kind kind) {
+        ejections.labelValues(kind.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /**
      * Updates the gauges.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -75,7 +75,7 @@
     }
 
     DatabaseLoad load() {
-        return new DatabaseLoad(
+        return DatabaseLoad.observed(
                 poolState.outstandingStatements(),
                 condition.latency(),
                 condition.avoidUntil(),
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/PeerRequests.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/PeerRequests.java
@@ -19,12 +19,14 @@
     private final TrafficEngine engine;
     private final RateLimiter rateLimiter;
     private final PositionPoller positionPoller;
+    private final LoadBalancer balancer;
     private RateOwnership ownership = RateOwnership.alone(VmName.of("unknown"));
 
-    PeerRequests(TrafficEngine engine, PeerSender sender) {
+    PeerRequests(TrafficEngine engine, PeerSender sender, LoadBalancer balancer) {
         this.engine = engine;
         this.rateLimiter = new RateLimiter(engine, sender);
-        this.positionPoller = new PositionPoller(engine, sender);
+        this.positionPoller = new PositionPoller(engine, sender, balancer);
+        this.balancer = balancer;
     }
 
     /**
@@ -94,9 +96,11 @@
 
     void onTick() {
         positionPoller.onTick(ownership);
+        balancer.onTick(ownership.self());
     }
 
     void onClockJump() {
         positionPoller.onClockJump();
+        balancer.onClockJump();
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/PositionPoller.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/PositionPoller.java
@@ -5,11 +5,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.geraniumproxy.core.balance.LoadReport;
+import org.geraniumproxy.core.balance.LoadReports;
 import org.geraniumproxy.core.caller.PositionAnswer;
 import org.geraniumproxy.core.caller.PositionPolling;
 import org.geraniumproxy.core.caller.PositionRequest;
 import org.geraniumproxy.core.caller.PositionSource;
 import org.geraniumproxy.core.caller.PrimaryPositionHistory;
+import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.limit.RateOwnership;
 
@@ -23,12 +26,14 @@
 
     private final TrafficEngine engine;
     private final PeerSender sender;
+    private final LoadBalancer balancer;
     private List<PositionPolling> pollings = List.of();
     private long lastRequestId;
 
-    PositionPoller(TrafficEngine engine, PeerSender sender) {
+    PositionPoller(TrafficEngine engine, PeerSender sender, LoadBalancer balancer) {
         this.engine = engine;
         this.sender = sender;
+        this.balancer = balancer;
     }
 
     /** Applies new sources and keeps the state of those that remain. */
@@ -54,7 +59,9 @@
         next.pending().filter(pending -> pending.requestId() == lastRequestId).ifPresent(pending -> {
             String address = members.addresses().get(pending.vm());
             if (address != null) {
-                sender.send(new PositionRequest(members.self(), lastRequestId), pending.vm(), address);
+                Map<BackendServerName, LoadReport> loads =
+                        balancer.ownLoads(polling.source().groups(), engine.view());
+                sender.send(new PositionRequest(members.self(), lastRequestId, loads), pending.vm(), address);
             }
         });
         return next;
@@ -63,7 +70,10 @@
     /** Returns the samples of an answer, empty if it is not awaited. */
     Map<GroupName, PrimaryPositionHistory.Sample> apply(PositionAnswer answer) {
         Map<GroupName, PrimaryPositionHistory.Sample> samples = new HashMap<>();
-        pollings.forEach(polling -> samples.putAll(polling.samples(answer)));
+        pollings.forEach(polling -> {
+            samples.putAll(polling.samples(answer));
+            polling.askedAt(answer).ifPresent(askedAt -> balancer.apply(answer.loads(), askedAt));
+        });
         pollings = pollings.stream().map(polling -> polling.answered(answer)).toList();
         return samples;
     }
@@ -87,6 +97,7 @@
                 positions.put(group, new PositionAnswer.AgedPosition(sample.position(), age));
             }
         });
-        sender.send(new PositionAnswer(request.requestId(), positions), request.requester(), address);
+        LoadReports.Sums loads = balancer.exchange(request.requester(), request.loads(), members.self());
+        sender.send(new PositionAnswer(request.requestId(), positions, loads), request.requester(), address);
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -72,6 +72,7 @@
     private final AdministrativeCommands administrativeCommands = new AdministrativeCommands(this);
     private final PrimaryProber primaryProber;
     private final PeerRequests peerRequests;
+    private final LoadBalancer balancer = new LoadBalancer(this);
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
     private long lastConnectionId;
@@ -110,7 +111,7 @@
         this.log = log;
         this.metrics = metrics;
         this.observer = observer;
-        this.peerRequests = new PeerRequests(this, peerSender);
+        this.peerRequests = new PeerRequests(this, peerSender, balancer);
         this.firstRequestId = firstRequestId;
         this.primaryProber = new PrimaryProber(this, administrativeCommands, observer);
     }
@@ -273,6 +274,10 @@
         return lastConnectionId;
     }
 
+    TrafficView view() {
+        return view;
+    }
+
     int vmCount() {
         return view.vmCount();
     }
@@ -298,7 +303,7 @@
         dropSamplesAfterClockJump();
         return session.group(view.configuration())
                 .map(this::context)
-                .orElseGet(() -> new SessionContext(view, PrimaryPositionHistory.NONE, Map.of(), now()));
+                .orElseGet(() -> new SessionContext(view, PrimaryPositionHistory.NONE, Map.of(), now(), 0));
     }
 
     void dropSamplesAfterClockJump() {
@@ -310,11 +315,13 @@
     }
 
     private SessionContext context(GroupName group) {
+        Instant now = now();
         Map<BackendServerName, DatabaseLoad> loads = new HashMap<>();
         for (BackendServerName database : view.directoryOf(group).databases().keySet()) {
-            loads.put(database, connectionPools.get(database).load());
+            DatabaseLoad observed = connectionPools.get(database).load();
+            loads.put(database, balancer.complete(group, database, observed, now));
         }
-        return new SessionContext(view, positions(group).primaryHistory(), loads, now());
+        return new SessionContext(view, positions(group).primaryHistory(), loads, now, balancer.nextRandom());
     }
 
     /** Returns the newest position of each primary that this VM watches. */
@@ -437,6 +444,9 @@
             deliver(session, new SessionEvent.SlotRefused(request.slotRequestId(), "the database left", true));
             return;
         }
+        if (!request.holdsConnection()) {
+            balancer.countChoice(request.database());
+        }
         connectionPool.requestSlot(slot, session);
     }
 
@@ -468,6 +478,7 @@
         if (connectionPool == null) {
             return;
         }
+        balancer.record(group, observation);
         switch (observation) {
             case DatabaseObservation.Answered answered -> {
                 metrics.databaseAnswered(answered.latency());
@@ -481,6 +492,7 @@
                 connectionPool.recordFailure(unresponsive.commitUnacknowledged());
             case DatabaseObservation.NotPrimary notPrimary -> observer.onNotPrimary(group, notPrimary.database());
             case DatabaseObservation.Lagging _ -> connectionPool.recordLag();
+            case DatabaseObservation.Refused _ -> {}
         }
     }
 
--- a/engine/src/test/java/org/geraniumproxy/engine/peer/PeerTransport_receive_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/peer/PeerTransport_receive_Test.java
@@ -15,9 +15,13 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.geraniumproxy.core.balance.LoadReport;
+import org.geraniumproxy.core.balance.LoadReports;
+import org.geraniumproxy.core.balance.ResponseSummary;
 import org.geraniumproxy.core.caller.PositionAnswer;
 import org.geraniumproxy.core.caller.PositionRequest;
 import org.geraniumproxy.core.fleet.PeerMessage;
+import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
@@ -39,6 +43,10 @@
     private final BlockingQueue<Object> received = new LinkedBlockingQueue<>();
     private final DecisionLog log = new DecisionLog(new PrintStream(PrintStream.nullOutputStream()));
 
+    private static final Map<BackendServerName, LoadReport> LOADS = Map.of(
+            BackendServerName.of("i-1a"),
+            new LoadReport(7, new ResponseSummary(1000.25, 0.5, Duration.ofMillis(31)), Duration.ofMillis(400)));
+
     @Test
     void should_receive_requests_and_answers() throws Exception {
         String address = start(new Recorder());
@@ -55,14 +63,15 @@
             RateHandover handover = new RateHandover(SELF, Map.of(CustomerName.of("troupe"), 300L));
             sender.transport.send(handover, SELF, address);
             assertThat(next(), is(handover));
-            PositionRequest positionRequest = new PositionRequest(SELF, 1L << 33);
+            PositionRequest positionRequest = new PositionRequest(SELF, 1L << 33, LOADS);
             sender.transport.send(positionRequest, SELF, address);
             assertThat(next(), is(positionRequest));
             PositionAnswer positions = new PositionAnswer(
                     9,
                     Map.of(
                             GroupName.of("entries"),
-                            new PositionAnswer.AgedPosition(LogPosition.of(3, 70_000), Duration.ofMillis(350))));
+                            new PositionAnswer.AgedPosition(LogPosition.of(3, 70_000), Duration.ofMillis(350))),
+                    new LoadReports.Sums(11, LOADS));
             sender.transport.send(positions, SELF, address);
             assertThat(next(), is(positions));
         }
