--- a/core/src/test/java/org/geraniumproxy/core/balance/FleetModel.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/balance/FleetModel.java
@@ -1,4 +1,4 @@
-package org.geraniumproxy.core.balance;
+package org.geraniumproxy.measure.balance;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -14,6 +14,13 @@
 import java.util.SplittableRandom;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
+import org.geraniumproxy.core.balance.GroupEjections;
+import org.geraniumproxy.core.balance.LoadEstimate;
+import org.geraniumproxy.core.balance.LoadReport;
+import org.geraniumproxy.core.balance.LoadReports;
+import org.geraniumproxy.core.balance.ReplicaChoice;
+import org.geraniumproxy.core.balance.ReportedLoad;
+import org.geraniumproxy.core.balance.ResponseSummary;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.VmName;
 
@@ -38,11 +45,18 @@
             double stale,
             double staleMs,
             double fresh,
-            double freshMs) {}
+            double freshMs) {
+        Load withReads(double factor) {
+            return new Load(vms, slots, domainMs, writes, writeMs, stale * factor, staleMs, fresh * factor, freshMs);
+        }
+    }
 
     static final Load H = new Load(36, 5, 1.4, 66, 8, 115, 40, 310, 24);
     static final Load P = new Load(83, 6, 3.5, 83, 9.3, 83, 47, 388, 28);
 
+    /** A fleet without position messages, in which a VM knows its own figures only. */
+    static final Load SMALL_FLEET = new Load(5, 5, 1.4, 66, 8, 115, 40, 310, 24);
+
     enum Choice {
         CHEAPEST,
         OWN_FIGURES,
--- /dev/null
+++ b/measure/src/main/java/org/geraniumproxy/measure/balance/package-info.java
@@ -0,0 +1,2 @@
+/** Distribution of reads by many VMs that choose databases on late figures. */
+package org.geraniumproxy.measure.balance;
