--- a/core/src/main/java/org/geraniumproxy/core/relay/OwnerChannels.java
+++ b/core/src/main/java/org/geraniumproxy/core/relay/OwnerChannels.java
@@ -105,6 +105,19 @@
         return sessions.keySet().stream().anyMatch(key -> key.stream() == stream);
     }
 
+    /**
+     * Returns the number of statements of other VMs that wait for a slot of a database or use one.
+     *
+     * @param database name of the database
+     * @return channels whose last slot request has not ended
+     */
+    public int outstandingStatements(BackendServerName database) {
+        return (int) channels.values().stream()
+                .filter(channel -> channel.database().equals(database))
+                .filter(channel -> channel.slot() != OwnerChannel.Slot.NONE)
+                .count();
+    }
+
     /**
      * Returns whether a database has channels.
      *
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -220,7 +220,7 @@
                 promotionFences,
                 Map.of(),
                 constraints);
-        return new SessionContext(view, primaryHistory, Map.of(), now);
+        return new SessionContext(view, primaryHistory, Map.of(), now, 0);
     }
 
     private ServiceConfiguration configuration() {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -78,7 +78,7 @@
     }
 
     DatabaseLoad load() {
-        return new DatabaseLoad(
+        return DatabaseLoad.observed(
                 poolState.outstandingStatements(),
                 condition.latency(),
                 condition.avoidUntil(),
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
@@ -81,6 +81,10 @@
         return state.channels().isEmpty();
     }
 
+    int outstandingStatements(BackendServerName database) {
+        return state.outstandingStatements(database);
+    }
+
     boolean uses(BackendServerName database) {
         return state.uses(database);
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/SharedConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/SharedConnections.java
@@ -113,8 +113,10 @@
         BackendServerName database = own.entry().name();
         Set<CustomerName> customers = new HashSet<>(direct.customersWithIdleConnections());
         customers.addAll(relayed.customers(database));
-        return new DatabaseLoad(
-                direct.outstandingStatements() + relayed.outstandingStatements(database),
+        // The entry VMs count the statements that this VM runs for them.
+        int ownStatements = direct.outstandingStatements() - lent.outstandingStatements(database);
+        return DatabaseLoad.observed(
+                Math.max(0, ownStatements) + relayed.outstandingStatements(database),
                 direct.latency(),
                 direct.avoidUntil(),
                 customers);
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -75,6 +75,7 @@
     private final PeerRequests peerRequests;
     private final SharedConnections sharedConnections = new SharedConnections(this);
     private boolean lossByOwner;
+    private final LoadBalancer balancer = new LoadBalancer(this);
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
     private long lastConnectionId;
@@ -113,7 +114,7 @@
         this.log = log;
         this.metrics = metrics;
         this.observer = observer;
-        this.peerRequests = new PeerRequests(this, peerSender);
+        this.peerRequests = new PeerRequests(this, peerSender, balancer);
         this.firstRequestId = firstRequestId;
         this.primaryProber = new PrimaryProber(this, administrativeCommands, observer);
     }
@@ -299,6 +300,10 @@
         return lastConnectionId;
     }
 
+    TrafficView view() {
+        return view;
+    }
+
     int vmCount() {
         return view.vmCount();
     }
@@ -324,7 +329,7 @@
         dropSamplesAfterClockJump();
         return session.group(view.configuration())
                 .map(this::context)
-                .orElseGet(() -> new SessionContext(view, PrimaryPositionHistory.NONE, Map.of(), now()));
+                .orElseGet(() -> new SessionContext(view, PrimaryPositionHistory.NONE, Map.of(), now(), 0));
     }
 
     void dropSamplesAfterClockJump() {
@@ -336,11 +341,13 @@
     }
 
     private SessionContext context(GroupName group) {
+        Instant now = now();
         Map<BackendServerName, DatabaseLoad> loads = new HashMap<>();
         for (BackendServerName database : view.directoryOf(group).databases().keySet()) {
-            loads.put(database, sharedConnections.load(connectionPools.get(database)));
+            DatabaseLoad observed = sharedConnections.load(connectionPools.get(database));
+            loads.put(database, balancer.complete(group, database, observed, now));
         }
-        return new SessionContext(view, positions(group).primaryHistory(), loads, now());
+        return new SessionContext(view, positions(group).primaryHistory(), loads, now, balancer.nextRandom());
     }
 
     /** Returns the newest position of each primary that this VM watches. */
@@ -479,6 +486,9 @@
             deliver(session, new SessionEvent.SlotRefused(request.slotRequestId(), "the database left", true));
             return;
         }
+        if (!request.holdsConnection()) {
+            balancer.countChoice(request.database());
+        }
         sharedConnections.of(request.database()).requestSlot(slot, session);
     }
 
@@ -509,6 +519,7 @@
         if (connectionPool == null) {
             return;
         }
+        balancer.record(group, observation);
         switch (observation) {
             case DatabaseObservation.Answered answered -> {
                 metrics.databaseAnswered(answered.latency());
@@ -525,6 +536,7 @@
             }
             case DatabaseObservation.NotPrimary notPrimary -> observer.onNotPrimary(group, notPrimary.database());
             case DatabaseObservation.Lagging _ -> connectionPool.recordLag();
+            case DatabaseObservation.Refused _ -> {}
         }
     }
 
