--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TextProtocol.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TextProtocol.java
@@ -64,6 +64,7 @@
             case "write" -> new CallerMessage.Query(words[1], new Statement.Write("item"));
             case "begin" -> new CallerMessage.Query(words[1], new Statement.Begin(false));
             case "commit" -> new CallerMessage.Query(words[1], new Statement.Commit());
+            case "set" -> new CallerMessage.Query(words[1], new Statement.SetVariable("name", words[2]));
             case "quit" -> new CallerMessage.Quit();
             default -> new CallerMessage.Invalid("unknown word " + words[0], false);
         };
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
@@ -1,6 +1,7 @@
 package org.geraniumproxy.engine.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
@@ -199,6 +200,32 @@
         return line.equals("begin") || line.startsWith("run t");
     }
 
+    /** Guards against a statement that runs with the variables of another session, or without its own. */
+    @Test
+    void should_tell_the_state_of_a_connection_to_the_sessions_that_use_it_in_turn() throws Exception {
+        try (ScriptedDatabase primary = new ScriptedDatabase(_ -> Optional.of("ok"));
+                EngineFixture owner = owner(primary, 0);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect();
+                EngineFixture.TestCaller other = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            assertThat(other.readLine(), is("accepted"));
+            caller.send("set s1 value");
+            assertThat(caller.readLine(), is("completed -"));
+            for (EngineFixture.TestCaller next : List.of(caller, caller, other, other, caller)) {
+                next.send("write w");
+                assertThat(next.readLine(), is("completed signed"));
+            }
+            List<String> commands = primary.receivedLines().stream()
+                    .filter(line -> !line.startsWith("open "))
+                    .toList();
+            assertThat(
+                    commands,
+                    contains("setvariable", "run w", "run w", "discard", "run w", "run w", "setvariable", "run w"));
+            owner.awaitOutstandingStatements(database, 0);
+        }
+    }
+
     /** Guards against a failed first owner that takes the connections of the second one out of use. */
     @Test
     void should_use_the_second_owner_while_the_first_one_restarts() throws Exception {
