--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -55,6 +55,10 @@
             .help("Events in the use of database connections that another VM owns.")
             .labelNames("event")
             .register(registry);
+    private final Gauge lentChannels = Gauge.builder()
+            .name("geraniumproxy_lent_channels")
+            .help("Channels of other VMs that wait for a database connection of this one or use it.")
+            .register(registry);
     private final Gauge sessions = Gauge.builder()
             .name("geraniumproxy_sessions")
             .help("Connected callers.")
@@ -137,6 +141,15 @@
         sharedConnections.labelValues(event.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /**
+     * Updates the number of channels of other VMs.
+     *
+     * @param count channels that wait for a connection or hold one
+     */
+    public void lentChannels(int count) {
+        lentChannels.set(count);
+    }
+
     /**
      * Updates the gauges.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
@@ -87,6 +87,7 @@
 
     /** Gives up the VMs that hold a channel and have sent nothing for too long. */
     void onTick() {
+        engine.metrics().lentChannels(state.channels().size());
         Instant earliest = engine.now().minus(MAXIMUM_SILENCE);
         for (Peer peer : List.copyOf(peers.values())) {
             if (peer.stream.lastReceivedAt().isBefore(earliest) && state.usesStream(peer.stream.id())) {
