Merge the count of lent channels

Reads are placed on the cheapest database by own figures while no load is reported, as in small fleets before: a random choice would send more statements to other regions there.

--- a/core/src/main/java/org/geraniumproxy/core/caller/Placement.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/Placement.java
@@ -1,7 +1,9 @@
 package org.geraniumproxy.core.caller;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -25,6 +27,15 @@
  * @param minimumPosition log position that a replica must have reached, empty at the primary
  */
 public record Placement(BackendServerName database, boolean primary, Optional<LogPosition> minimumPosition) {
+    /** Cost factor of the primary for reads, so that reads load the primary only if replicas are this much slower. */
+    private static final double PRIMARY_COST_FACTOR = 2.0;
+
+    /** Cost of a read that needs a new connection: opening one takes a slot and a round trip. */
+    private static final Duration NEW_CONNECTION_COST = Duration.ofMillis(40);
+
+    /** Cost of a database that is used only if there is no other; finite, so that the primary still costs more. */
+    private static final double AVOIDED_COST = Double.MAX_VALUE / 4;
+
     /**
      * Chooses a database for a statement or transaction.
      *
@@ -65,10 +76,43 @@
         allowed.removeIf(
                 entry -> excludedDatabases.contains(entry.name()) || !constraints.allows(entry, newest, limits));
         Optional<BackendServerName> primaryName = primary.map(DatabaseEntry::name);
-        return ReplicaChoice.choose(candidates(allowed, primaryName, customer, context), context.random())
-                .map(chosen -> primaryName.equals(Optional.of(chosen))
-                        ? atPrimary.orElseThrow()
-                        : new Placement(chosen, false, required));
+        boolean informed = allowed.stream()
+                .anyMatch(entry -> load(entry, context).reported().isPresent());
+        Optional<BackendServerName> chosenDatabase = informed
+                ? ReplicaChoice.choose(candidates(allowed, primaryName, customer, context), context.random())
+                : cheapest(allowed, primaryName, customer, context);
+        return chosenDatabase.map(chosen -> primaryName.equals(Optional.of(chosen))
+                ? atPrimary.orElseThrow()
+                : new Placement(chosen, false, required));
+    }
+
+    /**
+     * Returns the database with the lowest expected latency by the figures of this VM. In a small fleet, where no load
+     * is reported, each VM sees a large part of the load itself, and a database in its own region saves traffic between
+     * regions.
+     */
+    private static Optional<BackendServerName> cheapest(
+            List<DatabaseEntry> allowed,
+            Optional<BackendServerName> primary,
+            CustomerName customer,
+            SessionContext context) {
+        return allowed.stream()
+                .min(Comparator.comparingDouble(entry -> {
+                    double factor = primary.equals(Optional.of(entry.name())) ? PRIMARY_COST_FACTOR : 1;
+                    return cost(entry, customer, context) * factor;
+                }))
+                .map(DatabaseEntry::name);
+    }
+
+    private static double cost(DatabaseEntry entry, CustomerName customer, SessionContext context) {
+        DatabaseLoad load = load(entry, context);
+        if (context.now().isBefore(load.avoidUntil()) || context.random() >= load.admittedShare()) {
+            return AVOIDED_COST;
+        }
+        double queueFactor = 1 + (double) load.outstandingStatements() / Math.max(1, entry.slots());
+        double connectionCost =
+                load.customersWithIdleConnections().contains(customer) ? 0 : NEW_CONNECTION_COST.toNanos();
+        return load.latency().toNanos() * queueFactor + connectionCost;
     }
 
     private static List<ReplicaChoice.Candidate> candidates(
--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -77,6 +77,10 @@
             .classicOnly()
             .classicUpperBounds(REPORT_AGE_BUCKETS_SECONDS)
             .register(registry);
+    private final Gauge lentChannels = Gauge.builder()
+            .name("geraniumproxy_lent_channels")
+            .help("Channels of other VMs that wait for a database connection of this one or use it.")
+            .register(registry);
     private final Gauge sessions = Gauge.builder()
             .name("geraniumproxy_sessions")
             .help("Connected callers.")
@@ -196,6 +200,15 @@
         ejections.labelValues(kind.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /**
+     * Updates the number of channels of other VMs.
+     *
+     * @param count channels that wait for a connection or hold one
+     */
+    public void lentChannels(int count) {
+        lentChannels.set(count);
+    }
+
     /**
      * Updates the gauges.
      *
