Compute the control state once per batch of events

On a VM that falls behind, the control thread computed view, owners of the rates and messages for each event, copied the map of the last messages for each heartbeat, and ranked all VMs for the promotion lease twice in each report of the traffic thread. Each message that named a newer configuration version started a request, also while one was in flight.

ControlLoop takes all queued events as one batch; tasks keep their place among them. FleetState refreshes databases and promotions after each event and computes the rest once. Ranks follow from registrations and are computed when these change. The owners are computed when a VM comes into contact or a known time passes. The traffic thread skips customers that a change doesn't concern and inserts VMs that joined into the ranking of the holders.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEffect.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.core.fleet;
 
+import java.time.Duration;
 import java.util.Map;
 import org.geraniumproxy.core.caller.TrafficView;
 import org.geraniumproxy.core.identity.VmName;
@@ -41,8 +42,9 @@
      * @param vm the VM that has it
      * @param address host and port of the VM
      * @param version configuration version of that VM
+     * @param timeout time after which the request is given up
      */
-    record FetchConfiguration(VmName vm, String address, long version) implements FleetEffect {}
+    record FetchConfiguration(VmName vm, String address, long version, Duration timeout) implements FleetEffect {}
 
     /** Evaluates the promotions in progress, because a VM has confirmed that it enforces one, or is out of contact. */
     record EvaluatePromotions() implements FleetEffect {}
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -79,6 +79,13 @@
      */
     record PromotionLeaseMoved(Optional<VmName> holder) implements FleetEvent {}
 
+    /**
+     * A request for the configuration of another VM has ended. A configuration that it brought was received before.
+     *
+     * @param vm VM that the request was sent to
+     */
+    record ConfigurationFetchEnded(VmName vm) implements FleetEvent {}
+
     /**
      * A message of another VM arrived.
      *
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -92,11 +92,33 @@
      * @return next state and its effects
      */
     public Transition<FleetState, FleetEffect> on(FleetEvent event, Instant now) {
+        return on(List.of(event), now);
+    }
+
+    /**
+     * Applies events that have arrived since the last call. The databases and the promotions are refreshed after each
+     * event, because an event may show what a later one hides. View, owners and messages follow from the last state, so
+     * they are computed once.
+     *
+     * @param events inputs of the control thread, in order of arrival
+     * @param now current time
+     * @return next state and its effects
+     */
+    public Transition<FleetState, FleetEffect> on(List<FleetEvent> events, Instant now) {
         List<FleetEffect> effects = new ArrayList<>();
-        FleetState applied = apply(event, now, effects);
-        applied.logAcknowledgedAtClaims(databases.claims(), now, effects);
-        FleetState next = applied.with(applied.databases.refresh(now, effects)).refreshPromotions(now, effects);
-        RateOwnership owners = next.peers.ownership(self, now);
+        FleetState next = this;
+        boolean reported = false;
+        for (FleetEvent event : events) {
+            next = next.applyAndRefresh(event, now, effects);
+            reported |= event instanceof FleetEvent.TrafficReported;
+        }
+        ConfigurationFetch fetch = next.exchange.fetch().sendIfDue(next.fetchSituation(now), effects);
+        next = next.with(next.exchange.with(fetch));
+        RateOwnership owners = ownership;
+        if (!next.peers.areOwnersCurrent(now)) {
+            owners = next.peers.ownership(self, now);
+            next = next.with(next.peers.withOwnersComputed(now));
+        }
         if (!next.hasSameViewAs(this)) {
             effects.add(new FleetEffect.PublishView(next.view(), owners));
         } else if (!owners.equals(ownership)) {
@@ -106,12 +128,18 @@
         if (!next.enforcements(now).equals(enforcements(now))) {
             effects.add(new FleetEffect.EvaluatePromotions());
         }
-        if (event instanceof FleetEvent.TrafficReported || !next.notices(now).equals(notices(now))) {
+        if (reported || !next.notices(now).equals(notices(now))) {
             next = next.with(next.exchange.send(next.createMessage(now), next.peers, now, effects));
         }
         return Transition.to(next, effects);
     }
 
+    private FleetState applyAndRefresh(FleetEvent event, Instant now, List<FleetEffect> effects) {
+        FleetState applied = apply(event, now, effects);
+        applied.logAcknowledgedAtClaims(databases.claims(), now, effects);
+        return applied.with(applied.databases.refresh(now, effects)).refreshPromotions(now, effects);
+    }
+
     /**
      * Returns the databases that may get statements.
      *
@@ -233,10 +261,12 @@
         if (claim != null) {
             newest = Math.max(newest, claim.term());
         }
-        for (TimestampedPeerMessage peer : peers.lastMessages().values()) {
-            newest = Math.max(newest, peer.message().newestTerms().getOrDefault(group, 0L));
-        }
-        return newest;
+        long newestOfPeers = peers.lastMessages()
+                .values()
+                .mapToLong(peer -> peer.message().newestTerms().getOrDefault(group, 0L))
+                .max()
+                .orElse(0);
+        return Math.max(newest, newestOfPeers);
     }
 
     /**
@@ -282,7 +312,9 @@
             case FleetEvent.DatabaseEntryMissing missing ->
                 with(databases.markMissing(missing.database(), now, effects));
             case FleetEvent.VmsListed update -> with(peers.update(update, self, now));
-            case FleetEvent.RegistrationConfirmed confirmed -> with(peers.confirmRegistration(confirmed.sentAt()));
+            case FleetEvent.RegistrationConfirmed confirmed -> with(peers.confirmRegistration(confirmed.sentAt(), now));
+            case FleetEvent.ConfigurationFetchEnded ended ->
+                with(exchange.with(exchange.fetch().ended(ended.vm(), fetchSituation(now))));
             case FleetEvent.PeerMessageReceived received -> receive(received.message(), now, effects);
             case FleetEvent.TrafficReported reported -> with(reported).withAcknowledged(reported.acknowledged(), now);
             case FleetEvent.PromotionLeaseMoved moved -> with(exchange.withLeaseHolder(moved.holder()));
@@ -339,10 +371,9 @@
     }
 
     private FleetState receive(PeerMessage message, Instant now, List<FleetEffect> effects) {
-        String address = peers.addresses().get(message.sender());
-        if (message.configurationVersion() > configuration.version() && address != null) {
-            effects.add(new FleetEffect.FetchConfiguration(message.sender(), address, message.configurationVersion()));
-        }
+        ConfigurationFetch fetch = peers.addresses().containsKey(message.sender())
+                ? exchange.fetch().versionNamed(message.configurationVersion(), fetchSituation(now))
+                : exchange.fetch();
         TrackedDatabases updated = databases;
         for (Map.Entry<GroupName, PrimaryClaim> claim : message.claims().entrySet()) {
             updated = updated.addClaim(claim.getKey(), claim.getValue(), effects);
@@ -355,10 +386,22 @@
         return with(peers.receive(message, now))
                 .with(updated)
                 .with(learned)
+                .with(exchange.with(fetch))
                 .withAcknowledged(message.acknowledged(), now);
     }
 
+    private ConfigurationFetch.Situation fetchSituation(Instant now) {
+        return new ConfigurationFetch.Situation(self, configuration.version(), peers, now);
+    }
+
     private FleetState withAcknowledged(Map<GroupName, LogPosition> positions, Instant now) {
+        boolean unchanged = positions.entrySet().stream().allMatch(entry -> {
+            AcknowledgedPosition known = acknowledged.get(entry.getKey());
+            return known != null && known.position().compareTo(entry.getValue()) >= 0;
+        });
+        if (unchanged) {
+            return this;
+        }
         Map<GroupName, AcknowledgedPosition> next = new HashMap<>(acknowledged);
         positions.forEach((group, position) ->
                 next.merge(group, new AcknowledgedPosition(position, now), AcknowledgedPosition::laterOf));
@@ -414,14 +457,15 @@
 
     private TrafficView view() {
         Set<GroupName> names = configuration.groups().keySet();
+        GroupWatchers watchers = watchers();
         return new TrafficView(
                 configuration,
                 groups(),
                 databases.unavailable(),
                 drain,
                 peers.addresses().size() + 1,
-                watchers().watchedBySelf(names),
-                watchers().sources(names),
+                watchers.watchedBySelf(names),
+                watchers.sources(names),
                 promotions.fences());
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/fleet/GroupWatchers.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/GroupWatchers.java
@@ -53,38 +53,59 @@
 
     /** Returns the groups that this VM watches. */
     Set<GroupName> watchedBySelf(Set<GroupName> groups) {
-        Set<GroupName> watched = new HashSet<>(groups);
-        if (!isSmallFleet()) {
-            watched.removeIf(
-                    group -> !watchersIn(regionOf(self), blockOf(group)).contains(self));
+        if (isSmallFleet()) {
+            return Set.copyOf(groups);
         }
+        Set<GroupName> watched = new HashSet<>();
+        watchersByBlock(groups).forEach((block, watchers) -> {
+            if (watchers.contains(self)) {
+                watched.addAll(block.groups());
+            }
+        });
         return watched;
     }
 
     /** Returns the VMs of this region that tell the positions of the groups that this VM doesn't watch. */
     List<PositionSource> sources(Set<GroupName> groups) {
-        Map<Integer, Set<GroupName>> others = new HashMap<>();
-        Set<GroupName> watched = watchedBySelf(groups);
-        for (GroupName group : groups) {
-            if (!watched.contains(group)) {
-                others.computeIfAbsent(blockOf(group), _ -> new HashSet<>()).add(group);
-            }
+        if (isSmallFleet()) {
+            return List.of();
         }
         List<PositionSource> sources = new ArrayList<>();
-        others.forEach((block, members) -> sources.add(new PositionSource(watchersIn(regionOf(self), block), members)));
+        watchersByBlock(groups).forEach((block, watchers) -> {
+            if (!watchers.contains(self)) {
+                sources.add(new PositionSource(watchers, block.groups()));
+            }
+        });
         return sources;
     }
 
+    private record Block(int number, Set<GroupName> groups) {}
+
+    /** Ranks the VMs of this region once for each block, not for each group. */
+    private Map<Block, List<VmName>> watchersByBlock(Set<GroupName> groups) {
+        Map<Integer, Set<GroupName>> grouped = new HashMap<>();
+        groups.forEach(group ->
+                grouped.computeIfAbsent(blockOf(group), _ -> new HashSet<>()).add(group));
+        List<VmName> candidates = candidatesIn(regionOf(self));
+        Map<Block, List<VmName>> watchers = new HashMap<>();
+        grouped.forEach((number, members) -> watchers.put(new Block(number, members), rank(number, candidates)));
+        return watchers;
+    }
+
     private boolean isSmallFleet() {
         return members.size() <= TrackedPeers.SMALL_FLEET_VMS;
     }
 
     private List<VmName> watchersIn(RegionName region, int block) {
-        List<VmName> candidates =
-                members.stream().filter(vm -> regionOf(vm).equals(region)).toList();
-        return RendezvousHash.rank("watch/" + block, candidates, VmName::value).stream()
-                .limit(WATCHERS_PER_REGION)
-                .toList();
+        return rank(block, candidatesIn(region));
+    }
+
+    private List<VmName> candidatesIn(RegionName region) {
+        return members.stream().filter(vm -> regionOf(vm).equals(region)).toList();
+    }
+
+    private static List<VmName> rank(int block, List<VmName> candidates) {
+        return RendezvousHash.first("watch/" + block, candidates, VmName::value, WATCHERS_PER_REGION);
     }
 
     private int blockOf(GroupName group) {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/PeerExchange.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/PeerExchange.java
@@ -21,13 +21,15 @@
  * @param lastHeartbeat last message to the other VMs, and when it was sent
  * @param informed VMs that got the last message with the state of the groups
  * @param claimsChangedAt time at which the claims changed last
+ * @param fetch requests for a newer configuration
  */
 record PeerExchange(
         Optional<VmName> leaseHolder,
         TimestampedPeerMessage lastReport,
         TimestampedPeerMessage lastHeartbeat,
         Set<VmName> informed,
-        Instant claimsChangedAt) {
+        Instant claimsChangedAt,
+        ConfigurationFetch fetch) {
     /** VMs of a larger fleet that may take the promotion lease at once when it has no holder. */
     static final int CANDIDATES = 3;
 
@@ -40,22 +42,29 @@
 
     static PeerExchange initial(VmName self) {
         TimestampedPeerMessage none = new TimestampedPeerMessage(PeerMessage.initial(self), Instant.MIN);
-        return new PeerExchange(Optional.empty(), none, none, Set.of(), Instant.MIN);
+        return new PeerExchange(Optional.empty(), none, none, Set.of(), Instant.MIN, ConfigurationFetch.NONE);
     }
 
     /** Returns the VMs that may take the promotion lease at once, which may include this one. */
     static Set<VmName> candidates(VmName self, TrackedPeers peers) {
-        Set<VmName> members = new HashSet<>(peers.addresses().keySet());
+        return peers.candidates().isEmpty() ? Set.of(self) : peers.candidates();
+    }
+
+    /** Ranks the members of a fleet for the promotion lease. */
+    static Set<VmName> rankCandidates(VmName self, Set<VmName> others) {
+        Set<VmName> members = new HashSet<>(others);
         members.add(self);
-        if (members.size() <= TrackedPeers.SMALL_FLEET_VMS) {
-            return members;
-        }
-        List<VmName> ranked = RendezvousHash.rank("promotion", members, VmName::value);
-        return Set.copyOf(ranked.subList(0, CANDIDATES));
+        return members.size() <= TrackedPeers.SMALL_FLEET_VMS
+                ? members
+                : Set.copyOf(RendezvousHash.first("promotion", members, VmName::value, CANDIDATES));
     }
 
     PeerExchange withLeaseHolder(Optional<VmName> holder) {
-        return new PeerExchange(holder, lastReport, lastHeartbeat, informed, claimsChangedAt);
+        return new PeerExchange(holder, lastReport, lastHeartbeat, informed, claimsChangedAt, fetch);
+    }
+
+    PeerExchange with(ConfigurationFetch next) {
+        return new PeerExchange(leaseHolder, lastReport, lastHeartbeat, informed, claimsChangedAt, next);
     }
 
     /**
@@ -65,13 +74,15 @@
     PeerExchange send(PeerMessage message, TrackedPeers peers, Instant now, List<FleetEffect> effects) {
         PeerExchange next = this;
         if (!message.claims().equals(lastReport.message().claims())) {
-            next = new PeerExchange(leaseHolder, lastReport, lastHeartbeat, informed, now);
+            next = new PeerExchange(leaseHolder, lastReport, lastHeartbeat, informed, now, fetch);
         }
-        return next.sendReport(message, peers, now, effects).sendHeartbeat(message, peers, now, effects);
+        Set<VmName> concerned = next.concerned(message.sender(), peers);
+        return next.sendReport(message, concerned, peers, now, effects)
+                .sendHeartbeat(message, concerned, peers, now, effects);
     }
 
-    private PeerExchange sendReport(PeerMessage message, TrackedPeers peers, Instant now, List<FleetEffect> effects) {
-        Set<VmName> concerned = concerned(message.sender(), peers);
+    private PeerExchange sendReport(
+            PeerMessage message, Set<VmName> concerned, TrackedPeers peers, Instant now, List<FleetEffect> effects) {
         boolean changed = message.hasSignificantChangeSince(lastReport.message()) || !informed.containsAll(concerned);
         boolean urgent = message.reportsFailures()
                 || message.reportsOpenPromotion()
@@ -82,13 +93,16 @@
         }
         addEffect(message, concerned, peers, effects);
         return new PeerExchange(
-                leaseHolder, new TimestampedPeerMessage(message, now), lastHeartbeat, concerned, claimsChangedAt);
+                leaseHolder,
+                new TimestampedPeerMessage(message, now),
+                lastHeartbeat,
+                concerned,
+                claimsChangedAt,
+                fetch);
     }
 
     private PeerExchange sendHeartbeat(
-            PeerMessage message, TrackedPeers peers, Instant now, List<FleetEffect> effects) {
-        Set<VmName> others = new HashSet<>(peers.addresses().keySet());
-        others.removeAll(concerned(message.sender(), peers));
+            PeerMessage message, Set<VmName> concerned, TrackedPeers peers, Instant now, List<FleetEffect> effects) {
         Duration repetition = peers.messageInterval().multipliedBy(CLAIM_REPETITIONS);
         boolean claimsAreNew = claimsChangedAt.isAfter(now.minus(repetition));
         PeerMessage heartbeat = message.toHeartbeat(claimsAreNew);
@@ -102,9 +116,11 @@
         if (!urgent && !isDue(lastHeartbeat, changed, peers, now)) {
             return this;
         }
+        Set<VmName> others = new HashSet<>(peers.addresses().keySet());
+        others.removeAll(concerned);
         addEffect(heartbeat, others, peers, effects);
         return new PeerExchange(
-                leaseHolder, lastReport, new TimestampedPeerMessage(heartbeat, now), informed, claimsChangedAt);
+                leaseHolder, lastReport, new TimestampedPeerMessage(heartbeat, now), informed, claimsChangedAt, fetch);
     }
 
     private Set<VmName> concerned(VmName self, TrackedPeers peers) {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
@@ -83,6 +83,12 @@
                 : new TrackedDatabase(entry, current, missingSince, drainingSince, restartedAt);
     }
 
+    /** Returns whether neither the availability has changed nor the database is forgotten. */
+    boolean isCurrent(FleetTiming timing, Instant now) {
+        return (missingSince.isEmpty() && drainingSince.isEmpty() && availability == DatabaseAvailability.USED)
+                || (availabilityAt(timing, now) == availability && !isExpired(now));
+    }
+
     boolean isExpired(Instant now) {
         return hasElapsed(missingSince, missingGracePeriod().plus(SUSPICION_TIMEOUT), now);
     }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
@@ -186,6 +186,9 @@
 
     /** Recomputes the availability of each database and drops databases whose entry has been missing too long. */
     TrackedDatabases refresh(Instant now, List<FleetEffect> effects) {
+        if (byName.values().stream().allMatch(database -> database.isCurrent(timing, now))) {
+            return this;
+        }
         Map<BackendServerName, TrackedDatabase> next = new HashMap<>();
         byName.forEach((name, database) -> {
             TrackedDatabase refreshed = database.refresh(timing, now);
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPeers.java
@@ -21,14 +21,19 @@
  * @param lastMessages last message of each VM that has sent one
  * @param registeredAt time at which the last confirmed registration of this VM was sent, {@link Instant#MIN} if none
  * @param resumed whether this VM, or no VM at all, was listed before this process registered it
+ * @param candidates first VMs of the ranking for the promotion lease, computed when the addresses change
+ * @param ownersCurrentUntil time until which the last computed owners of the rates stay the same while no registration
+ *     changes and no VM comes into contact; {@link Instant#MIN} if they must be computed again
  */
 record TrackedPeers(
         Map<VmName, String> addresses,
         Set<VmName> registered,
         Map<VmName, RegionName> regions,
-        Map<VmName, TimestampedPeerMessage> lastMessages,
+        PeerMessages lastMessages,
         Instant registeredAt,
-        boolean resumed) {
+        boolean resumed,
+        Set<VmName> candidates,
+        Instant ownersCurrentUntil) {
     /**
      * Time for which a confirmed registration holds. Shorter than the lease of the registration, so that this VM stops
      * to lend before another one begins.
@@ -57,13 +62,14 @@
     /** Consecutive messages of a larger fleet that may be lost before a peer counts as unreachable. */
     private static final int TOLERATED_LOST_MESSAGES = 3;
 
-    static final TrackedPeers EMPTY = new TrackedPeers(Map.of(), Set.of(), Map.of(), Map.of(), Instant.MIN, false);
+    static final TrackedPeers EMPTY = new TrackedPeers(
+            Map.of(), Set.of(), Map.of(), PeerMessages.NONE, Instant.MIN, false, Set.of(), Instant.MIN);
 
     TrackedPeers {
         addresses = Map.copyOf(addresses);
         registered = Set.copyOf(registered);
         regions = Map.copyOf(regions);
-        lastMessages = Map.copyOf(lastMessages);
+        candidates = Set.copyOf(candidates);
     }
 
     /**
@@ -85,25 +91,65 @@
             }
         }
         others.remove(self);
-        Map<VmName, TimestampedPeerMessage> remaining = new HashMap<>(lastMessages);
-        remaining.keySet().retainAll(others.keySet());
-        return new TrackedPeers(others, joined.keySet(), nextRegions, remaining, registeredAt, listedBefore);
+        boolean sameVms = others.keySet().equals(addresses.keySet());
+        return new TrackedPeers(
+                others,
+                joined.keySet(),
+                nextRegions,
+                lastMessages.retainAll(others.keySet()),
+                registeredAt,
+                listedBefore,
+                sameVms ? candidates : PeerExchange.rankCandidates(self, others.keySet()),
+                Instant.MIN);
     }
 
     TrackedPeers receive(PeerMessage message, Instant now) {
-        Map<VmName, TimestampedPeerMessage> next = new HashMap<>(lastMessages);
-        next.put(message.sender(), new TimestampedPeerMessage(message, now));
-        return new TrackedPeers(addresses, registered, regions, next, registeredAt, resumed);
+        // A VM that stays in contact with the same registration changes no owner.
+        boolean unchanged = lastMessages
+                .find(message.sender())
+                .filter(last -> isRecent(last, unreachableTimeout(), now))
+                .filter(last -> last.message().registered() == message.registered())
+                .isPresent();
+        return new TrackedPeers(
+                addresses,
+                registered,
+                regions,
+                lastMessages.with(new TimestampedPeerMessage(message, now)),
+                registeredAt,
+                resumed,
+                candidates,
+                unchanged ? ownersCurrentUntil : Instant.MIN);
     }
 
-    TrackedPeers confirmRegistration(Instant sentAt) {
+    TrackedPeers confirmRegistration(Instant sentAt, Instant now) {
         return new TrackedPeers(
                 addresses,
                 registered,
                 regions,
                 lastMessages,
                 sentAt.isAfter(registeredAt) ? sentAt : registeredAt,
-                resumed);
+                resumed,
+                candidates,
+                isRegistered(now) ? ownersCurrentUntil : Instant.MIN);
+    }
+
+    /** Returns whether the last computed owners of the rates still hold. */
+    boolean areOwnersCurrent(Instant now) {
+        return now.isBefore(ownersCurrentUntil);
+    }
+
+    /**
+     * Returns the state after the owners were computed. They stay the same until the oldest message of a VM in contact
+     * or the registration of this VM expires.
+     */
+    TrackedPeers withOwnersComputed(Instant now) {
+        Duration timeout = unreachableTimeout();
+        Instant until = isRegistered(now) ? registeredAt.plus(REGISTRATION_VALIDITY) : Instant.MAX;
+        for (TimestampedPeerMessage peer : reachable(now)) {
+            Instant expiry = peer.timestamp().plus(timeout);
+            until = expiry.isBefore(until) ? expiry : until;
+        }
+        return new TrackedPeers(addresses, registered, regions, lastMessages, registeredAt, resumed, candidates, until);
     }
 
     boolean isRegistered(Instant now) {
@@ -162,8 +208,13 @@
 
     List<TimestampedPeerMessage> reachable(Instant now) {
         Duration timeout = unreachableTimeout();
-        return lastMessages.values().stream()
-                .filter(peer -> Duration.between(peer.timestamp(), now).compareTo(timeout) < 0)
+        return lastMessages
+                .values()
+                .filter(peer -> isRecent(peer, timeout, now))
                 .toList();
     }
+
+    private static boolean isRecent(TimestampedPeerMessage peer, Duration timeout, Instant now) {
+        return Duration.between(peer.timestamp(), now).compareTo(timeout) < 0;
+    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedPromotions.java
@@ -51,6 +51,9 @@
 
     /** Returns the state with the bounds that are in force at this time. */
     TrackedPromotions refresh(Function<GroupName, GroupDirectory> directories, Instant now, List<FleetEffect> effects) {
+        if (byGroup.isEmpty()) {
+            return this;
+        }
         Map<GroupName, TrackedPromotion> refreshed = new HashMap<>(byGroup);
         Map<GroupName, PromotionFences> next = new HashMap<>();
         byGroup.forEach((group, promotion) -> {
--- a/core/src/main/java/org/geraniumproxy/core/limit/CustomerRate.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/CustomerRate.java
@@ -93,24 +93,34 @@
      *
      * @param newest rate and burst of the customer
      * @param ownership members of the fleet
-     * @param membersChanged whether the members differ from those of the last call
+     * @param change change of the members since the last call
      * @param now current time
      * @return next state and its effects
      */
     public Transition<CustomerRate, CustomerRateEffect> update(
-            ServiceCustomer newest, RateOwnership ownership, boolean membersChanged, Instant now) {
-        boolean rankingChanged = membersChanged || newest.burst() != customer.burst();
-        List<VmName> ranked = rankingChanged ? ownership.holders(newest.name(), newest.burst()) : holders;
+            ServiceCustomer newest, RateOwnership ownership, MemberChange change, Instant now) {
+        boolean limitsChanged = !newest.equals(customer);
+        if (!change.changed() && !limitsChanged && owned.isEmpty()) {
+            // What a borrower may do follows from its limits and the holders alone.
+            return Transition.to(this);
+        }
+        List<VmName> ranked = holders;
+        if (newest.burst() != customer.burst()) {
+            ranked = ownership.holders(newest.name(), newest.burst());
+        } else if (change.changed()) {
+            ranked = ownership.holders(newest.name(), newest.burst(), change, holders);
+        }
+        VmName nextOwner = ranked.getFirst();
         CustomerRate next = new CustomerRate(newest, ranked, borrowed, owned, previousOwner, handover);
-        if (ranked.getFirst().equals(owner())) {
+        if (nextOwner.equals(owner())) {
             return Transition.to(next.withLimits(ownership, now));
         }
         List<CustomerRateEffect> effects = new ArrayList<>();
         owned.filter(state -> state.lends(now))
-                .ifPresent(state ->
-                        effects.add(new CustomerRateEffect.HandOver(ranked.getFirst(), state.availableTokens(now))));
+                .ifPresent(
+                        state -> effects.add(new CustomerRateEffect.HandOver(nextOwner, state.availableTokens(now))));
         Optional<OwnedRate> taken =
-                ranked.getFirst().equals(ownership.self()) ? Optional.of(takeOver(newest, now)) : Optional.empty();
+                nextOwner.equals(ownership.self()) ? Optional.of(takeOver(newest, now)) : Optional.empty();
         Transition<BorrowedRate, CustomerRateEffect> asked = borrowed.ownerReplaced(now);
         effects.addAll(asked.effects());
         CustomerRate replaced =
--- a/core/src/main/java/org/geraniumproxy/core/limit/RateOwnership.java
+++ b/core/src/main/java/org/geraniumproxy/core/limit/RateOwnership.java
@@ -61,10 +61,49 @@
      * @return holders of equal parts, the owner of the whole rate first
      */
     public List<VmName> holders(CustomerName customer, int burst) {
-        int parts = Math.max(1, Math.min(members.size(), burst));
-        return RendezvousHash.rank("rate/" + customer.value(), members, VmName::value).stream()
-                .limit(parts)
-                .toList();
+        return RendezvousHash.first(keyOf(customer), members, VmName::value, parts(burst));
+    }
+
+    /**
+     * Ranks the holders after a change of the members. Costs one hash for each holder and each VM that joined; all
+     * members are ranked again only if one of several holders left and any other member may take its place.
+     *
+     * @param customer name of the customer
+     * @param burst burst of the customer, the same as before
+     * @param change change of the members
+     * @param previousHolders holders before the change
+     * @return the same holders as {@link #holders(CustomerName, int)}
+     */
+    public List<VmName> holders(CustomerName customer, int burst, MemberChange change, List<VmName> previousHolders) {
+        boolean allWereHolders = previousHolders.size() == change.previousCount();
+        List<VmName> remaining =
+                previousHolders.stream().filter(members::contains).toList();
+        if (!allWereHolders && remaining.size() < previousHolders.size()) {
+            return holders(customer, burst);
+        }
+        List<VmName> ranked = RendezvousHash.insert(keyOf(customer), remaining, change.joined(), VmName::value);
+        return ranked.subList(0, Math.min(ranked.size(), parts(burst)));
+    }
+
+    /**
+     * Returns how the members differ from those of an earlier ownership.
+     *
+     * @param previous earlier ownership
+     * @return the change
+     */
+    public MemberChange changeSince(RateOwnership previous) {
+        List<VmName> joined =
+                members.stream().filter(vm -> !previous.members.contains(vm)).toList();
+        boolean changed = !joined.isEmpty() || members.size() != previous.members.size();
+        return new MemberChange(previous.members.size(), joined, changed);
+    }
+
+    private int parts(int burst) {
+        return Math.max(1, Math.min(members.size(), burst));
+    }
+
+    private static String keyOf(CustomerName customer) {
+        return "rate/" + customer.value();
     }
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/routing/RendezvousHash.java
+++ b/core/src/main/java/org/geraniumproxy/core/routing/RendezvousHash.java
@@ -1,7 +1,9 @@
 package org.geraniumproxy.core.routing;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.function.Function;
 
@@ -27,11 +29,80 @@
      */
     public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> nameOf) {
         // Computes each score once, because sorting 6,400 VMs takes about 80,000 comparisons.
-        return candidates.stream()
-                .map(candidate -> Scored.of(key, candidate, nameOf.apply(candidate)))
-                .sorted()
-                .map(Scored::candidate)
-                .toList();
+        List<Scored<T>> scored = score(key, candidates, nameOf);
+        scored.sort(null);
+        return candidatesOf(scored);
+    }
+
+    /**
+     * Returns the first candidates of the ranking. Costs one score for each candidate and no sorting.
+     *
+     * @param key the key
+     * @param candidates the candidates
+     * @param nameOf returns the unique name of a candidate
+     * @param count maximum number of candidates to return
+     * @param <T> type of the candidates
+     * @return the candidates with the highest scores in rank order
+     */
+    public static <T> List<T> first(String key, Collection<T> candidates, Function<T, String> nameOf, int count) {
+        if (count >= candidates.size()) {
+            return rank(key, candidates, nameOf);
+        }
+        List<Scored<T>> best = new ArrayList<>(count + 1);
+        for (Scored<T> scored : score(key, candidates, nameOf)) {
+            insert(best, scored, count);
+        }
+        return candidatesOf(best);
+    }
+
+    /**
+     * Inserts candidates into a ranking. Costs one score for each candidate of both lists.
+     *
+     * @param key the key
+     * @param ranked candidates in rank order
+     * @param added further candidates
+     * @param nameOf returns the unique name of a candidate
+     * @param <T> type of the candidates
+     * @return all candidates in rank order
+     */
+    public static <T> List<T> insert(String key, List<T> ranked, Collection<T> added, Function<T, String> nameOf) {
+        if (added.isEmpty()) {
+            return ranked;
+        }
+        List<Scored<T>> merged = score(key, ranked, nameOf);
+        for (Scored<T> scored : score(key, added, nameOf)) {
+            insert(merged, scored, Integer.MAX_VALUE);
+        }
+        return candidatesOf(merged);
+    }
+
+    private static <T> void insert(List<Scored<T>> sorted, Scored<T> scored, int count) {
+        if (sorted.size() >= count && sorted.getLast().compareTo(scored) <= 0) {
+            return;
+        }
+        int position = Collections.binarySearch(sorted, scored);
+        sorted.add(position < 0 ? -position - 1 : position, scored);
+        if (sorted.size() > count) {
+            sorted.removeLast();
+        }
+    }
+
+    private static <T> List<Scored<T>> score(String key, Collection<T> candidates, Function<T, String> nameOf) {
+        long keyHash = hash(key);
+        List<Scored<T>> scored = new ArrayList<>(candidates.size());
+        for (T candidate : candidates) {
+            String name = nameOf.apply(candidate);
+            scored.add(new Scored<>(score(keyHash, name), name, candidate));
+        }
+        return scored;
+    }
+
+    private static <T> List<T> candidatesOf(List<Scored<T>> scored) {
+        List<T> candidates = new ArrayList<>(scored.size());
+        for (Scored<T> entry : scored) {
+            candidates.add(entry.candidate());
+        }
+        return List.copyOf(candidates);
     }
 
     /**
@@ -42,7 +113,11 @@
      * @return the score
      */
     public static long score(String key, String candidate) {
-        return mix(hash(key) + 31 * mix(hash(candidate)));
+        return score(hash(key), candidate);
+    }
+
+    private static long score(long keyHash, String candidate) {
+        return mix(keyHash + 31 * mix(hash(candidate)));
     }
 
     /** Computes the 64-bit FNV-1a hash of the UTF-8 bytes. */
@@ -63,10 +138,6 @@
     }
 
     private record Scored<T>(long score, String name, T candidate) implements Comparable<Scored<T>> {
-        static <T> Scored<T> of(String key, T candidate, String name) {
-            return new Scored<>(RendezvousHash.score(key, name), name, candidate);
-        }
-
         @Override
         public int compareTo(Scored<T> other) {
             int byScore = Long.compareUnsigned(other.score, score);
--- a/core/src/test/java/org/geraniumproxy/core/limit/CustomerRate_receiveHandover_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/limit/CustomerRate_receiveHandover_Test.java
@@ -58,18 +58,19 @@
     void should_hand_over_only_what_it_lends_itself() {
         CustomerRate owner = update(borrower, members(SELF, OTHER));
         assertThat(
-                owner.update(CUSTOMER, members(PREVIOUS, SELF, OTHER), true, now)
+                owner.update(CUSTOMER, members(PREVIOUS, SELF, OTHER), returned(), now)
                         .effects(),
                 is(List.of()));
         CustomerRate lending = owner.receiveHandover(PREVIOUS, 5, now);
         assertThat(
-                lending.update(CUSTOMER, members(PREVIOUS, SELF, OTHER), true, now)
+                lending.update(CUSTOMER, members(PREVIOUS, SELF, OTHER), returned(), now)
                         .effects(),
                 is(List.of(new CustomerRateEffect.HandOver(PREVIOUS, 5))));
     }
 
     private CustomerRate update(CustomerRate rate, RateOwnership ownership) {
-        Transition<CustomerRate, CustomerRateEffect> transition = rate.update(CUSTOMER, ownership, true, now);
+        Transition<CustomerRate, CustomerRateEffect> transition =
+                rate.update(CUSTOMER, ownership, ownership.changeSince(members(PREVIOUS, SELF, OTHER)), now);
         return transition.state();
     }
 
@@ -78,6 +79,10 @@
                 .answer();
     }
 
+    private static MemberChange returned() {
+        return members(PREVIOUS, SELF, OTHER).changeSince(members(SELF, OTHER));
+    }
+
     private static RateOwnership members(VmName... members) {
         return new RateOwnership(SELF, Set.of(members), Map.of(), Set.of(), false);
     }
--- a/core/src/test/java/org/geraniumproxy/core/limit/RateFleet.java
+++ b/core/src/test/java/org/geraniumproxy/core/limit/RateFleet.java
@@ -229,21 +229,19 @@
             unreachable.removeIf(peer -> !silent.contains(vm) && !silent.contains(peer));
             RateOwnership view = new RateOwnership(
                     vm, Set.copyOf(members), peers, unreachable, alwaysResumed || restarted.contains(vm));
-            boolean membersChanged = !view.members().equals(views.get(vm).members());
-            views.put(vm, view);
-            customers.forEach(customer -> update(vm, customer, membersChanged));
+            MemberChange change = view.changeSince(views.put(vm, view));
+            customers.forEach(customer -> update(vm, customer, change));
         }
     }
 
-    private void update(VmName vm, CustomerName customer, boolean membersChanged) {
+    private void update(VmName vm, CustomerName customer, MemberChange change) {
         ServiceCustomer limits = new ServiceCustomer(customer, Set.of(), ratePerSecond, burst);
         CustomerRate known = rates.get(vm).get(customer);
         if (known == null) {
             rates.get(vm).put(customer, CustomerRate.initial(limits, views.get(vm), now, random.nextInt(1 << 20), now));
             return;
         }
-        Transition<CustomerRate, CustomerRateEffect> transition =
-                known.update(limits, views.get(vm), membersChanged, now);
+        Transition<CustomerRate, CustomerRateEffect> transition = known.update(limits, views.get(vm), change, now);
         rates.get(vm).put(customer, transition.state());
         execute(vm, customer, transition.effects());
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/control/ControlLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/ControlLoop.java
@@ -2,19 +2,36 @@
 
 import java.time.Clock;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.fleet.FleetEffect;
 import org.geraniumproxy.core.fleet.FleetEvent;
 import org.geraniumproxy.core.fleet.FleetState;
 import org.geraniumproxy.engine.telemetry.DecisionLog;
 
-/** Control thread. It owns the control state, applies one event at a time to it and executes the resulting effects. */
+/**
+ * Control thread. It owns the control state, applies the events that have arrived as one batch, and executes the
+ * resulting effects. Tasks keep their place among the events: a task runs after the events that were submitted before
+ * it, and before those submitted later.
+ */
 public final class ControlLoop {
+    private sealed interface Work {
+        record Event(FleetEvent event) implements Work {}
+
+        record Task(Runnable task) implements Work {}
+    }
+
     private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(
             task -> Thread.ofPlatform().name("control").daemon().unstarted(task));
+    private final Queue<Work> queue = new ConcurrentLinkedQueue<>();
+    private final AtomicBoolean scheduled = new AtomicBoolean();
     private final Clock clock;
     private final FleetEffectHandler effectHandler;
     private final DecisionLog log;
@@ -41,7 +58,7 @@
      * @param event event to apply
      */
     public void submit(FleetEvent event) {
-        execute(() -> apply(event));
+        enqueue(new Work.Event(event));
     }
 
     /**
@@ -59,7 +76,41 @@
      * @param task task to run; exceptions are logged
      */
     public void execute(Runnable task) {
-        executor.execute(() -> runSafely(task));
+        enqueue(new Work.Task(task));
+    }
+
+    private void enqueue(Work work) {
+        queue.add(work);
+        if (scheduled.compareAndSet(false, true)) {
+            executor.execute(this::drain);
+        }
+    }
+
+    /** Works off what is queued now. What arrives meanwhile waits for the next turn, after timers that are due. */
+    private void drain() {
+        scheduled.set(false);
+        int count = queue.size();
+        List<FleetEvent> batch = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            switch (queue.remove()) {
+                case Work.Event work -> batch.add(work.event());
+                case Work.Task work -> {
+                    apply(batch);
+                    runSafely(work.task());
+                }
+            }
+        }
+        apply(batch);
+    }
+
+    /** Applies a batch and clears it. */
+    private void apply(List<FleetEvent> batch) {
+        if (batch.isEmpty()) {
+            return;
+        }
+        List<FleetEvent> events = List.copyOf(batch);
+        batch.clear();
+        runSafely(() -> applyNow(events));
     }
 
     /**
@@ -89,8 +140,8 @@
         }
     }
 
-    private void apply(FleetEvent event) {
-        Transition<FleetState, FleetEffect> transition = state.on(event, clock.instant());
+    private void applyNow(List<FleetEvent> events) {
+        Transition<FleetState, FleetEffect> transition = state.on(events, clock.instant());
         state = transition.state();
         for (FleetEffect effect : transition.effects()) {
             switch (effect) {
@@ -100,7 +151,7 @@
                 case FleetEffect.SendToPeers send -> effectHandler.sendToPeers(send.message(), send.addresses());
                 case FleetEffect.FetchConfiguration fetch -> {
                     log.write("control", "configuration requested", "vm=" + fetch.vm() + " version=" + fetch.version());
-                    effectHandler.fetchConfiguration(fetch.vm(), fetch.address());
+                    effectHandler.fetchConfiguration(fetch.vm(), fetch.address(), fetch.timeout());
                 }
                 case FleetEffect.Log line -> log.write("control", line.change(), line.detail());
             }
--- a/engine/src/main/java/org/geraniumproxy/engine/control/FleetEffectHandler.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/FleetEffectHandler.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.engine.control;
 
+import java.time.Duration;
 import java.util.Map;
 import org.geraniumproxy.core.caller.TrafficView;
 import org.geraniumproxy.core.fleet.PeerMessage;
@@ -32,12 +33,14 @@
     void sendToPeers(PeerMessage message, Map<VmName, String> addresses);
 
     /**
-     * Requests the configuration of another VM. The result arrives as an event.
+     * Requests the configuration of another VM. A configuration that it brings arrives as an event, and after it the
+     * end of the request.
      *
      * @param vm VM with a newer configuration
      * @param address host and port of the VM
+     * @param timeout longest time until the request has ended
      */
-    void fetchConfiguration(VmName vm, String address);
+    void fetchConfiguration(VmName vm, String address, Duration timeout);
 
     /** Evaluates the promotions in progress with the newest state of the fleet. */
     void evaluatePromotions();
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RateLimiter.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RateLimiter.java
@@ -13,6 +13,7 @@
 import org.geraniumproxy.core.limit.BorrowedRate;
 import org.geraniumproxy.core.limit.CustomerRate;
 import org.geraniumproxy.core.limit.CustomerRateEffect;
+import org.geraniumproxy.core.limit.MemberChange;
 import org.geraniumproxy.core.limit.RateHandover;
 import org.geraniumproxy.core.limit.RateOwnership;
 import org.geraniumproxy.core.limit.TokenAnswer;
@@ -40,6 +41,7 @@
 
     private Instant membersSince = Instant.MIN;
     private RateOwnership ownership = RateOwnership.alone(VmName.of("unknown"));
+    private Map<CustomerName, ServiceCustomer> limits = Map.of();
 
     RateLimiter(TrafficEngine engine, PeerSender sender) {
         this.engine = engine;
@@ -48,13 +50,17 @@
 
     /** Applies new limits and new owners. */
     void update(Map<CustomerName, ServiceCustomer> customers, RateOwnership next) {
-        boolean membersChanged = !next.members().equals(ownership.members());
-        if (membersChanged) {
+        if (next.equals(ownership) && customers.equals(limits)) {
+            return;
+        }
+        MemberChange change = next.changeSince(ownership);
+        if (change.changed()) {
             membersSince = engine.now();
         }
         ownership = next;
+        limits = customers;
         removeAllExcept(customers.keySet());
-        customers.values().forEach(customer -> update(customer, membersChanged));
+        customers.values().forEach(customer -> update(customer, change));
         sendHandovers();
     }
 
@@ -75,7 +81,7 @@
         rates.keySet().retainAll(customers);
     }
 
-    private void update(ServiceCustomer customer, boolean membersChanged) {
+    private void update(ServiceCustomer customer, MemberChange change) {
         CustomerRate known = rates.get(customer.name());
         if (known == null) {
             long firstRequestId = Math.max(engine.firstRequestId(), lastRemovedRequestId);
@@ -85,7 +91,7 @@
             return;
         }
         Transition<CustomerRate, CustomerRateEffect> transition =
-                known.update(customer, ownership, membersChanged, engine.now());
+                known.update(customer, ownership, change, engine.now());
         rates.put(customer.name(), transition.state());
         if (!known.owner().equals(transition.state().owner())) {
             engine.log(
