--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
@@ -87,6 +87,11 @@
                 : new TrackedDatabase(entry, current, missingSince, drainingSince, restartedAt);
     }
 
+    /** Returns whether neither the availability has changed nor the database is forgotten. */
+    boolean isCurrent(FleetTiming timing, boolean evacuated, Instant now) {
+        return availabilityAt(timing, evacuated, now) == availability && !isExpired(now);
+    }
+
     boolean isExpired(Instant now) {
         return hasElapsed(missingSince, missingGracePeriod().plus(SUSPICION_TIMEOUT), now);
     }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
@@ -255,6 +255,10 @@
 
     private TrackedDatabases refreshAvailability(Instant now, List<FleetEffect> effects) {
         Map<GroupName, BackendServerName> primaries = presumedPrimaries();
+        if (byName.values().stream()
+                .allMatch(database -> database.isCurrent(timing, isOutOfUse(database.entry(), primaries), now))) {
+            return this;
+        }
         Map<BackendServerName, TrackedDatabase> next = new HashMap<>();
         byName.forEach((name, database) -> {
             TrackedDatabase refreshed = database.refresh(timing, isOutOfUse(database.entry(), primaries), now);
