--- a/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
@@ -135,6 +135,21 @@
         return currentStatement.isPresent();
     }
 
+    /**
+     * Returns whether a database works for the session, so that the end of the session would abort something.
+     *
+     * @return true while commands await their replies and while a transaction is open
+     */
+    public boolean isUsingDatabase() {
+        return switch (progress) {
+            case SessionProgress.PreparingConnection _, SessionProgress.RunningStatement _ -> true;
+            case SessionProgress.Idle _,
+                    SessionProgress.AwaitingRateToken _,
+                    SessionProgress.AwaitingRetry _,
+                    SessionProgress.AwaitingSlot _ -> transactionState() == TransactionState.OPEN;
+        };
+    }
+
     /**
      * Returns the database group of the session. A statement or transaction in progress keeps the route that it started
      * with; otherwise the route comes from the given configuration.
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionState.java
@@ -38,4 +38,20 @@
         remaining.remove(name);
         return new SessionState(variables, remaining);
     }
+
+    /**
+     * Returns the length of all names, values and texts.
+     *
+     * @return number of characters
+     */
+    public long textLength() {
+        long length = 0;
+        for (Map.Entry<String, String> variable : variables.entrySet()) {
+            length += variable.getKey().length() + variable.getValue().length();
+        }
+        for (Map.Entry<String, StatementTemplate> prepared : preparedStatements.entrySet()) {
+            length += prepared.getKey().length() + prepared.getValue().text().length();
+        }
+        return length;
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/geraniumproxy/core/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Bounds of what callers and databases may make a process hold. */
+package org.geraniumproxy.core.memory;
--- a/core/src/main/java/org/geraniumproxy/core/statement/Statement.java
+++ b/core/src/main/java/org/geraniumproxy/core/statement/Statement.java
@@ -66,4 +66,25 @@
      * @param reason why the text is invalid; sent to the caller
      */
     record Malformed(String reason) implements Statement {}
+
+    /**
+     * Returns the length of the names and texts of the statement.
+     *
+     * @return number of characters
+     */
+    default int textLength() {
+        return switch (this) {
+            case Begin _, Commit _, Rollback _ -> 0;
+            case Read read -> read.text().length();
+            case Write write -> write.text().length();
+            case SetVariable variable ->
+                variable.name().length() + variable.value().length();
+            case Prepare prepare ->
+                prepare.name().length() + prepare.template().text().length();
+            case Execute execute ->
+                execute.name().length() + execute.arguments().length();
+            case Deallocate deallocate -> deallocate.name().length();
+            case Malformed malformed -> malformed.reason().length();
+        };
+    }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/control/ControlLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/ControlLoop.java
@@ -86,9 +86,22 @@
             task.run();
         } catch (RuntimeException | StackOverflowError e) {
             log.write("control", "task failed", "error=\"" + e + "\" at=" + e.getStackTrace()[0]);
+        } catch (Error e) {
+            reportFatal(e);
         }
     }
 
+    /**
+     * Reports an error after which the process must not continue to the handler of uncaught exceptions. An executor or
+     * a future would keep it to itself.
+     *
+     * @param error error that a component on the control thread cannot handle
+     */
+    public static void reportFatal(Throwable error) {
+        Thread thread = Thread.currentThread();
+        thread.getUncaughtExceptionHandler().uncaughtException(thread, error);
+    }
+
     private void apply(FleetEvent event) {
         Transition<FleetState, FleetEffect> transition = state.on(event, clock.instant());
         state = transition.state();
--- a/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
@@ -33,6 +33,12 @@
     /** Length of the accept queue. After a restart, all callers of a VM reconnect at the same time. */
     private static final int ACCEPT_BACKLOG = 1024;
 
+    /** Pending output of a connection from which nothing is read from it, if its creator chooses no other limit. */
+    public static final int DEFAULT_PENDING_BYTES = 4 * 1024 * 1024;
+
+    /** Pause after a connection could not be accepted, for want of descriptors for example. */
+    private static final Duration ACCEPT_RETRY_DELAY = Duration.ofMillis(100);
+
     private final Selector selector;
     private final Clock clock;
     private final DecisionLog log;
@@ -40,6 +46,7 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Deque<StreamConnection> pendingFlushes = new ArrayDeque<>();
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+    private final ByteBuffer writeBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
     private long timerSequence;
 
     private record Timer(Instant dueAt, long sequence, Runnable task) implements Comparable<Timer> {
@@ -50,7 +57,10 @@
         }
     }
 
-    private record Listener(ServerSocketChannel channel, Function<StreamConnection[], StreamHandler> handlerFactory) {}
+    private record Listener(
+            ServerSocketChannel channel,
+            Function<StreamConnection[], StreamHandler> handlerFactory,
+            int maximumPendingBytes) {}
 
     /**
      * Creates an event loop whose thread is not started.
@@ -101,11 +111,28 @@
      */
     public Runnable listen(InetSocketAddress address, Function<StreamConnection[], StreamHandler> handlerFactory)
             throws IOException {
+        return listen(address, handlerFactory, DEFAULT_PENDING_BYTES);
+    }
+
+    /**
+     * Listens for connections with a limit of their own. Must be called before the loop starts or on its thread.
+     *
+     * @param address address to bind
+     * @param handlerFactory creates the handler of a new connection, see {@link #listen(InetSocketAddress, Function)}
+     * @param maximumPendingBytes nothing is read from an accepted connection while more output than this is pending
+     * @return closes the listener; must be run on the loop's thread
+     * @throws IOException if the address cannot be bound
+     */
+    public Runnable listen(
+            InetSocketAddress address,
+            Function<StreamConnection[], StreamHandler> handlerFactory,
+            int maximumPendingBytes)
+            throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         server.configureBlocking(false);
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         server.bind(address, ACCEPT_BACKLOG);
-        Listener listener = new Listener(server, handlerFactory);
+        Listener listener = new Listener(server, handlerFactory, maximumPendingBytes);
         server.register(selector, SelectionKey.OP_ACCEPT, listener);
         return () -> closeListener(listener);
     }
@@ -118,11 +145,23 @@
      * @return the connection, which is not open yet
      */
     public StreamConnection connect(InetSocketAddress address, StreamHandler handler) {
+        return connect(address, handler, DEFAULT_PENDING_BYTES);
+    }
+
+    /**
+     * Opens a connection with a limit of its own, without blocking. Must be called on the loop's thread.
+     *
+     * @param address address of the peer
+     * @param handler receives the events of the connection, including a failure to open it
+     * @param maximumPendingBytes nothing is read while more output than this is pending
+     * @return the connection, which is not open yet
+     */
+    public StreamConnection connect(InetSocketAddress address, StreamHandler handler, int maximumPendingBytes) {
         try {
             SocketChannel channel = SocketChannel.open();
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            StreamConnection connection = new StreamConnection(this, channel, handler);
+            StreamConnection connection = new StreamConnection(this, channel, handler, maximumPendingBytes);
             boolean immediate = channel.connect(address);
             SelectionKey key = channel.register(selector, SelectionKey.OP_CONNECT, connection);
             connection.attachKey(key);
@@ -138,6 +177,11 @@
         }
     }
 
+    /** Returns the buffer through which connections write; its content is only valid during a write. */
+    ByteBuffer writeBuffer() {
+        return writeBuffer;
+    }
+
     void receive(StreamConnection connection) {
         connection.read(readBuffer);
     }
@@ -217,13 +261,28 @@
                 channel.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
                 StreamConnection[] connectionReference = new StreamConnection[1];
                 StreamHandler handler = listener.handlerFactory().apply(connectionReference);
-                connectionReference[0] = new StreamConnection(this, channel, handler);
+                connectionReference[0] = new StreamConnection(this, channel, handler, listener.maximumPendingBytes());
                 register(channel, connectionReference[0], handler);
                 channel = listener.channel().accept();
             }
         } catch (IOException e) {
             logFailure("accepting a connection failed", e);
+            pauseAccepting(listener);
+        }
+    }
+
+    /** Stops accepting for a moment. The waiting connection would otherwise wake the selector without end. */
+    private void pauseAccepting(Listener listener) {
+        SelectionKey key = listener.channel().keyFor(selector);
+        if (key == null || !key.isValid()) {
+            return;
         }
+        key.interestOps(0);
+        schedule(clock.instant().plus(ACCEPT_RETRY_DELAY), () -> {
+            if (key.isValid()) {
+                key.interestOps(SelectionKey.OP_ACCEPT);
+            }
+        });
     }
 
     /** Registers an accepted connection. Its handler is told if that fails. */
--- a/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/StreamConnection.java
@@ -9,31 +9,36 @@
 
 /** Non-blocking TCP connection of an {@link EventLoop}. All methods must be called on the thread of the loop. */
 public final class StreamConnection {
-    /**
-     * Backpressure limit: reading stops while more output than this is pending, so that a peer that does not read
-     * cannot exhaust the memory.
-     */
-    private static final int MAXIMUM_PENDING_BYTES = 4 * 1024 * 1024;
+    /** Most output that is passed to the operating system before other connections have their turn. */
+    private static final int MAXIMUM_BYTES_PER_FLUSH = 1024 * 1024;
 
     private final EventLoop loop;
     private final SocketChannel channel;
     private final StreamHandler handler;
+    private final int maximumPendingBytes;
     private final Deque<ByteBuffer> pendingOutput = new ArrayDeque<>();
     private SelectionKey key;
     private int pendingBytes;
     private boolean closed;
     private boolean closeAfterFlush;
     private boolean flushScheduled;
+    private boolean readingPaused;
 
-    StreamConnection(EventLoop loop, SocketChannel channel, StreamHandler handler) {
+    /**
+     * Creates a connection.
+     *
+     * @param maximumPendingBytes backpressure limit: nothing is read while more output than this is pending
+     */
+    StreamConnection(EventLoop loop, SocketChannel channel, StreamHandler handler, int maximumPendingBytes) {
         this.loop = loop;
         this.channel = channel;
         this.handler = handler;
+        this.maximumPendingBytes = maximumPendingBytes;
     }
 
     /** Returns a connection whose channel could not be opened. It can only be closed. */
     static StreamConnection unopened(EventLoop loop, StreamHandler handler) {
-        return new StreamConnection(loop, null, handler);
+        return new StreamConnection(loop, null, handler, 0);
     }
 
     /**
@@ -71,6 +76,9 @@
             return;
         }
         closed = true;
+        // Timers may refer to the connection for seconds after its end.
+        pendingOutput.clear();
+        pendingBytes = 0;
         if (key != null) {
             key.cancel();
         }
@@ -102,6 +110,21 @@
         return pendingBytes;
     }
 
+    /**
+     * Stops reading, or reads again. Input stays in the buffers of the operating system meanwhile, and the end of the
+     * connection is not noticed by a read.
+     *
+     * @param paused whether reading stops
+     */
+    public void pauseReading(boolean paused) {
+        if (paused != readingPaused) {
+            readingPaused = paused;
+            if (!closed && key != null && channel.isConnected()) {
+                updateInterestOps();
+            }
+        }
+    }
+
     /** Receives the input that has arrived, as if the loop had found the connection readable. */
     public void receiveAvailable() {
         if (!closed && key != null && channel.isConnected()) {
@@ -116,7 +139,7 @@
     void finishConnect() {
         try {
             channel.finishConnect();
-            key.interestOps(SelectionKey.OP_READ);
+            updateInterestOps();
             handler.onConnected();
         } catch (IOException e) {
             close("connect failed: " + e.getMessage());
@@ -124,7 +147,7 @@
     }
 
     void read(ByteBuffer buffer) {
-        if (closeAfterFlush) {
+        if (closeAfterFlush || readingPaused || closed) {
             return;
         }
         try {
@@ -146,30 +169,69 @@
         if (closed || key == null || !channel.isConnected()) {
             return;
         }
+        boolean written;
         try {
-            writePending();
+            written = writePending() > 0;
         } catch (IOException e) {
             close("write failed: " + e.getMessage());
             return;
         }
         if (pendingOutput.isEmpty() && closeAfterFlush) {
             close("closed after the last reply");
-        } else {
-            updateInterestOps();
+            return;
+        }
+        updateInterestOps();
+        if (written) {
+            handler.onWritten();
+        }
+    }
+
+    /**
+     * Writes pending output through the direct buffer of the loop. The channel would otherwise copy each array to a
+     * direct buffer of the same size, which the JDK keeps for the thread outside the heap.
+     */
+    private int writePending() throws IOException {
+        ByteBuffer buffer = loop.writeBuffer();
+        int total = 0;
+        int written = 0;
+        do {
+            copyPendingTo(buffer);
+            written = buffer.hasRemaining() ? channel.write(buffer) : 0;
+            removeWritten(written);
+            total += written;
+        } while (written > 0 && !buffer.hasRemaining() && total < MAXIMUM_BYTES_PER_FLUSH);
+        return total;
+    }
+
+    private void copyPendingTo(ByteBuffer buffer) {
+        buffer.clear();
+        for (ByteBuffer output : pendingOutput) {
+            if (!buffer.hasRemaining()) {
+                break;
+            }
+            int count = Math.min(buffer.remaining(), output.remaining());
+            buffer.put(buffer.position(), output, output.position(), count);
+            buffer.position(buffer.position() + count);
         }
+        buffer.flip();
     }
 
-    private void writePending() throws IOException {
-        ByteBuffer[] buffers = pendingOutput.toArray(ByteBuffer[]::new);
-        long written = channel.write(buffers);
-        pendingBytes -= (int) written;
-        while (!pendingOutput.isEmpty() && !pendingOutput.peek().hasRemaining()) {
-            pendingOutput.remove();
+    private void removeWritten(int written) {
+        pendingBytes -= written;
+        int remaining = written;
+        while (remaining > 0) {
+            ByteBuffer output = pendingOutput.peek();
+            int count = Math.min(remaining, output.remaining());
+            output.position(output.position() + count);
+            remaining -= count;
+            if (!output.hasRemaining()) {
+                pendingOutput.remove();
+            }
         }
     }
 
     private void updateInterestOps() {
-        boolean reads = pendingBytes < MAXIMUM_PENDING_BYTES && !closeAfterFlush;
+        boolean reads = pendingBytes < maximumPendingBytes && !closeAfterFlush && !readingPaused;
         int interestOps = reads ? SelectionKey.OP_READ : 0;
         if (!pendingOutput.isEmpty()) {
             interestOps |= SelectionKey.OP_WRITE;
--- a/engine/src/main/java/org/geraniumproxy/engine/loop/StreamHandler.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/StreamHandler.java
@@ -14,6 +14,9 @@
      */
     void onReceived(ByteBuffer bytes);
 
+    /** Called when the operating system has accepted pending output. */
+    default void onWritten() {}
+
     /**
      * Called when the connection is closed. No other call follows.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/peer/PeerTransport.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/peer/PeerTransport.java
@@ -5,6 +5,8 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Semaphore;
 import org.geraniumproxy.core.caller.PositionAnswer;
 import org.geraniumproxy.core.caller.PositionRequest;
 import org.geraniumproxy.core.fleet.PeerMessage;
@@ -28,9 +30,19 @@
         byte[] encode() throws IOException;
     }
 
+    /**
+     * Bytes of datagrams that wait to be handled; thousands of regular messages. More are dropped, as the operating
+     * system drops what its own buffer does not hold.
+     */
+    private static final int MAXIMUM_WAITING_BYTES = 1024 * 1024;
+
     private final DatagramSocket socket;
     private final PeerReceiver receiver;
     private final DecisionLog log;
+    private final Executor controlExecutor;
+    private final Executor trafficExecutor;
+    private final Runnable onDropped;
+    private final Semaphore waitingBytes = new Semaphore(MAXIMUM_WAITING_BYTES);
 
     /**
      * Opens the socket.
@@ -41,9 +53,34 @@
      * @throws IOException if the address cannot be bound
      */
     public PeerTransport(InetSocketAddress address, PeerReceiver receiver, DecisionLog log) throws IOException {
+        this(address, receiver, log, Runnable::run, Runnable::run, () -> {});
+    }
+
+    /**
+     * Opens the socket of a transport that hands messages over to other threads.
+     *
+     * @param address address to receive messages on
+     * @param receiver receives the messages on the threads of the executors
+     * @param log receives failures
+     * @param controlExecutor runs the handling of messages about the fleet
+     * @param trafficExecutor runs the handling of requests and answers between VMs
+     * @param onDropped called on the receiver thread for each message that was dropped because too many were waiting
+     * @throws IOException if the address cannot be bound
+     */
+    public PeerTransport(
+            InetSocketAddress address,
+            PeerReceiver receiver,
+            DecisionLog log,
+            Executor controlExecutor,
+            Executor trafficExecutor,
+            Runnable onDropped)
+            throws IOException {
         this.socket = new DatagramSocket(address);
         this.receiver = receiver;
         this.log = log;
+        this.controlExecutor = controlExecutor;
+        this.trafficExecutor = trafficExecutor;
+        this.onDropped = onDropped;
     }
 
     /** Starts the receiver thread. It continues after messages that cannot be decoded or handled. */
@@ -127,16 +164,46 @@
             throw new IOException("empty datagram");
         }
         switch (bytes[0]) {
-            case PeerMessageCodec.VERSION -> receiver.onPeerMessage(PeerMessageCodec.decode(bytes, length));
-            case TokenMessageCodec.REQUEST -> receiver.onTokenRequest(TokenMessageCodec.decodeRequest(bytes, length));
-            case TokenMessageCodec.GRANTED, TokenMessageCodec.NOT_LENDING ->
-                receiver.onTokenAnswer(TokenMessageCodec.decodeAnswer(bytes, length));
-            case TokenMessageCodec.HANDOVER -> receiver.onRateHandover(TokenMessageCodec.decodeHandover(bytes, length));
-            case PositionMessageCodec.REQUEST ->
-                receiver.onPositionRequest(PositionMessageCodec.decodeRequest(bytes, length));
-            case PositionMessageCodec.ANSWER ->
-                receiver.onPositionAnswer(PositionMessageCodec.decodeAnswer(bytes, length));
+            case PeerMessageCodec.VERSION -> {
+                PeerMessage message = PeerMessageCodec.decode(bytes, length);
+                deliver(length, controlExecutor, () -> receiver.onPeerMessage(message));
+            }
+            case TokenMessageCodec.REQUEST -> {
+                TokenRequest request = TokenMessageCodec.decodeRequest(bytes, length);
+                deliver(length, trafficExecutor, () -> receiver.onTokenRequest(request));
+            }
+            case TokenMessageCodec.GRANTED, TokenMessageCodec.NOT_LENDING -> {
+                TokenAnswer answer = TokenMessageCodec.decodeAnswer(bytes, length);
+                deliver(length, trafficExecutor, () -> receiver.onTokenAnswer(answer));
+            }
+            case TokenMessageCodec.HANDOVER -> {
+                RateHandover handover = TokenMessageCodec.decodeHandover(bytes, length);
+                deliver(length, trafficExecutor, () -> receiver.onRateHandover(handover));
+            }
+            case PositionMessageCodec.REQUEST -> {
+                PositionRequest request = PositionMessageCodec.decodeRequest(bytes, length);
+                deliver(length, trafficExecutor, () -> receiver.onPositionRequest(request));
+            }
+            case PositionMessageCodec.ANSWER -> {
+                PositionAnswer answer = PositionMessageCodec.decodeAnswer(bytes, length);
+                deliver(length, trafficExecutor, () -> receiver.onPositionAnswer(answer));
+            }
             default -> throw new IOException("unsupported type of a datagram: " + bytes[0]);
         }
     }
+
+    /** Hands a message over to the thread that handles it, unless too much waits there already. */
+    private void deliver(int length, Executor executor, Runnable handling) {
+        if (!waitingBytes.tryAcquire(length)) {
+            onDropped.run();
+            return;
+        }
+        executor.execute(() -> {
+            try {
+                handling.run();
+            } finally {
+                waitingBytes.release(length);
+            }
+        });
+    }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -59,6 +59,24 @@
             .help("Version of the configuration in force.")
             .register(registry);
 
+    private final Gauge heldBytes = Gauge.builder()
+            .name("geraniumproxy_held_bytes")
+            .help("Bytes that connections of callers and databases make the process hold.")
+            .register(registry);
+    private final Gauge pausedConnections = Gauge.builder()
+            .name("geraniumproxy_paused_connections")
+            .help("Connections that are not read because of the memory that they hold.")
+            .register(registry);
+    private final Counter closedConnections = Counter.builder()
+            .name("geraniumproxy_connections_closed")
+            .help("Connections that this VM closed to protect itself, by reason.")
+            .labelNames("reason")
+            .register(registry);
+    private final Counter droppedPeerMessages = Counter.builder()
+            .name("geraniumproxy_peer_messages_dropped")
+            .help("Datagrams that were dropped because too many were waiting.")
+            .register(registry);
+
     private final Gauge storeEra = Gauge.builder()
             .name("geraniumproxy_store_era")
             .help("Number of times that the store was restored from an earlier copy.")
@@ -134,6 +152,31 @@
         configurationVersion.set((double) version);
     }
 
+    /**
+     * Updates the gauges of the memory that connections hold.
+     *
+     * @param bytes bytes held
+     * @param paused number of connections that are not read
+     */
+    public void updateMemory(long bytes, int paused) {
+        heldBytes.set((double) bytes);
+        pausedConnections.set(paused);
+    }
+
+    /**
+     * Counts a connection that was closed to protect the process.
+     *
+     * @param reason reason, which becomes the label
+     */
+    public void connectionClosed(String reason) {
+        closedConnections.labelValues(reason).inc();
+    }
+
+    /** Counts a datagram that was dropped because too many were waiting. */
+    public void peerMessageDropped() {
+        droppedPeerMessages.inc();
+    }
+
     /**
      * Updates the era of the store.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
@@ -8,11 +8,15 @@
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.ConnectionState;
 import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.memory.MemoryHolder;
 import org.geraniumproxy.engine.loop.StreamConnection;
 import org.geraniumproxy.engine.loop.StreamHandler;
 
 /** Connection to a database, used on the traffic thread. It processes one batch of commands at a time. */
-final class BackendConnection implements StreamHandler {
+final class BackendConnection implements StreamHandler, HeldMemory.Holder {
+    /** Heap of a received byte, at most: as a byte and as a character. */
+    private static final int HEAP_PER_BYTE = 2;
+
     /** Receives the events of a connection. */
     interface Listener {
         void onOpened(BackendConnection connection);
@@ -31,6 +35,9 @@
     private final BackendProtocol.Decoder decoder;
     private final byte[] openingRequest;
     private final List<BackendReply> replies = new ArrayList<>();
+    private final HeldMemory memory;
+    private final long memoryId;
+    private long receivedBytes;
     private StreamConnection stream;
     private ConnectionState state = ConnectionState.EMPTY;
     private Instant lastReplyAt = Instant.MIN;
@@ -39,13 +46,20 @@
     private boolean closed;
 
     BackendConnection(
-            long id, CustomerName customer, Listener listener, BackendProtocol protocol, byte[] openingRequest) {
+            long id,
+            CustomerName customer,
+            Listener listener,
+            BackendProtocol protocol,
+            byte[] openingRequest,
+            HeldMemory memory) {
         this.id = id;
         this.customer = customer;
         this.listener = listener;
         this.protocol = protocol;
         this.decoder = protocol.decoder();
         this.openingRequest = openingRequest;
+        this.memory = memory;
+        this.memoryId = memory.nextId();
     }
 
     long id() {
@@ -91,6 +105,7 @@
     /** Closes the connection without notifying the listener. */
     void discard(String reason) {
         closed = true;
+        forgetReplies();
         stream.close(reason);
     }
 
@@ -101,6 +116,12 @@
 
     @Override
     public void onReceived(ByteBuffer bytes) {
+        receivedBytes += bytes.remaining();
+        memory.report(memoryId, this, HEAP_PER_BYTE * receivedBytes);
+        if (HEAP_PER_BYTE * receivedBytes > memory.budget().connectionBytes()) {
+            stream.close("the reply is too long");
+            return;
+        }
         List<BackendReply> decoded;
         try {
             decoded = decoder.decode(bytes);
@@ -117,16 +138,40 @@
 
     @Override
     public void onClosed(String reason) {
+        forgetReplies();
         if (!closed) {
             closed = true;
             listener.onLost(this, reason);
         }
     }
 
+    /** Describes replies that are collected for a caller. They are never discarded for the sake of another one. */
+    @Override
+    public MemoryHolder describe(long memoryHolderId) {
+        return new MemoryHolder(memoryHolderId, HEAP_PER_BYTE * receivedBytes, true, false, Instant.EPOCH);
+    }
+
+    @Override
+    public void pauseReading(boolean paused) {
+        stream.pauseReading(paused);
+    }
+
+    @Override
+    public void closeForMemory(long totalBytes) {}
+
+    @Override
+    public void closeIfStalled(Instant now) {}
+
+    private void forgetReplies() {
+        receivedBytes = 0;
+        memory.report(memoryId, this, 0);
+    }
+
     private void handleReply(BackendReply reply) {
         if (!open) {
             if (reply.isCompleted()) {
                 open = true;
+                forgetReplies();
                 listener.onOpened(this);
             } else {
                 closed = true;
@@ -142,7 +187,10 @@
         replies.add(reply);
         if (replies.size() == expectedReplies) {
             expectedReplies = 0;
-            listener.onReplies(this, List.copyOf(replies));
+            List<BackendReply> complete = List.copyOf(replies);
+            replies.clear();
+            forgetReplies();
+            listener.onReplies(this, complete);
         }
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerMessage.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerMessage.java
@@ -35,4 +35,25 @@
      * @param fatal true if the start of the next message cannot be found
      */
     record Invalid(String reason, boolean fatal) implements CallerMessage {}
+
+    /** Heap of a message without its text. */
+    int OBJECT_BYTES = 128;
+
+    /** Heap of a character of a text, at most. */
+    int CHARACTER_BYTES = 2;
+
+    /**
+     * Returns the heap that the message takes, at most.
+     *
+     * @return number of bytes
+     */
+    default int heapBytes() {
+        int length = switch (this) {
+            case Connect connect -> connect.database().length() + connect.key().length();
+            case Query query -> query.request().length() + query.statement().textLength();
+            case Quit _ -> 0;
+            case Invalid invalid -> invalid.reason().length();
+        };
+        return OBJECT_BYTES + CHARACTER_BYTES * length;
+    }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerProtocol.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerProtocol.java
@@ -16,6 +16,15 @@
          * @return complete messages, possibly none
          */
         List<CallerMessage> decode(ByteBuffer bytes);
+
+        /**
+         * Returns the memory that an incomplete message takes.
+         *
+         * @return number of bytes, 0 if no message has begun
+         */
+        default int partialBytes() {
+            return 0;
+        }
     }
 
     /**
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -430,7 +430,7 @@
     private void openConnection(CustomerName customer) {
         byte[] openingRequest = engine.backendProtocol().encodeOpening(entry.group(), customer, entry.name());
         BackendConnection connection = new BackendConnection(
-                engine.nextConnectionId(), customer, this, engine.backendProtocol(), openingRequest);
+                engine.nextConnectionId(), customer, this, engine.backendProtocol(), openingRequest, engine.memory());
         connections.put(connection.id(), connection);
         connection.attach(engine.loop().connect(SocketAddresses.parse(entry.address()), connection));
         engine.loop().schedule(engine.now().plus(OPENING_TIMEOUT), () -> {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -30,6 +30,7 @@
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.limit.RateOwnership;
+import org.geraniumproxy.core.memory.CallerLimits;
 import org.geraniumproxy.core.pool.SlotRequest;
 import org.geraniumproxy.core.service.ServiceGroup;
 import org.geraniumproxy.core.statement.Statement;
@@ -72,6 +73,8 @@
     private final AdministrativeCommands administrativeCommands = new AdministrativeCommands(this);
     private final PrimaryProber primaryProber;
     private final PeerRequests peerRequests;
+    private final HeldMemory memory;
+    private final CallerConnections callerConnections;
     private TrafficView view = TrafficView.NONE;
     private long lastSessionId;
     private long lastConnectionId;
@@ -90,6 +93,7 @@
      * @param observer receives reports about the traffic
      * @param peerSender sends requests and answers to other VMs
      * @param firstRequestId identifier of the first token request, larger than any of an earlier process of this VM
+     * @param limits limits of the connections of callers
      */
     public TrafficEngine(
             EventLoop loop,
@@ -101,7 +105,8 @@
             NodeMetrics metrics,
             TrafficObserver observer,
             PeerSender peerSender,
-            long firstRequestId) {
+            long firstRequestId,
+            CallerLimits limits) {
         this.loop = loop;
         this.clock = clock;
         this.clockJumpDetector = clockJumpDetector;
@@ -112,6 +117,8 @@
         this.observer = observer;
         this.peerRequests = new PeerRequests(this, peerSender);
         this.firstRequestId = firstRequestId;
+        this.memory = new HeldMemory(limits.budget(), this::now, this::runInNextIteration);
+        this.callerConnections = new CallerConnections(this, limits);
         this.primaryProber = new PrimaryProber(this, administrativeCommands, observer);
     }
 
@@ -236,6 +243,13 @@
         sessions.values().stream().limit(MAXIMUM_LOGGED_SESSIONS).forEach(CallerConnection::logUnfinished);
     }
 
+    private void runInNextIteration(Runnable step) {
+        loop.execute(() -> {
+            step.run();
+            runPendingSteps();
+        });
+    }
+
     private DatabaseConnectionPool connectionPoolFor(DatabaseEntry entry) {
         return connectionPools.computeIfAbsent(entry.name(), _ -> new DatabaseConnectionPool(this, entry));
     }
@@ -286,6 +300,14 @@
         return connectionPools.get(database);
     }
 
+    HeldMemory memory() {
+        return memory;
+    }
+
+    CallerConnections callerConnections() {
+        return callerConnections;
+    }
+
     NodeMetrics metrics() {
         return metrics;
     }
@@ -369,7 +391,10 @@
     }
 
     void removeSession(long session) {
-        sessions.remove(session);
+        CallerConnection removed = sessions.remove(session);
+        if (removed != null) {
+            callerConnections.onClosed(removed);
+        }
         sessionsEnded.ifPresent(this::completeIfNoSessions);
     }
 
@@ -496,10 +521,13 @@
         connectionPools.values().forEach(DatabaseConnectionPool::onTick);
         view.groups().forEach(this::probePrimary);
         peerRequests.onTick();
+        memory.onTick();
+        callerConnections.onTick();
         runPendingSteps();
         if (isDraining()) {
             endDrainedSessions();
         }
+        metrics.updateMemory(memory.total(), memory.pausedCount());
         metrics.updateState(sessionCount(), view.configuration().version());
         observer.onReport(report());
     }
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -17,6 +17,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +44,7 @@
 import org.geraniumproxy.core.limit.RateOwnership;
 import org.geraniumproxy.core.limit.TokenAnswer;
 import org.geraniumproxy.core.limit.TokenRequest;
+import org.geraniumproxy.core.memory.CallerLimits;
 import org.geraniumproxy.core.service.Consistency;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 import org.geraniumproxy.core.service.ServiceCustomer;
@@ -94,7 +97,8 @@
                 new NodeMetrics(),
                 new NoOpObserver(),
                 sender,
-                0);
+                0,
+                CallerLimits.of(Runtime.getRuntime().maxMemory(), OptionalLong.empty(), OptionalInt.empty()));
         port = freePort();
         loop.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), engine::accept);
         loop.start("traffic");
