Bound what callers make a process hold

Change: MemoryBudget decides from the bytes of each connection whom not to read and, beyond that, whom to close; a connection for which a database works is never closed for another one's sake. Connections are bounded by the descriptors; 32 are accepted in one iteration, because the descriptor of a refused one is free only after the next selection (with all in one iteration, 447 were open of 160).

--- a/core/src/main/java/org/geraniumproxy/core/memory/MemoryBudget.java
+++ b/core/src/main/java/org/geraniumproxy/core/memory/MemoryBudget.java
@@ -12,7 +12,8 @@
 
 /**
  * Bounds of the memory that all connections together make the process hold. Above {@code pauseBytes}, nothing is read
- * from the connections that hold most; above {@code closeBytes}, the largest and slowest of them are closed.
+ * from the callers that hold most; above {@code closeBytes}, the largest and slowest of them are closed, and nothing is
+ * read from the databases with the longest replies until that has helped.
  *
  * @param pauseBytes total from which reading stops on the connections that hold most
  * @param closeBytes total above which connections are closed
@@ -34,7 +35,7 @@
     private static final int MACHINE_DIVISOR = 3;
 
     /**
-     * Messages of the maximum size that one connection may hold: a statement counts three times while it runs, the next
+     * Messages of the maximum size that one connection may hold: a statement counts four times while it runs, the next
      * one may be arriving, a reply be pending and another one be stored in the session.
      */
     private static final int CONNECTION_MESSAGES = 8;
@@ -76,6 +77,10 @@
         List<MemoryHolder> largest = largestBeyondHalf(holders);
         Set<Long> paused = new HashSet<>(largest.stream().map(MemoryHolder::id).toList());
         if (total <= closeBytes) {
+            // The deadline of a statement may pass while its reply waits, so replies wait last.
+            holders.stream()
+                    .filter(holder -> holder.kind() == MemoryHolder.Kind.DATABASE)
+                    .forEach(holder -> paused.remove(holder.id()));
             nextTurn(largest, now).forEach(holder -> paused.remove(holder.id()));
             return new MemoryDecision(paused, List.of());
         }
@@ -102,8 +107,9 @@
     }
 
     private static Stream<MemoryHolder> nextTurn(List<MemoryHolder> paused, Instant now) {
-        List<MemoryHolder> receiving =
-                paused.stream().filter(MemoryHolder::receivesMessage).toList();
+        List<MemoryHolder> receiving = paused.stream()
+                .filter(holder -> holder.receivesMessage() && holder.kind() == MemoryHolder.Kind.CALLER)
+                .toList();
         if (receiving.isEmpty()) {
             return Stream.empty();
         }
--- a/core/src/test/java/org/geraniumproxy/core/memory/MemoryBudget_decide_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/memory/MemoryBudget_decide_Test.java
@@ -57,7 +57,7 @@
 
     @Test
     void should_close_a_slow_one_before_a_larger_one_that_makes_progress() {
-        MemoryHolder slow = new MemoryHolder(1, 500, true, true, NOW.minusSeconds(5));
+        MemoryHolder slow = new MemoryHolder(1, MemoryHolder.Kind.CALLER, 500, true, true, NOW.minusSeconds(5));
         MemoryDecision decision = BUDGET.decide(List.of(slow, receiving(2, 950)), NOW);
         assertThat(decision.closed(), contains(1L));
     }
@@ -66,10 +66,20 @@
     @Test
     void should_not_close_a_connection_for_which_a_database_works() {
         List<MemoryHolder> holders = new ArrayList<>(List.of(receiving(1, 300), receiving(2, 200)));
-        holders.add(new MemoryHolder(3, 1000, false, false, NOW.minusSeconds(60)));
+        holders.add(new MemoryHolder(3, MemoryHolder.Kind.CALLER, 1000, false, false, NOW.minusSeconds(60)));
         assertThat(BUDGET.decide(holders, NOW).closed(), containsInAnyOrder(1L, 2L));
     }
 
+    /** Guards against an ordinary statement that times out because its reply waits while callers hold too much. */
+    @Test
+    void should_read_replies_of_databases_until_callers_have_to_be_closed() {
+        MemoryHolder reply = new MemoryHolder(1, MemoryHolder.Kind.DATABASE, 600, true, false, NOW);
+        assertThat(BUDGET.decide(List.of(reply, idle(2, 650)), NOW).paused(), contains(2L));
+        MemoryDecision beyond = BUDGET.decide(List.of(reply, idle(2, 900)), NOW);
+        assertThat(beyond.paused(), contains(1L));
+        assertThat(beyond.closed(), contains(2L));
+    }
+
     /** Guards against defaults that callers inside the documented limits meet: 2,780 sessions on the smallest VM. */
     @Test
     void should_have_room_for_all_sessions_of_a_deployment_on_its_smallest_vm() {
@@ -79,10 +89,10 @@
     }
 
     private static MemoryHolder receiving(long id, long bytes) {
-        return new MemoryHolder(id, bytes, true, true, NOW);
+        return new MemoryHolder(id, MemoryHolder.Kind.CALLER, bytes, true, true, NOW);
     }
 
     private static MemoryHolder idle(long id, long bytes) {
-        return new MemoryHolder(id, bytes, false, true, NOW);
+        return new MemoryHolder(id, MemoryHolder.Kind.CALLER, bytes, false, true, NOW);
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/loop/EventLoop.java
@@ -36,6 +36,12 @@
     /** Pending output of a connection from which nothing is read from it, if its creator chooses no other limit. */
     public static final int DEFAULT_PENDING_BYTES = 4 * 1024 * 1024;
 
+    /**
+     * Connections accepted in one iteration. The descriptor of a connection that is refused is only free again after
+     * the next selection.
+     */
+    private static final int MAXIMUM_ACCEPTS = 32;
+
     /** Pause after a connection could not be accepted, for want of descriptors for example. */
     private static final Duration ACCEPT_RETRY_DELAY = Duration.ofMillis(100);
 
@@ -227,7 +233,7 @@
                 return;
             }
             switch (key.attachment()) {
-                case Listener listener -> accept(listener);
+                case Listener listener -> accept(listener, MAXIMUM_ACCEPTS);
                 case StreamConnection connection -> handle(key, connection);
                 default -> throw new IllegalStateException("unexpected attachment of a selection key");
             }
@@ -252,9 +258,10 @@
         }
     }
 
-    private void accept(Listener listener) {
+    private void accept(Listener listener, int maximum) {
         try {
             SocketChannel channel = listener.channel().accept();
+            int accepted = 0;
             while (channel != null) {
                 channel.configureBlocking(false);
                 channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
@@ -263,7 +270,8 @@
                 StreamHandler handler = listener.handlerFactory().apply(connectionReference);
                 connectionReference[0] = new StreamConnection(this, channel, handler, listener.maximumPendingBytes());
                 register(channel, connectionReference[0], handler);
-                channel = listener.channel().accept();
+                accepted++;
+                channel = accepted < maximum ? listener.channel().accept() : null;
             }
         } catch (IOException e) {
             logFailure("accepting a connection failed", e);
@@ -298,7 +306,7 @@
 
     /** Closes a listener. Connections that wait to be accepted would be reset by the close. */
     private void closeListener(Listener listener) {
-        accept(listener);
+        accept(listener, Integer.MAX_VALUE);
         try {
             listener.channel().close();
         } catch (IOException e) {
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
@@ -148,7 +148,8 @@
     /** Describes replies that are collected for a caller. They are never discarded for the sake of another one. */
     @Override
     public MemoryHolder describe(long memoryHolderId) {
-        return new MemoryHolder(memoryHolderId, HEAP_PER_BYTE * receivedBytes, true, false, Instant.EPOCH);
+        return new MemoryHolder(
+                memoryHolderId, MemoryHolder.Kind.DATABASE, HEAP_PER_BYTE * receivedBytes, true, false, Instant.EPOCH);
     }
 
     @Override
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/CallerConnection.java
@@ -24,8 +24,8 @@
     /** Number of messages that a caller may pipeline before it is disconnected. */
     private static final int MAXIMUM_QUEUED_MESSAGES = 64;
 
-    /** Copies of a statement's text while it runs: as it arrived, as part of a command, and encoded. */
-    private static final int STATEMENT_COPIES = 3;
+    /** Copies of a statement's text while it runs: as it arrived, and encoded for the database. */
+    private static final int STATEMENT_COPIES = 2;
 
     private final TrafficEngine engine;
     private final StreamConnection[] stream;
@@ -117,7 +117,12 @@
     public MemoryHolder describe(long id) {
         Instant lastProgressAt = lastWrittenAt.isAfter(lastReceivedAt) ? lastWrittenAt : lastReceivedAt;
         return new MemoryHolder(
-                id, heldBytes(), receivesMessage(), !disconnected && !session.isUsingDatabase(), lastProgressAt);
+                id,
+                MemoryHolder.Kind.CALLER,
+                heldBytes(),
+                receivesMessage(),
+                !disconnected && !session.isUsingDatabase(),
+                lastProgressAt);
     }
 
     @Override
@@ -274,6 +279,7 @@
             session = transition.state();
             transition.effects().forEach(effect -> engine.execute(this, effect));
             engine.removeSession(session.id());
+            session = CallerSession.create(session.id(), acceptedAt);
         }
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/HeldMemory.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/HeldMemory.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -39,7 +40,7 @@
     private final Executor nextStep;
     private final Map<Long, Holder> holders = new HashMap<>();
     private final Map<Long, Long> reportedBytes = new HashMap<>();
-    private Set<Long> paused = Set.of();
+    private Set<Long> paused = new HashSet<>();
     private long total;
     private long lastDecisionTotal;
     private long lastId;
@@ -78,6 +79,9 @@
         if (bytes == 0) {
             holders.remove(id);
             total -= removed(reportedBytes.remove(id));
+            if (paused.remove(id)) {
+                holder.pauseReading(false);
+            }
             return;
         }
         holders.put(id, holder);
@@ -108,7 +112,7 @@
         holders.forEach((id, holder) -> described.add(holder.describe(id)));
         MemoryDecision decision = budget.decide(described, now.get());
         Set<Long> before = paused;
-        paused = decision.paused();
+        paused = new HashSet<>(decision.paused());
         before.stream().filter(id -> !paused.contains(id)).forEach(id -> pauseReading(id, false));
         paused.forEach(id -> pauseReading(id, true));
         if (!decision.closed().isEmpty()) {
