Drop the rows of a reply that is too long instead of its connection

Cause: closing the connection counts as a failure of the database, and a read is repeated on the next one; a caller that asks for long replies could make the primary look as if it failed. A connection whose account fell to nothing while it was paused was never read again, and a total that fell and rose again was not looked at before the next tick.

Change: the decoder drops the rows beyond the limit, and the statement is answered as in doubt.

--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
@@ -14,9 +14,6 @@
 
 /** Connection to a database, used on the traffic thread. It processes one batch of commands at a time. */
 final class BackendConnection implements StreamHandler, HeldMemory.Holder {
-    /** Heap of a received byte, at most: as a byte and as a character. */
-    private static final int HEAP_PER_BYTE = 2;
-
     /** Receives the events of a connection. */
     interface Listener {
         void onOpened(BackendConnection connection);
@@ -37,7 +34,7 @@
     private final List<BackendReply> replies = new ArrayList<>();
     private final HeldMemory memory;
     private final long memoryId;
-    private long receivedBytes;
+    private long collectedBytes;
     private StreamConnection stream;
     private ConnectionState state = ConnectionState.EMPTY;
     private Instant lastReplyAt = Instant.MIN;
@@ -56,7 +53,7 @@
         this.customer = customer;
         this.listener = listener;
         this.protocol = protocol;
-        this.decoder = protocol.decoder();
+        this.decoder = protocol.decoder(memory.budget().connectionBytes());
         this.openingRequest = openingRequest;
         this.memory = memory;
         this.memoryId = memory.nextId();
@@ -116,12 +113,6 @@
 
     @Override
     public void onReceived(ByteBuffer bytes) {
-        receivedBytes += bytes.remaining();
-        memory.report(memoryId, this, HEAP_PER_BYTE * receivedBytes);
-        if (HEAP_PER_BYTE * receivedBytes > memory.budget().connectionBytes()) {
-            stream.close("the reply is too long");
-            return;
-        }
         List<BackendReply> decoded;
         try {
             decoded = decoder.decode(bytes);
@@ -134,6 +125,7 @@
                 handleReply(reply);
             }
         }
+        memory.report(memoryId, this, heldBytes());
     }
 
     @Override
@@ -148,8 +140,7 @@
     /** Describes replies that are collected for a caller. They are never discarded for the sake of another one. */
     @Override
     public MemoryHolder describe(long memoryHolderId) {
-        return new MemoryHolder(
-                memoryHolderId, MemoryHolder.Kind.DATABASE, HEAP_PER_BYTE * receivedBytes, true, false, Instant.EPOCH);
+        return new MemoryHolder(memoryHolderId, MemoryHolder.Kind.DATABASE, heldBytes(), true, false, Instant.EPOCH);
     }
 
     @Override
@@ -164,10 +155,14 @@
     public void closeIfStalled(Instant now) {}
 
     private void forgetReplies() {
-        receivedBytes = 0;
+        collectedBytes = 0;
         memory.report(memoryId, this, 0);
     }
 
+    private long heldBytes() {
+        return closed ? 0 : collectedBytes + decoder.partialBytes();
+    }
+
     private void handleReply(BackendReply reply) {
         if (!open) {
             if (reply.isCompleted()) {
@@ -186,6 +181,8 @@
             return;
         }
         replies.add(reply);
+        collectedBytes += CallerMessage.CHARACTER_BYTES
+                * reply.rows().stream().mapToLong(String::length).sum();
         if (replies.size() == expectedReplies) {
             expectedReplies = 0;
             List<BackendReply> complete = List.copyOf(replies);
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendProtocol.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendProtocol.java
@@ -22,6 +22,15 @@
          * @throws IllegalArgumentException if the bytes are not a valid reply
          */
         List<BackendReply> decode(ByteBuffer bytes);
+
+        /**
+         * Returns the memory that an incomplete reply takes.
+         *
+         * @return number of bytes
+         */
+        default long partialBytes() {
+            return 0;
+        }
     }
 
     /**
@@ -31,6 +40,17 @@
      */
     Decoder decoder();
 
+    /**
+     * Creates a decoder that limits the length of a reply. The rows of a longer one are dropped, and its statement is
+     * reported as in doubt, so that the connection and the database remain in use.
+     *
+     * @param maximumReplyBytes most memory that the rows of a reply may take
+     * @return a decoder without pending input
+     */
+    default Decoder decoder(long maximumReplyBytes) {
+        return decoder();
+    }
+
     /**
      * Encodes the opening request of a connection.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/HeldMemory.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/HeldMemory.java
@@ -77,8 +77,12 @@
     /** Records how much a connection holds. With 0 bytes, it is forgotten. */
     void report(long id, Holder holder, long bytes) {
         if (bytes == 0) {
+            if (!holders.containsKey(id)) {
+                return;
+            }
             holders.remove(id);
             total -= removed(reportedBytes.remove(id));
+            lastDecisionTotal = Math.min(lastDecisionTotal, total);
             if (paused.remove(id)) {
                 holder.pauseReading(false);
             }
@@ -86,6 +90,7 @@
         }
         holders.put(id, holder);
         total += bytes - removed(reportedBytes.put(id, bytes));
+        lastDecisionTotal = Math.min(lastDecisionTotal, total);
         if (total > budget.pauseBytes() && total - lastDecisionTotal > budget.pauseBytes() / GROWTH_DIVISOR) {
             decide();
         }
