Close a database connection with long prepared statements after its use

Cause: an idle connection keeps up to 64 prepared statements of any length, which belong to no session any more. Callers that prepare and execute a statement of 1 MB, read the answer and leave filled a heap of 40 MB; the process ended with status 70.

Change: a connection with more than 64 KiB of variables and prepared statements is closed instead of becoming idle.

--- a/core/src/main/java/org/geraniumproxy/core/caller/ConnectionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/ConnectionState.java
@@ -23,6 +23,9 @@
     /** Maximum number of prepared statements on one connection; the connection is reset when it is reached. */
     static final int MAXIMUM_PREPARED_STATEMENTS = 64;
 
+    /** Characters of all texts of an idle connection; hundreds of ordinary statements. */
+    static final int MAXIMUM_IDLE_TEXT_LENGTH = 64 * 1024;
+
     /** Commands that apply a session to a connection, and the state of the connection after them. */
     record Synchronization(List<BackendCommand> commands, ConnectionState connectionState) {}
 
@@ -61,6 +64,23 @@
         return new Synchronization(commands, updated);
     }
 
+    /**
+     * Returns whether the texts are short enough for the connection to be kept while no session uses it. Each VM keeps
+     * tens of idle connections, which no limit of a session counts.
+     *
+     * @return false if the connection should be closed after its use
+     */
+    public boolean isWorthKeeping() {
+        long length = 0;
+        for (Map.Entry<String, String> variable : variables.entrySet()) {
+            length += variable.getKey().length() + variable.getValue().length();
+        }
+        for (StatementTemplate template : preparedStatements.keySet()) {
+            length += template.text().length();
+        }
+        return length <= MAXIMUM_IDLE_TEXT_LENGTH;
+    }
+
     private ConnectionState withPreparedStatement(StatementTemplate template, String name) {
         Map<StatementTemplate, String> extended = new HashMap<>(preparedStatements);
         extended.put(template, name);
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -298,7 +298,7 @@
     }
 
     private void addIdle(BackendConnection connection) {
-        if (removed) {
+        if (removed || !connection.state().isWorthKeeping()) {
             closeConnection(connection.id());
             return;
         }
