--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
@@ -9,11 +9,12 @@
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.ConnectionState;
 import org.geraniumproxy.core.identity.CustomerName;
+import org.geraniumproxy.core.memory.MemoryHolder;
 import org.geraniumproxy.engine.loop.StreamConnection;
 import org.geraniumproxy.engine.loop.StreamHandler;
 
 /** Connection to a database, used on the traffic thread. It processes one batch of commands at a time. */
-final class BackendConnection implements StreamHandler {
+final class BackendConnection implements StreamHandler, HeldMemory.Holder {
     /** Receives the events of a connection. */
     interface Listener {
         void onOpened(BackendConnection connection);
@@ -32,6 +33,9 @@
     private final BackendProtocol.Decoder decoder;
     private final byte[] openingRequest;
     private final List<BackendReply> replies = new ArrayList<>();
+    private final HeldMemory memory;
+    private final long memoryId;
+    private long collectedBytes;
     private StreamConnection stream;
     private ConnectionState state = ConnectionState.EMPTY;
     private Instant lastReplyAt = Instant.MIN;
@@ -41,13 +45,20 @@
     private boolean closed;
 
     BackendConnection(
-            long id, CustomerName customer, Listener listener, BackendProtocol protocol, byte[] openingRequest) {
+            long id,
+            CustomerName customer,
+            Listener listener,
+            BackendProtocol protocol,
+            byte[] openingRequest,
+            HeldMemory memory) {
         this.id = id;
         this.customer = customer;
         this.listener = listener;
         this.protocol = protocol;
-        this.decoder = protocol.decoder();
+        this.decoder = protocol.decoder(memory.budget().connectionBytes());
         this.openingRequest = openingRequest;
+        this.memory = memory;
+        this.memoryId = memory.nextId();
     }
 
     long id() {
@@ -111,6 +122,7 @@
     /** Closes the connection without notifying the listener. */
     void discard(String reason) {
         closed = true;
+        forgetReplies();
         stream.close(reason);
     }
 
@@ -138,20 +150,49 @@
                 handleReply(reply);
             }
         }
+        memory.report(memoryId, this, heldBytes());
     }
 
     @Override
     public void onClosed(String reason) {
+        forgetReplies();
         if (!closed) {
             closed = true;
             listener.onLost(this, reason);
         }
     }
 
+    /** Describes replies that are collected for a caller. They are never discarded for the sake of another one. */
+    @Override
+    public MemoryHolder describe(long memoryHolderId) {
+        return new MemoryHolder(memoryHolderId, MemoryHolder.Kind.DATABASE, heldBytes(), true, false, Instant.EPOCH);
+    }
+
+    @Override
+    public void pauseReading(boolean paused) {
+        stream.pauseReading(paused);
+    }
+
+    @Override
+    public void closeForMemory(long totalBytes) {}
+
+    @Override
+    public void closeIfStalled(Instant now) {}
+
+    private void forgetReplies() {
+        collectedBytes = 0;
+        memory.report(memoryId, this, 0);
+    }
+
+    private long heldBytes() {
+        return closed ? 0 : collectedBytes + decoder.partialBytes();
+    }
+
     private void handleReply(BackendReply reply) {
         if (!open) {
             if (reply.isCompleted()) {
                 open = true;
+                forgetReplies();
                 listener.onOpened(this);
             } else {
                 closed = true;
@@ -165,9 +206,14 @@
             return;
         }
         replies.add(reply);
+        collectedBytes += CallerMessage.CHARACTER_BYTES
+                * reply.rows().stream().mapToLong(String::length).sum();
         if (replies.size() == expectedReplies) {
             expectedReplies = 0;
-            listener.onReplies(this, List.copyOf(replies));
+            List<BackendReply> complete = List.copyOf(replies);
+            replies.clear();
+            forgetReplies();
+            listener.onReplies(this, complete);
         }
     }
 }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
@@ -107,7 +107,12 @@
     /** Requests a slot for a session that holds no connection. */
     void requestSlot(SlotRequest request, long session, BackendServerName database, List<VmName> candidates) {
         long channel = engine.nextConnectionId();
-        Use use = new Use(channel, session, database, engine.backendProtocol().decoderOfOpenConnection());
+        Use use = new Use(
+                channel,
+                session,
+                database,
+                engine.backendProtocol()
+                        .decoderOfOpenConnection(engine.memory().budget().connectionBytes()));
         usesByChannel.put(channel, use);
         usesByRequest.put(request.id(), use);
         apply(new EntryChannelEvent.Requested(request, channel, database, candidates));
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TextProtocol.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TextProtocol.java
@@ -82,7 +82,7 @@
         }
 
         @Override
-        public BackendProtocol.Decoder decoderOfOpenConnection() {
+        public BackendProtocol.Decoder decoderOfOpenConnection(long maximumReplyBytes) {
             return decoder();
         }
 
