--- a/engine/src/test/java/org/geraniumproxy/engine/peer/PeerTransport_receive_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/peer/PeerTransport_receive_Test.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.io.IOException;
 import java.io.PrintStream;
@@ -10,9 +11,13 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.geraniumproxy.core.caller.PositionAnswer;
@@ -120,6 +125,38 @@
         }
     }
 
+    /** Guards against messages that arrive faster than they are handled and fill the heap. */
+    @Test
+    void should_drop_messages_while_too_many_wait_to_be_handled() throws Exception {
+        Queue<Runnable> waiting = new ConcurrentLinkedQueue<>();
+        CountDownLatch dropped = new CountDownLatch(1);
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+        new PeerTransport(address, new Recorder(), log, waiting::add, waiting::add, dropped::countDown).start();
+        Map<CustomerName, Long> parts = new HashMap<>();
+        for (long customer = 0; customer < 2000; customer++) {
+            parts.put(CustomerName.of("customer-" + customer), customer);
+        }
+        RateHandover handover = new RateHandover(SELF, parts);
+        String target = "127.0.0.1:" + address.getPort();
+        try (PeerTransportSender sender = new PeerTransportSender()) {
+            // About 30 KB each, so 1 MiB is exceeded by far, also if the operating system drops some.
+            for (int count = 0; count < 2000 && dropped.getCount() > 0; count++) {
+                sender.transport.send(handover, SELF, target);
+            }
+            assertThat(dropped.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), is(true));
+            assertThat(waiting.size(), is(lessThan(100)));
+            waiting.forEach(Runnable::run);
+            waiting.clear();
+            received.clear();
+            sender.transport.send(REQUEST, SELF, target);
+            for (int attempt = 0; waiting.isEmpty() && attempt < 100; attempt++) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            waiting.forEach(Runnable::run);
+            assertThat(received.contains(REQUEST) || received.contains(handover), is(true));
+        }
+    }
+
     private Object next() throws InterruptedException {
         Object message = received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         if (message == null) {
@@ -128,11 +165,14 @@
         return message;
     }
 
-    private String start(PeerReceiver receiver) throws IOException {
-        int port;
+    private static int freePort() throws IOException {
         try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            port = socket.getLocalPort();
+            return socket.getLocalPort();
         }
+    }
+
+    private String start(PeerReceiver receiver) throws IOException {
+        int port = freePort();
         new PeerTransport(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), receiver, log).start();
         return "127.0.0.1:" + port;
     }
