Release the texts of closed database connections

Cause: the timer of a connection's opening refers to it for 1.5 s, also after its close, with its prepared statements and a partial reply.

Change: a closed connection forgets its state, replies and decoder.

--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
@@ -29,7 +29,7 @@
     private final CustomerName customer;
     private final Listener listener;
     private final BackendProtocol protocol;
-    private final BackendProtocol.Decoder decoder;
+    private BackendProtocol.Decoder decoder;
     private final byte[] openingRequest;
     private final List<BackendReply> replies = new ArrayList<>();
     private final HeldMemory memory;
@@ -102,7 +102,7 @@
     /** Closes the connection without notifying the listener. */
     void discard(String reason) {
         closed = true;
-        forgetReplies();
+        forgetContent();
         stream.close(reason);
     }
 
@@ -130,7 +130,7 @@
 
     @Override
     public void onClosed(String reason) {
-        forgetReplies();
+        forgetContent();
         if (!closed) {
             closed = true;
             listener.onLost(this, reason);
@@ -154,6 +154,14 @@
     @Override
     public void closeIfStalled(Instant now) {}
 
+    /** Gives the texts of a closed connection back. The timer of its opening refers to it for up to 1.5 s. */
+    private void forgetContent() {
+        state = ConnectionState.EMPTY;
+        replies.clear();
+        decoder = protocol.decoder();
+        forgetReplies();
+    }
+
     private void forgetReplies() {
         collectedBytes = 0;
         memory.report(memoryId, this, 0);
