--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_update_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_update_Test.java
@@ -59,8 +59,8 @@
     /** Guards against a connection in an evacuated failure domain that stays in use until its statement times out. */
     @Test
     void should_close_connections_in_use_when_the_evacuation_of_their_failure_domain_ends() throws Exception {
-        try (ScriptedDatabase evacuated = new ScriptedDatabase(
-                        line -> line.startsWith("run") ? Optional.empty() : Optional.of("ok"));
+        try (ScriptedDatabase evacuated =
+                        new ScriptedDatabase(line -> line.startsWith("run") ? Optional.empty() : Optional.of("ok"));
                 ScriptedDatabase remaining = new ScriptedDatabase(_ -> Optional.of("ok"));
                 EngineFixture fixture = new EngineFixture()
                         .withDatabase("db-1", evacuated, true)
--- a/measure/src/main/java/org/geraniumproxy/measure/capacity/FleetOverhead.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/capacity/FleetOverhead.java
@@ -87,7 +87,7 @@
                 result("owners of rates at start", vms, startTraffic / NANOS_PER_MILLI, "ms"),
                 result("control decisions", vms, idle / NANOS_PER_MILLI / seconds, "ms/s"),
                 result("owners of rates", vms, idleTraffic / NANOS_PER_MILLI / seconds, "ms/s"),
-                result("effects", vms, fleet.effects, "effects"));
+                result("effects", vms, (double) fleet.effects, "effects"));
     }
 
     /**
