--- a/core/src/main/java/org/geraniumproxy/core/fleet/EvacuationRules.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/EvacuationRules.java
@@ -2,10 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.routing.EvacuationPhase;
+import org.geraniumproxy.core.service.AllowedRegions;
+import org.geraniumproxy.core.service.ServiceConfiguration;
 
 /**
  * Failure domains of the deployment and the time limit of their evacuation, from the settings.
@@ -49,4 +53,27 @@
         }
         return age.compareTo(bound.minus(ENDED_MARGIN)) < 0 ? EvacuationPhase.CLOSED : EvacuationPhase.ENDED;
     }
+
+    /** Logs allowed regions that no failure domain has. What allows only such regions runs nowhere. */
+    void logUnknownRegions(ServiceConfiguration configuration, List<FleetEffect> effects) {
+        configuration
+                .routes()
+                .values()
+                .forEach(route -> logUnknownRegions("route=" + route.name(), route.regionsAllowed(), effects));
+        configuration
+                .customers()
+                .values()
+                .forEach(customer ->
+                        logUnknownRegions("customer=" + customer.name(), customer.regionsAllowed(), effects));
+    }
+
+    private void logUnknownRegions(String owner, AllowedRegions allowed, List<FleetEffect> effects) {
+        Set<String> unknown = allowed.unknown(regions.values());
+        if (!unknown.isEmpty()) {
+            effects.add(new FleetEffect.Log(
+                    "unknown region",
+                    "key=\"op/config\" " + owner + " regions=" + unknown
+                            + " reason=\"no failure domain of the settings is in this region\""));
+        }
+    }
 }
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -22,11 +21,9 @@
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.identity.LogPosition;
-import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.limit.RateOwnership;
 import org.geraniumproxy.core.promotion.PromotionIntent;
-import org.geraniumproxy.core.service.AllowedRegions;
 import org.geraniumproxy.core.service.ServiceConfiguration;
 
 /**
@@ -400,35 +397,11 @@
         }
         effects.add(new FleetEffect.Log(
                 "configuration in force", "version=" + newest.version() + " previous=" + configuration.version()));
-        logUnknownRegions(newest, effects);
+        databases.evacuations().rules().logUnknownRegions(newest, effects);
         return new FleetState(
                 self, newest, databases, peers, acknowledged, lastReport, exchange, ownership, drain, promotions);
     }
 
-    /** Logs regions that no failure domain has. What allows only such regions runs nowhere. */
-    private void logUnknownRegions(ServiceConfiguration newest, List<FleetEffect> effects) {
-        Collection<RegionName> regions =
-                databases.evacuations().rules().regions().values();
-        newest.routes()
-                .values()
-                .forEach(route -> logUnknownRegions("route=" + route.name(), route.regionsAllowed(), regions, effects));
-        newest.customers()
-                .values()
-                .forEach(customer ->
-                        logUnknownRegions("customer=" + customer.name(), customer.regionsAllowed(), regions, effects));
-    }
-
-    private static void logUnknownRegions(
-            String owner, AllowedRegions allowed, Collection<RegionName> regions, List<FleetEffect> effects) {
-        Set<String> unknown = allowed.unknown(regions);
-        if (!unknown.isEmpty()) {
-            effects.add(new FleetEffect.Log(
-                    "unknown region",
-                    "key=\"op/config\" " + owner + " regions=" + unknown
-                            + " reason=\"no failure domain of the settings is in this region\""));
-        }
-    }
-
     private FleetState receive(PeerMessage message, Instant now, List<FleetEffect> effects) {
         ConfigurationFetch fetch = peers.addresses().containsKey(message.sender())
                 ? exchange.fetch().versionNamed(message.configurationVersion(), fetchSituation(now))
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -17,7 +17,6 @@
 import org.geraniumproxy.core.caller.DatabaseLoad;
 import org.geraniumproxy.core.caller.DatabaseObservation;
 import org.geraniumproxy.core.caller.ErrorCode;
-import org.geraniumproxy.core.caller.GroupPositions;
 import org.geraniumproxy.core.caller.PrimaryPositionHistory;
 import org.geraniumproxy.core.caller.SessionContext;
 import org.geraniumproxy.core.caller.SessionEffect;
@@ -29,7 +28,6 @@
 import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
-import org.geraniumproxy.core.identity.LogPosition;
 import org.geraniumproxy.core.limit.RateOwnership;
 import org.geraniumproxy.core.memory.CallerLimits;
 import org.geraniumproxy.core.pool.SlotRequest;
@@ -68,7 +66,7 @@
     private final TrafficObserver observer;
     private final Map<Long, CallerConnection> sessions = new HashMap<>();
     private final Map<BackendServerName, DatabaseConnectionPool> connectionPools = new HashMap<>();
-    private final Map<GroupName, GroupPositions> positions = new HashMap<>();
+    private final PrimaryPositions positions = new PrimaryPositions();
     private final Deque<Runnable> pendingSteps = new ArrayDeque<>();
     private final long firstRequestId;
     private final AdministrativeCommands administrativeCommands = new AdministrativeCommands(this);
@@ -356,7 +354,7 @@
 
     void dropSamplesAfterClockJump() {
         if (clockJumpDetector.hasJumped()) {
-            positions.replaceAll((_, known) -> known.withoutSamples());
+            positions.dropSamples();
             peerRequests.onClockJump();
             log("-", "clock jumped", "effect=\"positions of primaries are refreshed\"");
         }
@@ -369,20 +367,12 @@
             DatabaseLoad observed = sharedConnections.load(connectionPools.get(database));
             loads.put(database, balancer.complete(group, database, observed, now));
         }
-        return new SessionContext(view, positions(group).primaryHistory(), loads, now, balancer.nextRandom());
+        return new SessionContext(view, positions.historyOf(group), loads, now, balancer.nextRandom());
     }
 
     /** Returns the newest position of each primary that this VM watches. */
     Map<GroupName, PrimaryPositionHistory.Sample> watchedPositions() {
-        Map<GroupName, PrimaryPositionHistory.Sample> watched = new HashMap<>();
-        for (GroupName group : view.watchedGroups()) {
-            positions(group).primaryHistory().latestSample().ifPresent(sample -> watched.put(group, sample));
-        }
-        return watched;
-    }
-
-    private GroupPositions positions(GroupName group) {
-        return positions.getOrDefault(group, GroupPositions.NONE);
+        return positions.latestSamples(view.watchedGroups());
     }
 
     /** Delivers an event to a session after the current step. */
@@ -487,7 +477,7 @@
                 sharedConnections.of(close.database()).closeConnection(close.connectionId());
             case SessionEffect.RecordPrimaryPosition record -> recordPosition(record.group(), record.sample());
             case SessionEffect.RecordAcknowledgedCommit record ->
-                positions.put(record.group(), positions(record.group()).withAcknowledgedCommit(record.lowerBound()));
+                positions.recordAcknowledgedCommit(record.group(), record.lowerBound());
             case SessionEffect.ReportObservation report -> recordObservation(report.group(), report.observation());
             case SessionEffect.WakeAt wake -> scheduleWakeUp(caller, wake.at());
             case SessionEffect.Log line -> log(line.requestId(), line.decision(), line.detail());
@@ -518,7 +508,7 @@
     }
 
     void recordPosition(GroupName group, PrimaryPositionHistory.Sample sample) {
-        positions.put(group, positions(group).with(sample));
+        positions.record(group, sample);
     }
 
     /** Probes the primaries of watched groups, and others that failed until it is known whether they answer again. */
@@ -621,15 +611,9 @@
         Map<BackendServerName, DatabaseHealth> health = new HashMap<>();
         connectionPools.forEach((name, connectionPool) ->
                 health.put(name, connectionPool.condition().health()));
-        Map<GroupName, Long> newestTerms = new HashMap<>();
-        Map<GroupName, LogPosition> acknowledged = new HashMap<>();
-        positions.forEach((group, known) -> {
-            newestTerms.put(group, known.highestTerm());
-            known.acknowledgedCommit().ifPresent(position -> acknowledged.put(group, position));
-        });
         Map<GroupName, String> enforced = new HashMap<>();
         view.promotionFences()
                 .forEach((group, fences) -> fences.newest().ifPresent(fence -> enforced.put(group, fence.promotion())));
-        return new TrafficReport(health, newestTerms, acknowledged, enforced);
+        return new TrafficReport(health, positions.newestTerms(), positions.acknowledgedCommits(), enforced);
     }
 }
