Count the requests for a configuration

Operators see from geraniumproxy_configuration_requests_total whether VMs fetch the configuration from each other, and whether that fails.

--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -50,6 +50,11 @@
             .help("Operations refused for want of a rate token, by where the token should have come from.")
             .labelNames("source")
             .register(registry);
+    private final Counter configurationRequests = Counter.builder()
+            .name("geraniumproxy_configuration_requests")
+            .help("Requests to other VMs for their configuration, by how they ended.")
+            .labelNames("result")
+            .register(registry);
     private final Gauge sessions = Gauge.builder()
             .name("geraniumproxy_sessions")
             .help("Connected callers.")
@@ -143,6 +148,15 @@
         storeEra.set((double) era);
     }
 
+    /**
+     * Counts a request to another VM for its configuration. May be called on any thread.
+     *
+     * @param answered whether a configuration arrived
+     */
+    public void configurationRequested(boolean answered) {
+        configurationRequests.labelValues(answered ? "answered" : "failed").inc();
+    }
+
     /** Counts a complete read of the store. */
     public void storeLoaded() {
         storeLoads.inc();
