--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -81,6 +81,11 @@
             .name("geraniumproxy_lent_channels")
             .help("Channels of other VMs that wait for a database connection of this one or use it.")
             .register(registry);
+    private final Counter configurationRequests = Counter.builder()
+            .name("geraniumproxy_configuration_requests")
+            .help("Requests to other VMs for their configuration, by how they ended.")
+            .labelNames("result")
+            .register(registry);
     private final Gauge sessions = Gauge.builder()
             .name("geraniumproxy_sessions")
             .help("Connected callers.")
@@ -289,6 +294,15 @@
         storeEra.set((double) era);
     }
 
+    /**
+     * Counts a request to another VM for its configuration. May be called on any thread.
+     *
+     * @param answered whether a configuration arrived
+     */
+    public void configurationRequested(boolean answered) {
+        configurationRequests.labelValues(answered ? "answered" : "failed").inc();
+    }
+
     /** Counts a complete read of the store. */
     public void storeLoaded() {
         storeLoads.inc();
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/PrimaryProber.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/PrimaryProber.java
@@ -8,6 +8,7 @@
 import org.geraniumproxy.core.caller.ErrorCode;
 import org.geraniumproxy.core.caller.PrimaryPositionHistory;
 import org.geraniumproxy.core.caller.StatementResult;
+import org.geraniumproxy.core.directory.GroupDirectory;
 import org.geraniumproxy.core.identity.GroupName;
 
 /**
@@ -31,7 +32,21 @@
         this.observer = observer;
     }
 
-    void probe(GroupName group, DatabaseConnectionPool primary) {
+    /**
+     * Probes the primary of a watched group, and another one that failed until it is known whether it answers again.
+     */
+    void probeIfDue(GroupName group, GroupDirectory directory) {
+        directory.primary().ifPresent(primary -> {
+            DatabaseConnectionPool connectionPool = engine.connectionPool(primary.name());
+            boolean unconfirmedFailure =
+                    connectionPool.condition().health().failingSince().isPresent();
+            if (engine.view().watchedGroups().contains(group) || unconfirmedFailure) {
+                probe(group, connectionPool);
+            }
+        });
+    }
+
+    private void probe(GroupName group, DatabaseConnectionPool primary) {
         Instant sentAt = engine.now();
         if (!primary.tryStartProbe(sentAt.minus(QUIET_TIME_BEFORE_PROBE))) {
             return;
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -15,7 +15,6 @@
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.CallerSession;
 import org.geraniumproxy.core.caller.DatabaseLoad;
-import org.geraniumproxy.core.caller.DatabaseObservation;
 import org.geraniumproxy.core.caller.ErrorCode;
 import org.geraniumproxy.core.caller.PrimaryPositionHistory;
 import org.geraniumproxy.core.caller.SessionContext;
@@ -73,7 +72,7 @@
     private final PrimaryProber primaryProber;
     private final PeerRequests peerRequests;
     private final SharedConnections sharedConnections = new SharedConnections(this);
-    private boolean lossByOwner;
+    private final ObservationRecorder observations;
     private final LoadBalancer balancer = new LoadBalancer(this);
     private final HeldMemory memory;
     private final CallerConnections callerConnections;
@@ -117,6 +116,7 @@
         this.log = log;
         this.metrics = metrics;
         this.observer = observer;
+        this.observations = new ObservationRecorder(this, balancer, observer);
         this.peerRequests = new PeerRequests(this, peerSender, balancer);
         this.firstRequestId = firstRequestId;
         this.memory = new HeldMemory(limits.budget(), this::now, this::runInNextIteration);
@@ -397,14 +397,7 @@
 
     /** Delivers the loss of a connection that is no evidence about the database. */
     void deliverLossByOwner(long session, SessionEvent.ConnectionLost event) {
-        pendingSteps.add(() -> {
-            lossByOwner = true;
-            try {
-                deliverNow(session, event);
-            } finally {
-                lossByOwner = false;
-            }
-        });
+        pendingSteps.add(() -> observations.runWithoutEvidence(() -> deliverNow(session, event)));
     }
 
     /** Delivers a granted slot after the current step, unless the session has cancelled its request by then. */
@@ -478,7 +471,7 @@
             case SessionEffect.RecordPrimaryPosition record -> recordPosition(record.group(), record.sample());
             case SessionEffect.RecordAcknowledgedCommit record ->
                 positions.recordAcknowledgedCommit(record.group(), record.lowerBound());
-            case SessionEffect.ReportObservation report -> recordObservation(report.group(), report.observation());
+            case SessionEffect.ReportObservation report -> observations.record(report.group(), report.observation());
             case SessionEffect.WakeAt wake -> scheduleWakeUp(caller, wake.at());
             case SessionEffect.Log line -> log(line.requestId(), line.decision(), line.detail());
         }
@@ -511,50 +504,12 @@
         positions.record(group, sample);
     }
 
-    /** Probes the primaries of watched groups, and others that failed until it is known whether they answer again. */
-    private void probePrimary(GroupName group, GroupDirectory directory) {
-        directory.primary().ifPresent(primary -> {
-            DatabaseConnectionPool connectionPool = connectionPools.get(primary.name());
-            boolean unconfirmedFailure =
-                    connectionPool.condition().health().failingSince().isPresent();
-            if (view.watchedGroups().contains(group) || unconfirmedFailure) {
-                primaryProber.probe(group, connectionPool);
-            }
-        });
-    }
-
     private void cancelSlotRequest(SessionEffect.CancelSlotRequest cancel) {
         if (connectionPools.containsKey(cancel.database())) {
             sharedConnections.of(cancel.database()).cancelRequest(cancel.slotRequestId());
         }
     }
 
-    private void recordObservation(GroupName group, DatabaseObservation observation) {
-        DatabaseConnectionPool connectionPool = connectionPools.get(observation.database());
-        if (connectionPool == null) {
-            return;
-        }
-        balancer.record(group, observation);
-        switch (observation) {
-            case DatabaseObservation.Answered answered -> {
-                metrics.databaseAnswered(answered.latency());
-                metrics.statementPlaced(view.directoryOf(group)
-                        .primary()
-                        .map(primary -> primary.name().equals(answered.database()))
-                        .orElse(false));
-                connectionPool.recordReply(answered.latency(), answered.acknowledgedCommit());
-            }
-            case DatabaseObservation.Unresponsive unresponsive -> {
-                if (!lossByOwner) {
-                    connectionPool.recordFailure(unresponsive.commitUnacknowledged());
-                }
-            }
-            case DatabaseObservation.NotPrimary notPrimary -> observer.onNotPrimary(group, notPrimary.database());
-            case DatabaseObservation.Lagging _ -> connectionPool.recordLag();
-            case DatabaseObservation.Refused _ -> {}
-        }
-    }
-
     private void scheduleWakeUp(CallerConnection caller, Instant at) {
         loop.schedule(at, () -> {
             checkTime(caller);
@@ -565,7 +520,7 @@
     private void tick() {
         loop.schedule(now().plus(TICK_INTERVAL), this::tick);
         connectionPools.values().forEach(DatabaseConnectionPool::onTick);
-        view.groups().forEach(this::probePrimary);
+        view.groups().forEach(primaryProber::probeIfDue);
         peerRequests.onTick();
         sharedConnections.onTick();
         memory.onTick();
