--- a/measure/src/main/java/org/geraniumproxy/measure/balance/FleetModel.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/balance/FleetModel.java
@@ -57,6 +57,7 @@
     /** A fleet without position messages, in which a VM knows its own figures only. */
     static final Load SMALL_FLEET = new Load(5, 5, 1.4, 66, 8, 115, 40, 310, 24);
 
+    /** How a VM chooses a database, and which load figures it has. */
     enum Choice {
         CHEAPEST,
         OWN_FIGURES,
@@ -68,6 +69,7 @@
 
     private record Job(double workMs, Runnable done) {}
 
+    /** Runs statements in its slots and queues the others in the order of their arrival. */
     final class Database {
         final BackendServerName name;
         final int domain;
