Use the load that the owners of connections report

The owners' answers carried the load of their queue, and nothing used it. It covers the whole fleet and is often newer than the sums of the watchers; the newer one of both is used now.

--- a/core/src/main/java/org/geraniumproxy/core/balance/ReportedLoad.java
+++ b/core/src/main/java/org/geraniumproxy/core/balance/ReportedLoad.java
@@ -3,9 +3,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.geraniumproxy.core.pool.PoolLoad;
 
 /**
- * Load of a database by the other VMs, as a watcher told it.
+ * Load of a database by the other VMs, as a watcher or the owner of the database's connections told it.
  *
  * @param outstanding expected number of their statements that wait for or use a slot
  * @param responses recent responses of the database to the VMs of the region
@@ -37,6 +38,30 @@
                         report.outstanding() * scale, report.responses(), askedAt.minus(report.age())));
     }
 
+    /**
+     * Returns the load of the other VMs at a database whose connections one VM owns: its queue holds the statements of
+     * the whole fleet.
+     *
+     * @param load load that the owner reported
+     * @param ownStatements statements of this VM that the load includes
+     * @param receivedAt time at which the report arrived
+     * @return load of all other VMs, without responses
+     */
+    public static ReportedLoad ofOwner(PoolLoad load, int ownStatements, Instant receivedAt) {
+        int others = Math.max(0, load.slotsInUse() + load.waiting() - ownStatements);
+        return new ReportedLoad(others, ResponseSummary.NONE, receivedAt);
+    }
+
+    /**
+     * Returns the figures with the responses of another report.
+     *
+     * @param other report whose responses are known
+     * @return load and time of this report, and the responses of the other one
+     */
+    public ReportedLoad withResponses(ReportedLoad other) {
+        return new ReportedLoad(outstanding, other.responses(), asOf);
+    }
+
     /**
      * Returns the age of the figures.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/LoadBalancer.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/LoadBalancer.java
@@ -54,12 +54,22 @@
     /** Adds reports and the admitted share to the load that the connection pool of a database observes. */
     DatabaseLoad complete(GroupName group, BackendServerName database, DatabaseLoad observed, Instant now) {
         GroupEjections known = ejections.getOrDefault(group, GroupEjections.NONE);
-        Optional<ReportedLoad> others = Optional.ofNullable(reported.get(database));
+        Optional<ReportedLoad> others = newestLoad(database, now);
         ResponseSummary responses = known.responses(database, now)
                 .plus(others.map(ReportedLoad::responses).orElse(ResponseSummary.NONE));
         return observed.with(others, responses.serviceTime(), known.admittedShare(database, now));
     }
 
+    /** Returns the figures of the owner of the database's connections if they are newer than those of the watchers. */
+    private Optional<ReportedLoad> newestLoad(BackendServerName database, Instant now) {
+        Optional<ReportedLoad> told = Optional.ofNullable(reported.get(database));
+        Optional<ReportedLoad> ofOwner = engine.sharedConnections()
+                .reportedLoad(database)
+                .filter(load -> load.age(now).compareTo(LoadEstimate.MAXIMUM_AGE) <= 0)
+                .filter(load -> told.isEmpty() || load.asOf().isAfter(told.get().asOf()));
+        return ofOwner.map(load -> told.map(load::withResponses).orElse(load)).or(() -> told);
+    }
+
     /** Records the outcome of a statement. Writes are no sample, because they take another time than reads. */
     void record(GroupName group, DatabaseObservation observation) {
         Instant now = engine.now();
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.geraniumproxy.core.balance.ReportedLoad;
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.ConnectionState;
@@ -56,7 +57,7 @@
     private final Map<Long, Use> usesByChannel = new HashMap<>();
     private final Map<Long, Use> usesByRequest = new HashMap<>();
     private final Set<Long> undeliveredGrants = new HashSet<>();
-    private final Map<BackendServerName, PoolLoad> loads = new HashMap<>();
+    private final Map<BackendServerName, ReceivedLoad> loads = new HashMap<>();
     private EntryChannels state = EntryChannels.initial(VmName.of("unknown"), OwnerSelection.RESPONSE_MARGIN);
     private Map<VmName, String> addresses = Map.of();
     private Duration responseMargin = OwnerSelection.RESPONSE_MARGIN;
@@ -81,6 +82,9 @@
         }
     }
 
+    /** Load that an owner reported. */
+    private record ReceivedLoad(PoolLoad load, Instant receivedAt) {}
+
     RelayedConnections(TrafficEngine engine) {
         this.engine = engine;
     }
@@ -153,9 +157,11 @@
         return state.customers(database);
     }
 
-    /** Returns the last load of each database that its owner reported. */
-    Map<BackendServerName, PoolLoad> loads() {
-        return Map.copyOf(loads);
+    /** Returns the load of the other VMs at a database, empty if its owner has reported none. */
+    Optional<ReportedLoad> reportedLoad(BackendServerName database) {
+        return Optional.ofNullable(loads.get(database))
+                .map(received -> ReportedLoad.ofOwner(
+                        received.load, state.outstandingStatements(database), received.receivedAt));
     }
 
     void cancelRequest(long slotRequestId) {
@@ -293,7 +299,7 @@
     private void recordLoad(long channel, Optional<PoolLoad> load) {
         Use use = usesByChannel.get(channel);
         if (use != null) {
-            load.ifPresent(known -> loads.put(use.database, known));
+            load.ifPresent(known -> loads.put(use.database, new ReceivedLoad(known, engine.now())));
         }
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/SharedConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/SharedConnections.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.geraniumproxy.core.balance.ReportedLoad;
 import org.geraniumproxy.core.caller.DatabaseLoad;
 import org.geraniumproxy.core.caller.TrafficView;
 import org.geraniumproxy.core.directory.DatabaseEntry;
@@ -16,7 +18,6 @@
 import org.geraniumproxy.core.limit.RateOwnership;
 import org.geraniumproxy.core.pool.ConnectionOwnership;
 import org.geraniumproxy.core.pool.ConnectionRole;
-import org.geraniumproxy.core.pool.PoolLoad;
 import org.geraniumproxy.engine.loop.StreamConnection;
 import org.geraniumproxy.engine.loop.StreamHandler;
 
@@ -46,13 +47,9 @@
         return lent.accept(stream);
     }
 
-    /**
-     * Returns the loads that the owners of databases reported last.
-     *
-     * @return load by database, without databases whose owner reported none
-     */
-    public Map<BackendServerName, PoolLoad> ownerLoads() {
-        return relayed.loads();
+    /** Returns the load of the other VMs at a database, empty if its connections are not used through an owner. */
+    Optional<ReportedLoad> reportedLoad(BackendServerName database) {
+        return relayed.reportedLoad(database);
     }
 
     /** Sets the margin for the responses of owners; a test on a busy machine needs a long one. */
