--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -34,10 +34,12 @@
 import org.geraniumproxy.core.configuration.KeyDigest;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.directory.VmLocation;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.GroupName;
+import org.geraniumproxy.core.identity.RegionName;
 import org.geraniumproxy.core.identity.RouteName;
 import org.geraniumproxy.core.identity.StoreRevision;
 import org.geraniumproxy.core.identity.VmName;
@@ -78,6 +80,7 @@
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
     private final EventLoop loop;
     private final TrafficEngine engine;
+    private Map<VmName, VmLocation> vmLocations = Map.of();
     private TrafficView view = TrafficView.NONE;
     private int connectionLimit = 4;
     private final int port;
@@ -152,7 +155,7 @@
                 server,
                 GROUP,
                 database.address(),
-                FailureDomain.of("zone-of-" + name),
+                zoneOf(name),
                 slots,
                 false,
                 primary,
@@ -194,10 +197,25 @@
 
     /** Applies a configuration with one route of the given consistency. */
     EngineFixture configure(Consistency consistency, RateOwnership ownership) throws Exception {
+        databases.keySet().stream()
+                .findFirst()
+                .ifPresent(database -> vmLocations = besideDatabase(ownership.members(), database.value()));
         view = view(consistency, Map.of(CUSTOMER, customer()));
         return runOnLoop(() -> engine.update(view, ownership));
     }
 
+    /** Returns the locations of VMs that all run in the failure domain of a database. */
+    static Map<VmName, VmLocation> besideDatabase(Set<VmName> members, String database) {
+        VmLocation location = new VmLocation(Optional.of(zoneOf(database)), Optional.of(RegionName.of("region")));
+        Map<VmName, VmLocation> locations = new HashMap<>();
+        members.forEach(member -> locations.put(member, location));
+        return locations;
+    }
+
+    private static FailureDomain zoneOf(String database) {
+        return FailureDomain.of("zone-of-" + database);
+    }
+
     /** Accepts streams of other VMs, and returns the address under which this VM registers. */
     String lendConnections() throws Exception {
         int relayPort = freePort();
@@ -292,7 +310,7 @@
                 Set.of(GROUP),
                 List.of(),
                 Map.of(),
-                Map.of(),
+                vmLocations,
                 PlacementConstraints.NONE);
     }
 
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
@@ -442,7 +442,7 @@
     }
 
     private List<VmName> owners(String name) {
-        return new ConnectionOwnership(NONE, members, Map.of()).owners(entry(name));
+        return new ConnectionOwnership(NONE, members, EngineFixture.besideDatabase(members, name)).owners(entry(name));
     }
 
     private static DatabaseEntry entry(String name) {
@@ -450,7 +450,7 @@
                 BackendServerName.of(name),
                 EngineFixture.GROUP,
                 "127.0.0.1:1",
-                FailureDomain.of("zone"),
+                FailureDomain.of("zone-of-" + name),
                 2,
                 false,
                 true,
