--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/SharedConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/SharedConnections.java
@@ -28,6 +28,7 @@
     private final LentConnections lent;
     private final Map<BackendServerName, ConnectionRole> roles = new HashMap<>();
     private ConnectionOwnership ownership = ConnectionOwnership.alone(VmName.of("unknown"));
+    private boolean enabled;
     private Set<VmName> members = Set.of();
     private Map<VmName, VmLocation> locations = Map.of();
 
@@ -37,6 +38,14 @@
         this.lent = new LentConnections(engine);
     }
 
+    /**
+     * Shares connections with the other VMs of the fleet, all of which must do so. Must be called before the first
+     * update. Without this call, each VM uses connections of its own.
+     */
+    public void enable() {
+        enabled = true;
+    }
+
     /**
      * Accepts a stream of another VM that uses the connections of this one.
      *
@@ -63,7 +72,9 @@
         if (!registrations.members().equals(members) || !view.vmLocations().equals(locations)) {
             members = registrations.members();
             locations = view.vmLocations();
-            ownership = new ConnectionOwnership(registrations.self(), members, locations);
+            ownership = enabled
+                    ? new ConnectionOwnership(registrations.self(), members, locations)
+                    : ConnectionOwnership.alone(registrations.self());
         }
         relayed.update(registrations.self(), registrations.addresses());
     }
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -201,7 +201,10 @@
                 .findFirst()
                 .ifPresent(database -> vmLocations = besideDatabase(ownership.members(), database.value()));
         view = view(consistency, Map.of(CUSTOMER, customer()));
-        return runOnLoop(() -> engine.update(view, ownership));
+        return runOnLoop(() -> {
+            engine.sharedConnections().enable();
+            engine.update(view, ownership);
+        });
     }
 
     /** Returns the locations of VMs that all run in the failure domain of a database. */
