--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,4 +1,4 @@
-"""RECOVER: connections that went silent while transactions were open on them are never given up."""
+"""UNASKED: a key moves to another tenant, and the statements of an open transaction go on in the former one's name."""
 
 import pathlib
 import sys
@@ -8,75 +8,45 @@
 from lab import BOUNDS, Client, configuration, main
 
 SERVICE = "ledger1"
-ROUTES = {"entries": "primary", "programme": "bounded_staleness"}
-OPERATIONS = [("entries", "PUT 1a4 paid"), ("programme", "FETCH 1a4"), ("entries", "FETCH 1a4")]
-CONNECTIONS = 16  # maxConns of the festival ledgers
-SLOTS = 2
-WATCHED_S = 40
-PAUSE_S = 0.2
-
-
-def operate(lab, node, name, number):
-    """Runs one operation in a session of its own, as some clients do."""
-    database, text = OPERATIONS[number % len(OPERATIONS)]
-    try:
-        client = Client(lab.record, name, node.frontend, database, "key-1")
-        answer = client.query(text)
-        client.close()
-        return answer.ok
-    except OSError as error:
-        lab.record.write(name, f"ended with {error!r}")
-        return False
-
-
-def open_transactions(lab, node, database, begin, text, count):
-    """Opens transactions that have run a statement, as many as the database has connections."""
-    sessions = []
-    for number in range(count):
-        session = Client(lab.record, f"{database} session {number}", node.frontend, database, "key-1")
-        session.must(begin)
-        session.must(text)
-        sessions.append(session)
-    return sessions
-
-
-def give_up(lab, group, sessions):
-    """The clients roll back, right after the connections to the databases have gone silent."""
-    if lab.trouble:
-        for database in group.databases:
-            database.silence_open_connections()
-        lab.record.write("network", "the open connections to the databases are silent; new ones work")
-    for session in sessions:
-        session.must("ABORT")
-        session.close()
-    return time.monotonic()
+DATABASE = "entries"
+PAUSE_S = 1.0
+STATEMENTS = 8
 
 
 def play(lab):
-    group = lab.add_group(SERVICE, slots=SLOTS, max_connections=CONNECTIONS)
-    config = configuration(7, ROUTES, {"troupes": ["key-1"]}, SERVICE, max_connections=CONNECTIONS)
-    lab.store.put("op/config", config)
+    group = lab.add_group(SERVICE)
+    before = {"troupes": ["key-1", "key-2"], "jurors": ["key-3"]}
+    after = {"troupes": ["key-1"], "jurors": ["key-3", "key-2"]}
+    lab.store.put("op/config", configuration(7, {DATABASE: "primary"}, before, SERVICE))
     node, = lab.start_nodes("edge-a-1")
-    time.sleep(1)
-    before = [operate(lab, node, "before", number) for number in range(12)]
-
-    sessions = open_transactions(lab, node, "entries", "BEGIN", "PUT 1a4 draft", CONNECTIONS)
-    sessions += open_transactions(lab, node, "programme", "BEGIN FETCH", "FETCH 1a4", CONNECTIONS)
-    silent = give_up(lab, group, sessions)
-
-    late, number = [], 0
-    while time.monotonic() < silent + WATCHED_S:
-        served = operate(lab, node, "after", number)
-        number += 1
-        if time.monotonic() > silent + BOUNDS["connectedMs"] / 1000 + BOUNDS["recoveryS"]:
-            late.append(served)
+    time.sleep(BOUNDS["connectedMs"] / 1000 + 1)  # the machine is in touch
+
+    client = Client(lab.record, "client", node.frontend, DATABASE, "key-2")
+    client.must("BEGIN")
+    client.must("FETCH 1a4")
+    lab.store.put("op/config", configuration(9, {DATABASE: "primary"}, after if lab.trouble else before, SERVICE))
+    acknowledged = time.monotonic()
+    lab.record.write("operator", f"version 9 acknowledged, key-2 belongs to {'jurors' if lab.trouble else 'troupes'}")
+
+    broken = []
+    holder = "jurors" if lab.trouble else "troupes"
+    texts = [f"PUT 1a4 value{index}" for index in range(STATEMENTS)] + ["COMMIT"]
+    for text in texts:
         time.sleep(PAUSE_S)
-    text = (f"before: {sum(before)} of {len(before)} served; later than recoveryS after the machine was back: "
-            f"{sum(late)} of {len(late)}; node ready: {node.is_ready()}")
-    lab.record.write("check", text)
-    if sum(before) * 4 >= len(before) and sum(late) * 4 < len(late):
-        return [text]
-    return []
+        sent = time.monotonic() - acknowledged
+        answer = client.query(text)
+        for run in group.runs_of(answer.request):
+            if sent > BOUNDS["configApplyMs"] / 1000 and run["tenant"] != holder:
+                broken.append(f"{text!r} was sent {sent:.2f} s after the acknowledgement and ran in the name of "
+                              f"{run['tenant']}; its key is held by {holder} (client got {answer.result!r})")
+        if not answer.ok:
+            break
+
+    # A new session shows that the node knows the new holder.
+    other = Client(lab.record, "new session", node.frontend, DATABASE, "key-2")
+    check = other.must("FETCH 1a4")
+    lab.record.write("check", f"a new session with key-2 runs for {group.runs_of(check.request)[-1]['tenant']}")
+    return broken
 
 
 main(__file__, play)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,7 +10,8 @@
 
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 or later is needed")
-for source in [pathlib.Path("lab2/lab.py"), *sorted(pathlib.Path(".").glob("[6-9]/run.py"))]:
+for source in [pathlib.Path("lab2/lab.py"), *sorted(pathlib.Path(".").glob("[6-9]/run.py")),
+               pathlib.Path("10/run.py")]:
     ast.parse(source.read_text(encoding="utf-8"), str(source))
     print("checked", source)
 PY
--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -29,6 +29,7 @@
 CONNECT_S = 2.0
 PROMOTE_S = 0.6
 DARK_S = 3.0
+ENTRY_S = 3.6  # three heartbeats of 1.2 s
 FIRST_PORT = 20_000
 PORTS = 11_000
 
@@ -253,27 +254,39 @@
         self.rows = {}
         self.runs = []
         self.token = 0
+        self.promoted = []
+        self.positions = {}
         self.databases = [Database(self, f"i-{service}{index}", index == 0, slots) for index in range(size)]
 
     def register(self):
         for database in self.databases:
-            self.store.put("servers/" + database.id, database.entry())
+            if database.running:
+                self.store.put("servers/" + database.id, database.entry())
 
     def commit(self, primary, writes):
         """Commits at the primary and waits until a replica has received it (`syncReplicas` 1)."""
         primary.number += 1
         self.rows.update(writes)
         position = (primary.term, primary.number)
+        self.positions.update({item: position for item, _ in writes})
         self._replicate(primary)
-        while primary.primary and not any(
+        while primary.primary and primary.running and not any(
                 (replica.term, replica.number) >= position for replica in self.databases if replica is not primary):
             self.received.wait(0.05)
             self._replicate(primary)
-        return primary.primary
+        return primary.primary and primary.running
+
+    def lost_items(self, acknowledged):
+        """Returns the writes that were acknowledged before a promotion and that the promoted log lacks."""
+        with self.lock:
+            return {
+                name: [item for item, when in acknowledged.items()
+                       if when < at and (term, number) < self.positions[item]]
+                for name, term, number, at in self.promoted}
 
     def _replicate(self, primary):
         for replica in self.databases:
-            if primary.primary and replica is not primary and replica.held == 0:
+            if primary.primary and replica is not primary and replica.receives():
                 replica.term, replica.number = primary.term, primary.number
         self.received.notify_all()
 
@@ -282,6 +295,8 @@
         with self.lock:
             if token < self.token:
                 return 409
+            if not target.running:
+                return 409
             self.token = token
             if target.primary:
                 return 200
@@ -290,13 +305,17 @@
 
     def _lead(self, target):
         with self.lock:
+            if not target.running:
+                return
             term = max(database.term for database in self.databases) + 1
+            logs = {database.id: database.log_text() for database in self.databases}
+            self.promoted.append((target.id, target.term, target.number, time.monotonic()))
             for database in self.databases:
                 database.primary = database is target
                 database.held = 0
             target.term = term
             self._replicate(target)
-        self.record.write(f"database {target.id}", f"leads term {term}")
+        self.record.write(f"database {target.id}", f"leads term {term}; the logs were {logs}")
         self.register()
 
     def stored_rows(self, item):
@@ -319,15 +338,54 @@
         self.term = 3
         self.number = 1207
         self.held = 0
+        self.deaf = False
+        self.running = True
         self.slots = slots
         self.state = "ready"
         self.sequence = 0
         self.connections = 0
         self.opened = []
         self.silent = set()
-        self._server = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self._sockets = {}
+        self._listen(0)
         self.port = self._server.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _listen(self, port):
+        self._server = socket.create_server(("127.0.0.1", port), backlog=256)
+        threading.Thread(target=self._accept, args=(self._server,), daemon=True).start()
+
+    def receives(self):
+        return self.running and self.held == 0 and not self.deaf
+
+    def log_text(self):
+        return f"{self.position()}" + ("" if self.running else " (down)")
+
+    def crash(self, down_s):
+        """Ends the process; its entry expires after three heartbeats, and it is back with its log after a while."""
+        with self.group.lock:
+            self.running = False
+            self._server.shutdown(socket.SHUT_RDWR)
+            self._server.close()
+            sockets = list(self._sockets.values())
+        for sock in sockets:
+            sock.close()
+        self.group.record.write(f"database {self.id}", f"crashes at {self.position()}")
+        threading.Timer(ENTRY_S, self._expire).start()
+        if down_s is not None:
+            threading.Timer(down_s, self._restart).start()
+
+    def _expire(self):
+        if not self.running:
+            self.group.store.remove("servers/" + self.id)
+            self.group.record.write(f"database {self.id}", "its entry has expired")
+
+    def _restart(self):
+        with self.group.lock:
+            self.held, self.deaf = 0, False
+            self._listen(self.port)
+            self.running = True
+        self.group.store.put("servers/" + self.id, self.entry())
+        self.group.record.write(f"database {self.id}", f"is back at {self.position()}, primary={self.primary}")
 
     def entry(self):
         self.sequence += 1
@@ -358,12 +416,15 @@
     def close(self):
         self._server.close()
 
-    def _accept(self):
+    def _accept(self, server):
         while True:
             try:
-                sock, _ = self._server.accept()
+                sock, _ = server.accept()
             except OSError:
                 return
+            if not self.running:
+                sock.close()
+                return
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock):
@@ -371,6 +432,7 @@
         with self.group.lock:
             self.connections += 1
             number = self.connections
+            self._sockets[number] = lines
         try:
             connect = lines.read().split(" ")
             if connect[0] != "CONNECT" or connect[1] != self.group.service \
@@ -398,6 +460,7 @@
             self._log(number, "closed")
         finally:
             with self.group.lock:
+                self._sockets.pop(number, None)
                 if number in self.opened:
                     self.opened.remove(number)
             lines.close()
@@ -642,6 +705,11 @@
     def signal(self, number):
         self.process.send_signal(number)
 
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+        self.lab.record.write(self.name, "killed")
+
     def end(self):
         if self.process and self.process.poll() is None:
             self.process.kill()
