Record the members of each group for processes that start later

Cause: who may have confirmed a commit was known from entries, which end with their database, and from the memory of processes. A decision that needs a complete set was taken on a set that shrinks by itself.

Change: the holder of the promotion lease keeps the members of each group in the store and writes only when a database joins, moves, restarts or has departed. Each process reads the record before it can hold the lease. A member without an entry counts as a replica that did not answer, unless the chosen log reaches the newest position of the primary that was read since: commits acknowledged by earlier processes are not beyond it, later ones are compared as acknowledged positions. A member is dropped from the record when as many replicas as confirm a commit have reached a position of the primary read after its end. The log names the members with their source, age and missing evidence.

Evidence: before a restart the holder names both replicas and postpones at the same positions; after it, it named one. PromotionModel_explore_Test loses a commit after a restart of all nodes if the record or the bound by the primary's position is left out, and none otherwise.

--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetEvent.java
@@ -6,8 +6,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.caller.CallerDrain;
+import org.geraniumproxy.core.caller.PrimaryPositionHistory;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.DatabaseHealth;
+import org.geraniumproxy.core.directory.GroupMembers;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.FailureDomain;
@@ -145,12 +147,14 @@
      * @param newestTerms newest term of each group that a primary reported
      * @param acknowledged last position of each group that was acknowledged to callers of this VM
      * @param enforced newest promotion of each group that the traffic thread enforces
+     * @param primaryPositions newest position of each primary that this VM has read
      */
     record TrafficReported(
             Map<BackendServerName, DatabaseHealth> health,
             Map<GroupName, Long> newestTerms,
             Map<GroupName, LogPosition> acknowledged,
-            Map<GroupName, String> enforced)
+            Map<GroupName, String> enforced,
+            Map<GroupName, PrimaryPositionHistory.Sample> primaryPositions)
             implements FleetEvent {
         /** Copies the maps. */
         public TrafficReported {
@@ -158,9 +162,34 @@
             newestTerms = Map.copyOf(newestTerms);
             acknowledged = Map.copyOf(acknowledged);
             enforced = Map.copyOf(enforced);
+            primaryPositions = Map.copyOf(primaryPositions);
+        }
+
+        /**
+         * Creates a report of a VM that has read no position of a primary.
+         *
+         * @param health how each database has responded to this VM
+         * @param newestTerms newest term of each group that a primary reported
+         * @param acknowledged last position of each group that was acknowledged to callers of this VM
+         * @param enforced newest promotion of each group that the traffic thread enforces
+         */
+        public TrafficReported(
+                Map<BackendServerName, DatabaseHealth> health,
+                Map<GroupName, Long> newestTerms,
+                Map<GroupName, LogPosition> acknowledged,
+                Map<GroupName, String> enforced) {
+            this(health, newestTerms, acknowledged, enforced, Map.of());
         }
     }
 
+    /**
+     * The store reported which databases of a group may have confirmed commits.
+     *
+     * @param group group of the databases
+     * @param members databases that were recorded, also those whose entry has expired since
+     */
+    record MembersRecorded(GroupName group, GroupMembers members) implements FleetEvent {}
+
     /**
      * A database that was taken for the primary refused a write because it is a replica.
      *
--- a/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/FleetState.java
@@ -161,6 +161,15 @@
         return databases.directories(Set.of(DatabaseAvailability.USED));
     }
 
+    /**
+     * Returns the databases that have an entry, as {@link #members(GroupName)} does for one group.
+     *
+     * @return directories by group, without groups that have no such database
+     */
+    public Map<GroupName, GroupDirectory> members() {
+        return databases.directories(EnumSet.complementOf(EnumSet.of(DatabaseAvailability.GONE)));
+    }
+
     /**
      * Returns the databases of a group that have an entry. A drained database gets no statements, but confirms commits
      * until it stops, and so does an evacuated one.
@@ -334,6 +343,8 @@
             case FleetEvent.ConfigurationReceived update -> updateConfiguration(update.configuration(), effects);
             case FleetEvent.DatabasesListed update -> with(databases.replaceEntries(update.entries(), now, effects));
             case FleetEvent.DatabaseEntryChanged changed -> with(databases.updateEntry(changed.entry(), now, effects));
+            case FleetEvent.MembersRecorded recorded ->
+                with(databases.learnRecorded(recorded.group(), recorded.members(), now, effects));
             case FleetEvent.DatabaseEntryMissing missing ->
                 with(databases.markMissing(missing.database(), now, effects));
             case FleetEvent.EvacuationsListed listed ->
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabase.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.geraniumproxy.core.directory.DatabaseAvailability;
 import org.geraniumproxy.core.directory.DatabaseEntry;
+import org.geraniumproxy.core.directory.RecordedMember;
 
 /**
  * A database with its last store entry and the times since which the entry has been missing or draining.
@@ -14,13 +15,25 @@
  * @param missingSince time at which the entry was found missing in the store
  * @param drainingSince time at which the entry was first seen draining
  * @param restartedAt time at which this VM saw that the database had restarted
+ * @param source where the entry comes from
  */
 record TrackedDatabase(
         DatabaseEntry entry,
         DatabaseAvailability availability,
         Optional<Instant> missingSince,
         Optional<Instant> drainingSince,
-        Optional<Instant> restartedAt) {
+        Optional<Instant> restartedAt,
+        Source source) {
+    /** Where the last entry of a database comes from. */
+    enum Source {
+        /** The database wrote the entry, and this process has read it. */
+        STORE_ENTRY,
+        /**
+         * The entry has expired long ago, or before this process started; the record of the group names the database.
+         */
+        GROUP_RECORD
+    }
+
     /** Grace period of a replica. Entries that expired during a store outage return within 2 s of its end. */
     static final Duration MISSING_REPLICA_GRACE_PERIOD = Duration.ofMillis(2500);
 
@@ -38,7 +51,19 @@
 
     static TrackedDatabase of(DatabaseEntry entry, FleetTiming timing, Instant now) {
         Optional<Instant> draining = entry.draining() ? Optional.of(assumedDrainStart(timing, now)) : Optional.empty();
-        return new TrackedDatabase(entry, DatabaseAvailability.USED, Optional.empty(), draining, Optional.empty());
+        return new TrackedDatabase(
+                entry, DatabaseAvailability.USED, Optional.empty(), draining, Optional.empty(), Source.STORE_ENTRY);
+    }
+
+    /** Creates a database without an entry that the record of its group names. */
+    static TrackedDatabase recorded(DatabaseEntry entry, Instant now) {
+        return new TrackedDatabase(
+                entry,
+                DatabaseAvailability.GONE,
+                Optional.of(now),
+                Optional.empty(),
+                Optional.empty(),
+                Source.GROUP_RECORD);
     }
 
     /**
@@ -56,7 +81,28 @@
                 availability,
                 Optional.empty(),
                 newest.draining() ? draining : Optional.empty(),
-                restarted ? Optional.of(now) : restartedAt);
+                restarted ? Optional.of(now) : restartedAt,
+                Source.STORE_ENTRY);
+    }
+
+    /** Returns the database as one of which only the record of its group is evidence. */
+    TrackedDatabase withRecordOnly() {
+        return new TrackedDatabase(entry, availability, missingSince, drainingSince, restartedAt, Source.GROUP_RECORD);
+    }
+
+    boolean isRecordedOnly() {
+        return source == Source.GROUP_RECORD;
+    }
+
+    /** Returns whether the record of the group shows a restart that this process hasn't seen. */
+    boolean hasUnseenRestart(RecordedMember member) {
+        return source == Source.STORE_ENTRY
+                && restartedAt.isEmpty()
+                && member.startedAtMilliseconds() != entry.startedAtMilliseconds();
+    }
+
+    TrackedDatabase withRestart(Instant now) {
+        return new TrackedDatabase(entry, availability, missingSince, drainingSince, Optional.of(now), source);
     }
 
     /**
@@ -72,7 +118,7 @@
     TrackedDatabase markMissing(Instant now) {
         return missingSince.isPresent()
                 ? this
-                : new TrackedDatabase(entry, availability, Optional.of(now), drainingSince, restartedAt);
+                : new TrackedDatabase(entry, availability, Optional.of(now), drainingSince, restartedAt, source);
     }
 
     /**
@@ -84,12 +130,16 @@
         DatabaseAvailability current = availabilityAt(timing, evacuated, now);
         return current == availability
                 ? this
-                : new TrackedDatabase(entry, current, missingSince, drainingSince, restartedAt);
+                : new TrackedDatabase(entry, current, missingSince, drainingSince, restartedAt, source);
+    }
+
+    boolean hasCurrentAvailability(FleetTiming timing, boolean evacuated, Instant now) {
+        return availabilityAt(timing, evacuated, now) == availability;
     }
 
-    /** Returns whether neither the availability has changed nor the database is forgotten. */
-    boolean isCurrent(FleetTiming timing, boolean evacuated, Instant now) {
-        return availabilityAt(timing, evacuated, now) == availability && !isExpired(now);
+    /** Returns whether the database can't confirm a commit any more: it has left, or its entry is missing for long. */
+    boolean hasEnded(Instant now) {
+        return availability == DatabaseAvailability.GONE && (drainingSince.isPresent() || isExpired(now));
     }
 
     boolean isExpired(Instant now) {
@@ -101,7 +151,7 @@
     }
 
     private DatabaseAvailability availabilityAt(FleetTiming timing, boolean evacuated, Instant now) {
-        if (hasElapsed(missingSince, missingGracePeriod(), now)) {
+        if (isRecordedOnly() || hasElapsed(missingSince, missingGracePeriod(), now)) {
             return DatabaseAvailability.GONE;
         }
         if (evacuated) {
--- a/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
+++ b/core/src/main/java/org/geraniumproxy/core/fleet/TrackedDatabases.java
@@ -13,6 +13,7 @@
 import org.geraniumproxy.core.directory.DatabaseAvailability;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.directory.GroupMembers;
 import org.geraniumproxy.core.directory.PrimaryClaim;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
@@ -28,21 +29,24 @@
  * @param claims newest primary claim of each group from a promotion or from a database
  * @param demotedRevisions entry revision of each database at which it refused a write as a replica
  * @param evacuations evacuated failure domains
+ * @param recorded members of each group that its record names
  */
 record TrackedDatabases(
         FleetTiming timing,
         Map<BackendServerName, TrackedDatabase> byName,
         Map<GroupName, PrimaryClaim> claims,
         Map<BackendServerName, StoreRevision> demotedRevisions,
-        TrackedEvacuations evacuations) {
+        TrackedEvacuations evacuations,
+        Map<GroupName, Set<BackendServerName>> recorded) {
     TrackedDatabases {
         byName = Map.copyOf(byName);
         claims = Map.copyOf(claims);
         demotedRevisions = Map.copyOf(demotedRevisions);
+        recorded = Map.copyOf(recorded);
     }
 
     static TrackedDatabases empty(FleetTiming timing, EvacuationRules rules) {
-        return new TrackedDatabases(timing, Map.of(), Map.of(), Map.of(), TrackedEvacuations.none(rules));
+        return new TrackedDatabases(timing, Map.of(), Map.of(), Map.of(), TrackedEvacuations.none(rules), Map.of());
     }
 
     /** Groups the databases whose availability is one of those given. */
@@ -151,6 +155,48 @@
                         + entry.draining() + " revision=" + entry.revision()));
     }
 
+    /**
+     * Adds the members of a group that have no entry, drops those of which only an earlier record was evidence, and
+     * marks those that have restarted since they were recorded. A restart that this VM has seen is known already.
+     */
+    TrackedDatabases learnRecorded(GroupName group, GroupMembers members, Instant now, List<FleetEffect> effects) {
+        Set<BackendServerName> names = members.byName().keySet();
+        Map<BackendServerName, TrackedDatabase> next = new HashMap<>(byName);
+        next.values()
+                .removeIf(database -> database.isRecordedOnly()
+                        && database.entry().group().equals(group)
+                        && !names.contains(database.entry().name()));
+        members.byName().forEach((name, member) -> {
+            TrackedDatabase known = byName.get(name);
+            if (known == null) {
+                effects.add(new FleetEffect.Log(
+                        "database known from the record of its group",
+                        "database=" + name + " group=" + group + " address=" + member.address()));
+                next.put(name, TrackedDatabase.recorded(member.toEntry(group), now));
+            } else if (known.hasUnseenRestart(member)) {
+                effects.add(new FleetEffect.Log(
+                        "database restarted before this process started",
+                        "database=" + name + " group=" + group + " recorded=" + member.startedAtMilliseconds()
+                                + " startedAt=" + known.entry().startedAtMilliseconds()));
+                next.put(name, known.withRestart(now));
+            }
+        });
+        Map<GroupName, Set<BackendServerName>> nextRecorded = new HashMap<>(recorded);
+        nextRecorded.put(group, names);
+        return new TrackedDatabases(timing, next, claims, demotedRevisions, evacuations, nextRecorded);
+    }
+
+    private boolean isRecorded(DatabaseEntry entry) {
+        return recorded.getOrDefault(entry.group(), Set.of()).contains(entry.name());
+    }
+
+    /**
+     * Returns whether a database whose entry has been missing too long is to be dropped, or kept by its record only.
+     */
+    private boolean isOverdue(TrackedDatabase database, Instant now) {
+        return database.isExpired(now) && !(database.isRecordedOnly() && isRecorded(database.entry()));
+    }
+
     TrackedDatabases markMissing(BackendServerName database, Instant now, List<FleetEffect> effects) {
         TrackedDatabase known = byName.get(database);
         if (known == null) {
@@ -171,7 +217,7 @@
         next.put(group, newer);
         Map<BackendServerName, StoreRevision> remaining = new HashMap<>(demotedRevisions);
         remaining.remove(newer.database());
-        return new TrackedDatabases(timing, byName, next, remaining, evacuations);
+        return new TrackedDatabases(timing, byName, next, remaining, evacuations, recorded);
     }
 
     TrackedDatabases markDemoted(FleetEvent.WriteRefusedByReplica refused, List<FleetEffect> effects) {
@@ -187,11 +233,11 @@
                     "write refused by replica",
                     "group=" + refused.group() + " database=" + refused.database() + " revision=" + revision));
         }
-        return new TrackedDatabases(timing, byName, claims, next, evacuations);
+        return new TrackedDatabases(timing, byName, claims, next, evacuations, recorded);
     }
 
     TrackedDatabases with(TrackedEvacuations next) {
-        return new TrackedDatabases(timing, byName, claims, demotedRevisions, next);
+        return new TrackedDatabases(timing, byName, claims, demotedRevisions, next, recorded);
     }
 
     /** Returns the databases in evacuated failure domains. */
@@ -238,7 +284,7 @@
 
     /**
      * Recomputes the evacuations and the availability of each database, and drops databases whose entry has been
-     * missing too long.
+     * missing too long unless the record of their group names them.
      */
     TrackedDatabases refresh(Instant now, List<FleetEffect> effects) {
         TrackedEvacuations refreshed = evacuations.refresh(now, effects);
@@ -256,7 +302,8 @@
     private TrackedDatabases refreshAvailability(Instant now, List<FleetEffect> effects) {
         Map<GroupName, BackendServerName> primaries = presumedPrimaries();
         if (byName.values().stream()
-                .allMatch(database -> database.isCurrent(timing, isOutOfUse(database.entry(), primaries), now))) {
+                .allMatch(database -> !isOverdue(database, now)
+                        && database.hasCurrentAvailability(timing, isOutOfUse(database.entry(), primaries), now))) {
             return this;
         }
         Map<BackendServerName, TrackedDatabase> next = new HashMap<>();
@@ -270,8 +317,10 @@
                                 + database.entry().failureDomain() + " revision="
                                 + database.entry().revision()));
             }
-            if (!refreshed.isExpired(now)) {
+            if (!isOverdue(refreshed, now)) {
                 next.put(name, refreshed);
+            } else if (isRecorded(refreshed.entry())) {
+                next.put(name, refreshed.withRecordOnly());
             }
         });
         return next.equals(byName) ? this : with(next);
@@ -284,6 +333,6 @@
     }
 
     private TrackedDatabases with(Map<BackendServerName, TrackedDatabase> next) {
-        return new TrackedDatabases(timing, next, claims, demotedRevisions, evacuations);
+        return new TrackedDatabases(timing, next, claims, demotedRevisions, evacuations, recorded);
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/GroupSnapshot.java
@@ -1,5 +1,6 @@
 package org.geraniumproxy.core.promotion;
 
+import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Map;
@@ -25,6 +26,7 @@
  * @param intent last recorded promotion intent
  * @param unfenced VMs in contact that have not confirmed that they enforce the intent
  * @param evacuated databases in evacuated failure domains, which must not be promoted
+ * @param departed those of the suspected databases that are known only from the record of the group
  */
 public record GroupSnapshot(
         Map<BackendServerName, DatabaseEntry> databases,
@@ -37,7 +39,8 @@
         Optional<LogPosition> acknowledged,
         Optional<PromotionIntent> intent,
         Set<VmName> unfenced,
-        Set<BackendServerName> evacuated) {
+        Set<BackendServerName> evacuated,
+        DepartedMembers departed) {
     /** Copies the collections. */
     public GroupSnapshot {
         databases = Map.copyOf(databases);
@@ -99,7 +102,8 @@
                 latest.acknowledged,
                 latest.intent,
                 latest.unfenced,
-                latest.evacuated);
+                latest.evacuated,
+                latest.departed);
     }
 
     /** Returns the state of a group whose supposed primary is a replica. */
@@ -115,7 +119,8 @@
                 acknowledged,
                 intent,
                 unfenced,
-                evacuated);
+                evacuated,
+                departed);
     }
 
     /** Returns the state of a group whose primary is replaced although it may serve. */
@@ -131,7 +136,8 @@
                 acknowledged,
                 intent,
                 unfenced,
-                evacuated);
+                evacuated,
+                departed);
     }
 
     /** Returns the databases that a promotion stops: all that may confirm a commit, except the primary. */
@@ -142,19 +148,20 @@
         return replicas;
     }
 
-    /** Returns each replica with its entry and the position at which it stopped, for the log. */
-    String describe(Map<BackendServerName, DatabaseStatus> stopped) {
+    /** Returns each replica with its entry, its source and the position at which it stopped, for the log. */
+    String describe(Map<BackendServerName, DatabaseStatus> stopped, Instant now) {
         return replicas().stream()
                         .sorted(Comparator.comparing(BackendServerName::value))
                         .map(replica -> replica + "=" + describe(replica, Optional.ofNullable(stopped.get(replica))))
                         .collect(Collectors.joining(" "))
                 + " acknowledged="
-                + acknowledged.map(PromotionChoice::text).orElse("none");
+                + acknowledged.map(PromotionChoice::text).orElse("none")
+                + (departed.names().isEmpty() ? "" : " " + departed.describe(now));
     }
 
     private String describe(BackendServerName replica, Optional<DatabaseStatus> status) {
         String entry = suspected.containsKey(replica)
-                ? "expired"
+                ? departed.names().contains(replica) ? "recorded" : "expired"
                 : databases.get(replica).draining() ? "draining" : "present";
         return "entry:" + entry + (recentlyRestarted.contains(replica) ? ",restarted" : "")
                 + (evacuated.contains(replica) ? ",evacuated" : "") + ",stopped:"
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionChoice.java
@@ -17,8 +17,10 @@
  * primary and enough replicas hold it. There are two proofs. A primary that has stepped down acknowledges nothing
  * beyond its last position, so a log that reaches this position is safe. Otherwise enough replicas must have stopped
  * receiving that at least one of them holds each acknowledged commit, and no stopped log may be ahead of the chosen
- * one. A database in an evacuated failure domain counts for either proof, but is never chosen. In a group whose primary
- * acknowledges commits alone the second proof does not hold; all replicas are stopped and the longest log is chosen.
+ * one. A member that departed before this process started counts for the second proof unless the chosen log reaches a
+ * position of the primary that was read since. A database in an evacuated failure domain counts for either proof, but
+ * is never chosen. In a group whose primary acknowledges commits alone the second proof does not hold; all replicas are
+ * stopped and the longest log is chosen.
  */
 public sealed interface PromotionChoice {
     /**
@@ -89,17 +91,18 @@
         Set<BackendServerName> proven = new HashSet<>(stopped.keySet());
         proven.retainAll(snapshot.replicas());
         proven.removeAll(snapshot.recentlyRestarted());
-        int replicas = snapshot.replicas().size();
+        LogPosition highest = stopped.values().stream()
+                .map(DatabaseStatus::received)
+                .max(Comparator.naturalOrder())
+                .orElse(LogPosition.START);
+        int replicas = countedReplicas(snapshot, proven, highest);
         int confirming = Math.max(1, snapshot.synchronousReplicas());
         int needed = Math.max(1, replicas - confirming + 1);
         if (proven.size() < needed) {
             return new Insufficient("stopped " + proven.size() + " of " + replicas + " replicas, needed " + needed
-                    + "; commits may have been confirmed by " + unproven(snapshot, proven));
+                    + "; commits may have been confirmed by " + unproven(snapshot, proven)
+                    + departedEvidence(snapshot, proven));
         }
-        LogPosition highest = stopped.values().stream()
-                .map(DatabaseStatus::received)
-                .max(Comparator.naturalOrder())
-                .orElse(LogPosition.START);
         if (snapshot.synchronousReplicas() > 0 && isBehind(highest, snapshot.acknowledged())) {
             return new Insufficient("highest position " + text(highest) + " lacks acknowledged commits up to "
                     + snapshot.acknowledged().map(PromotionChoice::text).orElseThrow());
@@ -117,6 +120,31 @@
                         + " has the highest position " + text(highest)));
     }
 
+    /**
+     * Counts the replicas that may have confirmed a commit which the chosen log lacks. Without synchronous replicas no
+     * replica has confirmed any.
+     */
+    private static int countedReplicas(GroupSnapshot snapshot, Set<BackendServerName> proven, LogPosition highest) {
+        Set<BackendServerName> counted = new HashSet<>(snapshot.replicas());
+        if (snapshot.synchronousReplicas() == 0 || snapshot.departed().areCoveredBy(highest)) {
+            counted.removeAll(unprovenDeparted(snapshot, proven));
+        }
+        return counted.size();
+    }
+
+    private static Set<BackendServerName> unprovenDeparted(GroupSnapshot snapshot, Set<BackendServerName> proven) {
+        Set<BackendServerName> departed = new HashSet<>(snapshot.departed().names());
+        departed.removeAll(proven);
+        return departed;
+    }
+
+    private static String departedEvidence(GroupSnapshot snapshot, Set<BackendServerName> proven) {
+        return unprovenDeparted(snapshot, proven).isEmpty()
+                ? ""
+                : "; members known only from the record of the group: "
+                        + snapshot.departed().describeBound();
+    }
+
     private static String outsideEvacuation(GroupSnapshot snapshot) {
         return snapshot.evacuated().isEmpty()
                 ? ""
--- a/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
+++ b/core/src/main/java/org/geraniumproxy/core/promotion/PromotionState.java
@@ -507,7 +507,7 @@
         Attempt attempt = stopping.attempt();
         effects.add(new PromotionEffect.Log(
                 "replicas counted",
-                "attempt=" + attempt.id() + " " + attempt.snapshot().describe(stopping.stopped())));
+                "attempt=" + attempt.id() + " " + attempt.snapshot().describe(stopping.stopped(), now)));
         PromotionChoice choice = PromotionChoice.of(
                 attempt,
                 stopping.stopped(),
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.caller.BackendCommand;
+import org.geraniumproxy.core.caller.PrimaryPositionHistory;
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.identity.BackendServerName;
@@ -77,6 +78,10 @@
         STEP_DOWN_POSITION,
         /** A database whose entry expired is forgotten. */
         EXPIRED_DATABASE,
+        /** Nodes that start don't read the record of the group. */
+        GROUP_RECORD,
+        /** A member that only the record names is not counted, whatever the position of the primary is. */
+        PRIMARY_POSITION,
         /** A promotion is requested before the nodes enforce its fence. */
         FENCE,
         /** The holder does not compare what the nodes acknowledged before they enforced the fence. */
@@ -146,6 +151,9 @@
     /** Databases to which the lease holder can't send commands, while the others reach them. */
     private Set<Integer> unreachable = Set.of();
 
+    /** All nodes restarted after the entry of the last database had expired. */
+    private boolean nodesRestarted;
+
     private boolean promotes;
     private boolean lost;
 
@@ -331,6 +339,22 @@
         return exploreBeside(Entry.EXPIRED, 0);
     }
 
+    /**
+     * As {@link #losesCommit}, with one lease holder, from the time at which all nodes have restarted. The entry of the
+     * last database had expired before, and only that database had confirmed the first commit. The holder does not
+     * reach it.
+     */
+    boolean losesCommitAfterRestartOfAllNodes() {
+        holderChanges = false;
+        nodesRestarted = true;
+        unreachable = Set.of(LAST);
+        List<Database> databases =
+                List.of(new Database("a1", true, 0), new Database("", true, 0), new Database("a1", false, 0));
+        Group group = new Group(databases, 0, 1, 1, "a1");
+        return explore(start(group, Set.of(), NO_INTENT.with(Entry.EXPIRED), newHolder(1))
+                .with(new FaultCounts(1, 0, 0)));
+    }
+
     /**
      * As {@link #losesCommit}, with one lease holder, which takes a primary that runs for one that fails, while a
      * database joins between the request and its effect.
@@ -523,6 +547,7 @@
             carryOutRequest(state, request);
         }
         passTime(state);
+        readPrimaryPosition(state);
         join(state);
         if (lastEntryArrives && state.store().lastEntry() == Entry.ABSENT) {
             add(state.with(state.store().with(Entry.PRESENT)));
@@ -604,6 +629,17 @@
         }
     }
 
+    /** Lets a node read the position of the primary, which the holder learns. */
+    private void readPrimaryPosition(PromotionModelState state) {
+        Group group = state.group();
+        if (nodesRestarted
+                && group.primary() == presumedPrimary
+                && group.primaryDatabase().running()) {
+            add(state.with(
+                    state.callers().withPrimaryPosition(group.primaryDatabase().position())));
+        }
+    }
+
     private void commit(PromotionModelState state) {
         Group group = state.group();
         boolean possible =
@@ -936,7 +972,19 @@
                 state.group(),
                 state.store(),
                 reported ? Optional.of(state.callers().acknowledged()) : Optional.empty(),
-                isFenced(state) ? Set.of() : Set.of(VmName.of("vm-3")));
+                isFenced(state) ? Set.of() : Set.of(VmName.of("vm-3")),
+                departed(state.callers()));
+    }
+
+    private DepartedMembers departed(Callers callers) {
+        if (!nodesRestarted || omittedRule == OmittedRule.GROUP_RECORD) {
+            return DepartedMembers.NONE;
+        }
+        Optional<LogPosition> position = omittedRule == OmittedRule.PRIMARY_POSITION
+                ? Optional.of(LogPosition.START)
+                : callers.primaryPosition();
+        return new DepartedMembers(
+                Map.of(name(LAST), EARLY), position.map(read -> new PrimaryPositionHistory.Sample(read, EARLY)));
     }
 
     private GroupSnapshot servingSnapshot(PromotionModelState state) {
@@ -947,7 +995,12 @@
         return snapshot;
     }
 
-    private GroupSnapshot snapshot(Group group, Store store, Optional<LogPosition> acknowledged, Set<VmName> unfenced) {
+    private GroupSnapshot snapshot(
+            Group group,
+            Store store,
+            Optional<LogPosition> acknowledged,
+            Set<VmName> unfenced,
+            DepartedMembers departed) {
         Map<BackendServerName, DatabaseEntry> databases = new HashMap<>();
         Map<BackendServerName, DatabaseEntry> suspected = new HashMap<>();
         for (int index = 0; index < LAST; index++) {
@@ -966,7 +1019,7 @@
                 serves ? Optional.of(reasonWhileRunning) : Optional.of(PromotionReason.FAILING);
         return new GroupSnapshot(
                 databases,
-                omittedRule == OmittedRule.EXPIRED_DATABASE ? Map.of() : suspected,
+                isForgotten() ? Map.of() : suspected,
                 Optional.of(name(presumedPrimary)),
                 serves && primaryServes ? Optional.empty() : reason,
                 group.term(),
@@ -975,7 +1028,13 @@
                 acknowledged,
                 omittedRule == OmittedRule.INTENT ? Optional.empty() : store.intent(),
                 unfenced,
-                Set.of());
+                Set.of(),
+                departed);
+    }
+
+    /** Returns whether the holder doesn't know a database whose entry has expired. */
+    private boolean isForgotten() {
+        return omittedRule == OmittedRule.EXPIRED_DATABASE || omittedRule == OmittedRule.GROUP_RECORD;
     }
 
     private DatabaseEntry entry(int index) {
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModelState.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModelState.java
@@ -49,13 +49,20 @@
      * @param earlier fences of earlier intents that were not refused, oldest first
      * @param replies confirmed commits that callers were not told of
      * @param acknowledged last position that callers were told of
+     * @param primaryPosition last position of the primary that a node has read since the nodes started
      */
     record Callers(
             Optional<PromotionIntent> intent,
             List<PromotionFence> earlier,
             List<Reply> replies,
-            LogPosition acknowledged) {
-        static final Callers NONE = new Callers(Optional.empty(), List.of(), List.of(), LogPosition.START);
+            LogPosition acknowledged,
+            Optional<LogPosition> primaryPosition) {
+        static final Callers NONE =
+                new Callers(Optional.empty(), List.of(), List.of(), LogPosition.START, Optional.empty());
+
+        Callers withPrimaryPosition(LogPosition position) {
+            return new Callers(intent, earlier, replies, acknowledged, Optional.of(position));
+        }
 
         /** Returns whether the nodes enforce the fence of an intent. */
         boolean know(Optional<PromotionIntent> recorded) {
@@ -71,12 +78,17 @@
                     .ifPresent(known -> fences.add(known.fence()));
             String promotion = next.get().fence().promotion();
             fences.removeIf(fence -> fence.promotion().equals(promotion));
-            return new Callers(next, fences, replies, acknowledged);
+            return new Callers(next, fences, replies, acknowledged, primaryPosition);
         }
 
         /** Returns what a node knows that has just started and has read the store. */
         Callers restarted(Optional<PromotionIntent> recorded, boolean positionIsKnown) {
-            return new Callers(recorded, List.of(), List.of(), positionIsKnown ? acknowledged : LogPosition.START);
+            return new Callers(
+                    recorded,
+                    List.of(),
+                    List.of(),
+                    positionIsKnown ? acknowledged : LogPosition.START,
+                    Optional.empty());
         }
 
         /** Returns the bounds on commits. The node learns at once that a promotion has taken effect. */
@@ -107,14 +119,14 @@
                     next.add(new Reply(entry, group.primary(), position));
                 }
             }
-            return new Callers(intent, earlier, List.copyOf(next), acknowledged);
+            return new Callers(intent, earlier, List.copyOf(next), acknowledged, primaryPosition);
         }
 
         Callers passedOn(Reply reply) {
             List<Reply> rest = new ArrayList<>(replies);
             rest.remove(reply);
             LogPosition last = reply.position().compareTo(acknowledged) > 0 ? reply.position() : acknowledged;
-            return new Callers(intent, earlier, List.copyOf(rest), last);
+            return new Callers(intent, earlier, List.copyOf(rest), last, primaryPosition);
         }
     }
 
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionModel_explore_Test.java
@@ -55,6 +55,10 @@
     private static final Beginning RESTARTS_AT_ANY_TIME = new Beginning(
             "a database that restarts at any time", PromotionModel::losesCommitBesideDatabaseThatRestartsAtAnyTime);
 
+    private static final Beginning NODES_RESTARTED = new Beginning(
+            "all nodes restarted after the entry of a replica had expired",
+            PromotionModel::losesCommitAfterRestartOfAllNodes);
+
     /** Beginning from which the model explores. */
     private record Beginning(String description, Predicate<PromotionModel> losesCommit) {
         Beginning withPrimaryFailingForOthers() {
@@ -142,6 +146,20 @@
                 Arguments.of(OmittedRule.ACKNOWLEDGED_POSITION, UNLISTED.withFailingPrimary()));
     }
 
+    static Stream<Arguments> restartedNodes() {
+        return Stream.of(
+                        NODES_RESTARTED,
+                        NODES_RESTARTED.withFailingPrimary(),
+                        NODES_RESTARTED.withPrimaryFailingForOthers())
+                .map(Arguments::of);
+    }
+
+    static Stream<Arguments> omittedRulesAfterRestart() {
+        return Stream.of(
+                Arguments.of(OmittedRule.GROUP_RECORD, NODES_RESTARTED),
+                Arguments.of(OmittedRule.PRIMARY_POSITION, NODES_RESTARTED));
+    }
+
     static Stream<Arguments> omittedRulesBesideUncountedReplica() {
         return Stream.of(
                 Arguments.of(OmittedRule.STEP_DOWN, UNLISTED),
@@ -219,6 +237,35 @@
         assertThat("lost after " + model.states() + " states: " + model.trace(), lost, is(false));
     }
 
+    /** Guards against a choice by nodes that don't know of a replica because its entry expired before they started. */
+    @ParameterizedTest
+    @MethodSource("restartedNodes")
+    void should_keep_commits_that_a_replica_confirmed_before_all_nodes_restarted(Beginning beginning) {
+        PromotionModel model = new PromotionModel(OmittedRule.NONE).fenced();
+        boolean lost = beginning.losesCommit().test(model);
+        assertThat("lost after " + model.states() + " states: " + model.trace(), lost, is(false));
+    }
+
+    /** Guards against a record that is read and not used. */
+    @ParameterizedTest
+    @MethodSource("omittedRulesAfterRestart")
+    void should_lose_a_commit_after_a_restart_of_all_nodes_when_a_rule_is_omitted(
+            OmittedRule omittedRule, Beginning beginning) {
+        PromotionModel model = new PromotionModel(omittedRule).fenced();
+        boolean lost = beginning.losesCommit().test(model);
+        assertThat("states " + model.states(), lost, is(true));
+    }
+
+    /**
+     * Guards against a group that stays without a primary because a member has departed, though a replica has it all.
+     */
+    @Test
+    void should_promote_a_replica_that_covers_a_member_that_departed_before_the_restart() {
+        PromotionModel model = new PromotionModel(OmittedRule.NONE).fenced();
+        boolean lost = NODES_RESTARTED.losesCommit().test(model);
+        assertThat("states " + model.states() + " lost " + lost, model.promotes(), is(true));
+    }
+
     /** Guards against a fence that is not awaited, or that does not tell what was acknowledged before. */
     @ParameterizedTest
     @MethodSource("weakerFences")
--- a/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/promotion/PromotionStateFixture.java
@@ -38,6 +38,7 @@
     Optional<LogPosition> acknowledged = Optional.empty();
     Set<VmName> unfenced = Set.of();
     Set<BackendServerName> evacuated = Set.of();
+    DepartedMembers departed = DepartedMembers.NONE;
     Optional<BackendServerName> primary = Optional.of(PRIMARY);
     long newestTerm = TERM - 1;
     List<BackendServerName> members = List.of(PRIMARY, SECOND, THIRD);
@@ -219,7 +220,8 @@
                 acknowledged,
                 intent,
                 unfenced,
-                evacuated);
+                evacuated,
+                departed);
     }
 
     PromotionIntent openIntent(BackendServerName target, Optional<AttemptId> attempt) {
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionPlatform.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionPlatform.java
@@ -1,8 +1,10 @@
 package org.geraniumproxy.engine.control;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import org.geraniumproxy.core.directory.GroupMembers;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.promotion.IntentWriteResult;
@@ -42,6 +44,30 @@
      */
     CompletableFuture<IntentWriteResult> recordIntent(GroupName group, PromotionIntent intent);
 
+    /**
+     * Returns the recorded members of a group.
+     *
+     * @param group the group
+     * @return the members, or empty if none were recorded
+     */
+    Optional<GroupMembers> recordedMembers(GroupName group);
+
+    /**
+     * Records the members of groups in the store, where processes that start later find them. The store executes a call
+     * late only if neither the records nor the lease have changed since.
+     *
+     * @param members new members by group; at most {@link #maximumRecordedGroups} groups
+     * @return whether the members are stored; fails if the store gives no answer
+     */
+    CompletableFuture<Boolean> recordMembers(Map<GroupName, GroupMembers> members);
+
+    /**
+     * Returns how many groups one call may record.
+     *
+     * @return number of groups
+     */
+    int maximumRecordedGroups();
+
     /**
      * Obtains a greater fencing token for this VM, which must hold the lease.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/control/PromotionSupervisor.java
@@ -13,6 +13,7 @@
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.control.Transition;
 import org.geraniumproxy.core.directory.GroupDirectory;
+import org.geraniumproxy.core.fleet.DepartedDatabases;
 import org.geraniumproxy.core.fleet.FleetEvent;
 import org.geraniumproxy.core.fleet.FleetState;
 import org.geraniumproxy.core.fleet.PrimaryReplacementPolicy;
@@ -148,11 +149,12 @@
     private GroupSnapshot snapshot(FleetState state, ServiceGroup group) {
         Instant now = clock.instant();
         GroupDirectory directory = state.members(group.name());
+        DepartedDatabases departed = DepartedDatabases.of(state, group.name(), now);
         Optional<PromotionIntent> intent =
                 platform.promotionIntent(group.name()).map(known -> state.withEffect(group.name(), known));
         return new GroupSnapshot(
                 directory.databases(),
-                state.suspected(group.name()),
+                departed.suspected(),
                 state.presumedPrimary(group.name()),
                 PrimaryReplacementPolicy.reason(state, group.name(), now),
                 state.newestTerm(group.name()),
@@ -162,7 +164,8 @@
                 intent,
                 intent.map(known -> state.unfenced(group.name(), known.fence().promotion(), now))
                         .orElse(Set.of()),
-                state.evacuated(group.name()));
+                state.evacuated(group.name()),
+                departed.recordedOnly());
     }
 
     /** Applies the result of an effect, after what has become known since the last evaluation of the group. */
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -569,6 +569,11 @@
         Map<GroupName, String> enforced = new HashMap<>();
         view.promotionFences()
                 .forEach((group, fences) -> fences.newest().ifPresent(fence -> enforced.put(group, fence.promotion())));
-        return new TrafficReport(health, positions.newestTerms(), positions.acknowledgedCommits(), enforced);
+        return new TrafficReport(
+                health,
+                positions.newestTerms(),
+                positions.acknowledgedCommits(),
+                enforced,
+                positions.latestSamples(view.configuration().groups().keySet()));
     }
 }
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
@@ -124,7 +124,8 @@
 
     private static Duration timeout(Scenario scenario, Scenario.Name name) {
         return switch (scenario.departure()) {
-            case PLANNED, CRASH -> PROMOTION_TIMEOUT;
+            case PLANNED -> PROMOTION_TIMEOUT;
+            case CRASH -> name.needsPromotion() ? PROMOTION_TIMEOUT : OPEN_REQUEST_TIMEOUT;
             case CUT -> name.hasOpenRequest() ? OPEN_REQUEST_TIMEOUT : CUT_TIMEOUT;
         };
     }
@@ -181,9 +182,43 @@
                 keepRequestOpen(open, primary, ended);
                 return departed;
             }
+            case Disturbance.RestartedNodes restarted -> {
+                restartNodes(restarted, primary, ended);
+                return depart(scenario.departure(), primary, ended);
+            }
         }
     }
 
+    /**
+     * Lets a replica end for good whose commits the other one lacks, and restarts all nodes when its entry has expired.
+     */
+    private void restartNodes(Disturbance.RestartedNodes restarted, String primary, Phaser ended)
+            throws IOException, InterruptedException {
+        String behind = chooseReplica(primary);
+        group.setReceiving(behind, false);
+        Thread.sleep(restarted.endDelay());
+        crashReplica(primary, behind);
+        Thread.sleep(restarted.killDelay());
+        for (NodeProcess node : nodes) {
+            node.kill();
+        }
+        for (NodeProcess node : nodes) {
+            node.start();
+        }
+        for (NodeProcess node : nodes) {
+            if (!node.awaitStart(clock, true, OPEN_REQUEST_TIMEOUT)) {
+                throw new IllegalStateException("node " + node.name() + " did not start again");
+            }
+        }
+        if (restarted.receivesBefore()) {
+            group.setReceiving(behind, true);
+        } else {
+            later(restarted.departureDelay().multipliedBy(2), ended, () -> group.setReceiving(behind, true));
+        }
+        Thread.sleep(restarted.departureDelay());
+        later(restarted.departureDelay(), ended, () -> add(false));
+    }
+
     /** Waits for a request and lets a replica appear while it is open. */
     private void keepRequestOpen(Disturbance.OpenRequest open, String primary, Phaser ended)
             throws IOException, InterruptedException {
@@ -311,6 +346,7 @@
     private String chooseReplica(String primary) {
         List<String> replicas = databases.keySet().stream()
                 .filter(id -> !id.equals(primary))
+                .filter(id -> group.state().find(id).running())
                 .sorted()
                 .toList();
         return replicas.get(random.nextInt(replicas.size()));
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/ReplicationGroup.java
@@ -39,6 +39,7 @@
     private final Executor executor;
     private final SplittableRandom random;
     private final Map<String, Integer> delayMillis = new HashMap<>();
+    private final Set<String> notReceiving = new HashSet<>();
     private final List<Acknowledgement> acknowledged = new ArrayList<>();
     private final Set<String> told = new HashSet<>();
     private Instant lastTold = Instant.MIN;
@@ -112,6 +113,16 @@
         millis.ifPresentOrElse(value -> delayMillis.put(id, value), () -> delayMillis.remove(id));
     }
 
+    /** Sets whether a replica receives commits. One that receives again catches up with the primary. */
+    synchronized void setReceiving(String id, boolean receives) {
+        if (receives) {
+            notReceiving.remove(id);
+            catchUp(Set.of(id));
+        } else {
+            notReceiving.add(id);
+        }
+    }
+
     /** Starts a crashed database again, which catches up with the primary. */
     synchronized void start(String id) {
         change(s -> s.start(id, System.currentTimeMillis()));
@@ -226,10 +237,16 @@
                     .forEach(replica -> later(
                             Duration.ofMillis(
                                     random.nextInt(delayMillis.getOrDefault(replica, USUAL_DELAY_MILLIS)) + 1),
-                            () -> change(s -> s.receive(replica, primary, source.term(), source.log()))));
+                            () -> receive(replica, primary, source)));
         });
     }
 
+    private synchronized void receive(String replica, String primary, DatabaseState source) {
+        if (!notReceiving.contains(replica)) {
+            change(s -> s.receive(replica, primary, source.term(), source.log()));
+        }
+    }
+
     private void later(Duration delay, Runnable action) {
         executor.execute(() -> {
             try {
--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/Scenario.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/Scenario.java
@@ -61,6 +61,18 @@
          * @param fault what happens to the node that sent the request
          */
         record OpenRequest(Lateness lateness, Arrival arrival, HolderFault fault) implements Disturbance {}
+
+        /**
+         * One replica receives nothing, and the other one ends for good. When its entry has expired, all nodes are
+         * killed and started again, and then the primary departs.
+         *
+         * @param endDelay time between the last commit that the first replica receives and the end of the other one
+         * @param killDelay time between that end and the end of the nodes, longer than an entry lasts
+         * @param departureDelay time between the start of the nodes and the departure of the primary
+         * @param receivesBefore whether the first replica receives again before the departure instead of after it
+         */
+        record RestartedNodes(Duration endDelay, Duration killDelay, Duration departureDelay, boolean receivesBefore)
+                implements Disturbance {}
     }
 
     /**
@@ -110,11 +122,12 @@
         OPEN_REQUEST_HOLDER_KILLED,
         OPEN_REQUEST_HOLDER_FROZEN,
         OPEN_REQUEST_RESTART,
-        OPEN_REQUEST_SERIES;
+        OPEN_REQUEST_SERIES,
+        NODES_RESTARTED;
 
         /** Returns whether callers wait for a promotion: not if the primary serves some of them and comes back. */
         boolean needsPromotion() {
-            return this != EXPIRED_CUT && this != PRIMARY_CUT && !hasOpenRequest();
+            return this != EXPIRED_CUT && this != PRIMARY_CUT && this != NODES_RESTARTED && !hasOpenRequest();
         }
 
         /** Returns whether the request for the promotion stays open. */
@@ -176,6 +189,14 @@
                             random);
                 case OPEN_REQUEST_SERIES ->
                     SERIES.get(random.nextInt(SERIES.size())).create(random);
+                case NODES_RESTARTED ->
+                    new Scenario(
+                            Departure.CRASH,
+                            new Disturbance.RestartedNodes(
+                                    millis(random, 200, 600),
+                                    millis(random, 3700, 5000),
+                                    millis(random, 1000, 2000),
+                                    random.nextBoolean()));
             };
         }
 
--- a/measure/src/test/java/org/geraniumproxy/measure/promotion/PromotionSoak_run_Test.java
+++ b/measure/src/test/java/org/geraniumproxy/measure/promotion/PromotionSoak_run_Test.java
@@ -56,6 +56,12 @@
         assertThatNothingIsLost(Scenario.Name.OPEN_REQUEST_HOLDER_KILLED);
     }
 
+    @Test
+    void should_keep_commits_that_a_departed_replica_confirmed_before_all_nodes_restarted() throws Exception {
+        // given a replica that receives nothing, and another one whose entry expired before the nodes started
+        assertThatNothingIsLost(Scenario.Name.NODES_RESTARTED);
+    }
+
     private static void assertThatOrdinaryReplacementIsBrief(Scenario.Name scenario) throws Exception {
         PromotionResult result = play(scenario);
 
