Let each database connection own the record of its state

Cause: two copies of one fact. BackendConnection held the variables and names as of the last return to the pool, HeldSlot and PinnedConnection a later state that only a rollback used. The second statement of a transaction was synchronized from the first copy, so a value equal to that of the former user of the connection was not sent.

Change: ConnectionStateTracker follows the commands sent on a connection and their answers. The state is unknown while an answer is missing, and for good after a command that changes it has failed, after a missing prepared statement, and after the rollback of a transaction that set variables; such a connection is closed after its use. Sessions keep nothing of the state but the name of the statement to run. For a lent connection the tracker stands at the VM that sends the commands.

The relay test now compares the name and value of a variable; it compared the word only.

--- a/core/src/main/java/org/geraniumproxy/core/caller/OpenTransaction.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/OpenTransaction.java
@@ -30,12 +30,7 @@
     }
 
     /** A connection held by a transaction, with flags for whether any statement and any write have run on it. */
-    record PinnedConnection(
-            Placement placement,
-            long connectionId,
-            ConnectionState connectionState,
-            boolean hasRunStatement,
-            boolean hasWritten) {}
+    record PinnedConnection(Placement placement, long connectionId, boolean hasRunStatement, boolean hasWritten) {}
 
     static OpenTransaction begin(ServiceRoute route, boolean readOnly, Instant now) {
         return new OpenTransaction(route, readOnly, Status.RUNNING, Optional.empty(), now);
--- a/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
@@ -54,8 +54,8 @@
         }
         SlotEffects.recordPrimaryPosition(
                 session, slot, received.replies().getLast().position(), effects);
-        OpenTransaction.PinnedConnection pinned = new OpenTransaction.PinnedConnection(
-                slot.placement(), slot.connectionId(), slot.connectionState(), false, false);
+        OpenTransaction.PinnedConnection pinned =
+                new OpenTransaction.PinnedConnection(slot.placement(), slot.connectionId(), false, false);
         CallerSession begun = session.with(session.transaction().orElseThrow().pinnedTo(pinned));
         if (session.currentStatement().orElseThrow().isBegin()) {
             effects.add(new SessionEffect.ReleaseSlot(slot.placement().database(), slot.slotRequestId()));
@@ -123,8 +123,8 @@
             return StatementCompletion.finish(next, reply.rows(), reply.result(), reply.position(), effects);
         }
         effects.add(new SessionEffect.ReleaseSlot(slot.placement().database(), slot.slotRequestId()));
-        OpenTransaction.PinnedConnection pinned = new OpenTransaction.PinnedConnection(
-                slot.placement(), slot.connectionId(), slot.connectionState(), true, wrote);
+        OpenTransaction.PinnedConnection pinned =
+                new OpenTransaction.PinnedConnection(slot.placement(), slot.connectionId(), true, wrote);
         OpenTransaction open =
                 session.transaction().orElseThrow().pinnedTo(pinned).withIdleSince(context.now());
         effects.add(new SessionEffect.WakeAt(
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
@@ -110,11 +110,9 @@
      *
      * @param database name of the database
      * @param connectionId id of the connection
-     * @param connectionState variables and prepared statements of the connection
      * @param rollbackRequired whether an open transaction on the connection must be rolled back first
      */
-    record ReturnConnection(
-            BackendServerName database, long connectionId, ConnectionState connectionState, boolean rollbackRequired)
+    record ReturnConnection(BackendServerName database, long connectionId, boolean rollbackRequired)
             implements SessionEffect {}
 
     /**
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionProgress.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionProgress.java
@@ -67,7 +67,7 @@
      * @param placement the chosen database
      * @param slotRequestId id of the slot request
      * @param connectionId id of the connection
-     * @param connectionState variables and prepared statements of the connection
+     * @param statementName name of the prepared statement to run, or empty for other statements
      * @param sentAt time at which the last commands were sent
      * @param latestKnownPosition latest confirmed position of the primary at that time, or empty if none was known
      */
@@ -75,11 +75,11 @@
             Placement placement,
             long slotRequestId,
             long connectionId,
-            ConnectionState connectionState,
+            Optional<String> statementName,
             Instant sentAt,
             Optional<LogPosition> latestKnownPosition) {
         HeldSlot withSentAt(Instant now, Optional<LogPosition> latestPosition) {
-            return new HeldSlot(placement, slotRequestId, connectionId, connectionState, now, latestPosition);
+            return new HeldSlot(placement, slotRequestId, connectionId, statementName, now, latestPosition);
         }
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/caller/SlotEffects.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SlotEffects.java
@@ -15,7 +15,7 @@
         BackendServerName database = slot.placement().database();
         effects.add(new SessionEffect.ReleaseSlot(database, slot.slotRequestId()));
         effects.add(new SessionEffect.ReturnConnection(
-                database, slot.connectionId(), slot.connectionState(), transactionState != TransactionState.IDLE));
+                database, slot.connectionId(), transactionState != TransactionState.IDLE));
     }
 
     static void closeSlot(SessionProgress.HeldSlot slot, List<SessionEffect> effects) {
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementCompletion.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementCompletion.java
@@ -56,7 +56,7 @@
         OpenTransaction open = session.transaction().orElseThrow();
         open.pinnedConnection()
                 .ifPresent(pinned -> effects.add(new SessionEffect.ReturnConnection(
-                        pinned.placement().database(), pinned.connectionId(), pinned.connectionState(), true)));
+                        pinned.placement().database(), pinned.connectionId(), true)));
         return session.with(open.withFailure(status));
     }
 
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
@@ -113,7 +113,7 @@
                 placement,
                 granted.slotRequestId(),
                 granted.connectionId(),
-                synchronization.connectionState(),
+                synchronization.statementName(),
                 context.now(),
                 Optional.empty());
         if (SessionDrain.areAnswersDue(context)) {
@@ -133,8 +133,7 @@
             CallerSession session, SessionEvent.SlotGranted granted, Placement placement, List<SessionEffect> effects) {
         effects.add(new SessionEffect.ReleaseSlot(placement.database(), granted.slotRequestId()));
         if (session.transaction().flatMap(OpenTransaction::pinnedConnection).isEmpty()) {
-            effects.add(new SessionEffect.ReturnConnection(
-                    placement.database(), granted.connectionId(), granted.connectionState(), false));
+            effects.add(new SessionEffect.ReturnConnection(placement.database(), granted.connectionId(), false));
         }
     }
 
@@ -184,9 +183,7 @@
             case Statement.Execute execute ->
                 new BackendCommand.ExecutePrepared(
                         current.requestId(),
-                        slot.connectionState()
-                                .preparedStatements()
-                                .get(current.template().orElseThrow()),
+                        slot.statementName().orElseThrow(),
                         execute.arguments(),
                         current.isRead() ? minimumPosition : Optional.empty());
             case Statement.Commit _ -> new BackendCommand.Commit(current.requestId());
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCommands.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/AdministrativeCommands.java
@@ -92,10 +92,7 @@
         BackendReply reply = replied.replies().getFirst();
         DatabaseConnectionPool connectionPool = engine.connectionPool(pending.database());
         connectionPool.releaseSlot(slotRequestId);
-        connectionPool.releaseConnection(
-                replied.connectionId(),
-                connectionPool.connectionState(replied.connectionId()),
-                reply.transactionState() != TransactionState.IDLE);
+        connectionPool.releaseConnection(replied.connectionId(), reply.transactionState() != TransactionState.IDLE);
         pending.result().complete(reply);
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/BackendConnection.java
@@ -8,6 +8,7 @@
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.ConnectionState;
+import org.geraniumproxy.core.caller.ConnectionStateTracker;
 import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.memory.MemoryHolder;
 import org.geraniumproxy.engine.loop.StreamConnection;
@@ -37,7 +38,7 @@
     private final long memoryId;
     private long collectedBytes;
     private StreamConnection stream;
-    private ConnectionState state = ConnectionState.EMPTY;
+    private ConnectionStateTracker tracker = ConnectionStateTracker.NEW;
     private Instant lastReplyAt = Instant.MIN;
     private int expectedReplies;
     private ByteArrayOutputStream encodedReplies;
@@ -73,12 +74,18 @@
         return open && !closed;
     }
 
+    /** Returns the state after the last answered commands of this VM. */
     ConnectionState state() {
-        return state;
+        return tracker.state();
     }
 
-    void updateState(ConnectionState newState) {
-        state = newState;
+    boolean isStateKnown() {
+        return tracker.isKnown();
+    }
+
+    /** Sets the state that follows from encoded commands, which this connection doesn't read. */
+    void adoptState(ConnectionState state) {
+        tracker = ConnectionStateTracker.of(state);
     }
 
     Instant lastReplyAt() {
@@ -112,6 +119,7 @@
 
     void send(List<BackendCommand> commands) {
         expectedReplies = commands.size();
+        tracker = tracker.sent(commands);
         replies.clear();
         encodedReplies = null;
         for (BackendCommand command : commands) {
@@ -181,7 +189,7 @@
 
     /** Gives the texts of a closed connection back. The timer of its opening refers to it for up to 1.5 s. */
     private void forgetContent() {
-        state = ConnectionState.EMPTY;
+        tracker = ConnectionStateTracker.NEW;
         replies.clear();
         decoder = protocol.decoder();
         forgetReplies();
@@ -221,6 +229,9 @@
             List<BackendReply> complete = List.copyOf(replies);
             replies.clear();
             forgetReplies();
+            if (encodedReplies == null) {
+                tracker = tracker.answered(complete);
+            }
             listener.onReplies(this, complete);
         }
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/ConnectionSource.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/ConnectionSource.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import org.geraniumproxy.core.caller.BackendCommand;
-import org.geraniumproxy.core.caller.ConnectionState;
 import org.geraniumproxy.core.pool.SlotRequest;
 
 /** Slots and connections of one database, whether this VM's own or those of another VM. */
@@ -23,7 +22,7 @@
     void send(long connectionId, List<BackendCommand> commands, boolean endsSlot);
 
     /** Returns a connection, after a rollback if a transaction is open. */
-    void releaseConnection(long connectionId, ConnectionState state, boolean rollback);
+    void releaseConnection(long connectionId, boolean rollback);
 
     /** Closes a connection whose state is unknown. */
     void closeConnection(long connectionId);
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnectionPool.java
@@ -142,7 +142,7 @@
         if (granted != null) {
             releaseSlot(slotRequestId);
             if (!granted.heldBefore()) {
-                releaseConnection(granted.connectionId(), connectionState(granted.connectionId()), false);
+                releaseConnection(granted.connectionId(), false);
             }
         }
     }
@@ -157,10 +157,6 @@
         apply(new CustomerPoolEvent.SlotReleased(slotRequestId));
     }
 
-    ConnectionState connectionState(long connectionId) {
-        return connections.get(connectionId).state();
-    }
-
     @Override
     public void send(long connectionId, List<BackendCommand> commands, boolean endsSlot) {
         connections.get(connectionId).send(commands);
@@ -182,14 +178,22 @@
         return poolState.load();
     }
 
+    /** Takes a connection back that another VM has used, and that is in the given state. */
+    void releaseLentConnection(long connectionId, ConnectionState state, boolean rollback) {
+        BackendConnection connection = connections.get(connectionId);
+        if (connection != null) {
+            connection.adoptState(state);
+        }
+        releaseConnection(connectionId, rollback);
+    }
+
     @Override
-    public void releaseConnection(long connectionId, ConnectionState state, boolean rollback) {
+    public void releaseConnection(long connectionId, boolean rollback) {
         BackendConnection connection = connections.get(connectionId);
         sessionsByConnection.remove(connectionId);
         if (connection == null) {
             return;
         }
-        connection.updateState(state);
         if (rollback) {
             rollingBack.add(connectionId);
             connection.send(List.of(new BackendCommand.Rollback()));
@@ -326,7 +330,7 @@
     }
 
     private void addIdle(BackendConnection connection) {
-        if (removed || !connection.state().isWorthKeeping()) {
+        if (removed || !connection.isStateKnown() || !connection.state().isWorthKeeping()) {
             closeConnection(connection.id());
             return;
         }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/DatabaseConnections.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import org.geraniumproxy.core.caller.BackendCommand;
-import org.geraniumproxy.core.caller.ConnectionState;
 import org.geraniumproxy.core.identity.BackendServerName;
 import org.geraniumproxy.core.identity.VmName;
 import org.geraniumproxy.core.pool.SlotRequest;
@@ -66,11 +65,11 @@
     }
 
     @Override
-    public void releaseConnection(long connectionId, ConnectionState state, boolean rollback) {
+    public void releaseConnection(long connectionId, boolean rollback) {
         if (relayed.isRelayedConnection(connectionId)) {
-            relayed.releaseConnection(connectionId, state, rollback);
+            relayed.releaseConnection(connectionId, rollback);
         } else {
-            own.releaseConnection(connectionId, state, rollback);
+            own.releaseConnection(connectionId, rollback);
         }
     }
 
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/LentConnections.java
@@ -211,7 +211,7 @@
                 engine.connectionPool(send.database()).sendEncoded(send.connection(), send.replies(), send.encoded());
             case OwnerChannelEffect.ReturnConnection returned ->
                 engine.connectionPool(returned.database())
-                        .releaseConnection(returned.connection(), returned.state(), returned.rollback());
+                        .releaseLentConnection(returned.connection(), returned.state(), returned.rollback());
             case OwnerChannelEffect.CloseConnection close ->
                 engine.connectionPool(close.database()).closeConnection(close.connection());
         }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/RelayedConnections.java
@@ -15,6 +15,7 @@
 import org.geraniumproxy.core.caller.BackendCommand;
 import org.geraniumproxy.core.caller.BackendReply;
 import org.geraniumproxy.core.caller.ConnectionState;
+import org.geraniumproxy.core.caller.ConnectionStateTracker;
 import org.geraniumproxy.core.caller.ErrorCode;
 import org.geraniumproxy.core.caller.SessionEvent;
 import org.geraniumproxy.core.caller.StatementResult;
@@ -71,6 +72,7 @@
         private final BackendProtocol.Decoder decoder;
         private final List<BackendReply> replies = new ArrayList<>();
         private long ownersConnection;
+        private ConnectionStateTracker tracker = ConnectionStateTracker.NEW;
         private TransactionState transactionState = TransactionState.IDLE;
         private int expectedReplies;
 
@@ -196,6 +198,7 @@
         }
         use.replies.clear();
         use.expectedReplies = commands.size();
+        use.tracker = use.tracker.sent(commands);
         apply(new EntryChannelEvent.CommandsReady(
                 new RelayMessage.Commands(connectionId, commands.size(), endsSlot, joined)));
     }
@@ -216,8 +219,14 @@
         engine.deliver(use.session, new SessionEvent.RepliesReceived(use.channel, refusals));
     }
 
-    void releaseConnection(long connectionId, ConnectionState connectionState, boolean rollback) {
+    /** Gives a connection back to its owner, or lets the owner close it if its state is unknown. */
+    void releaseConnection(long connectionId, boolean rollback) {
         Use use = usesByChannel.remove(connectionId);
+        if (!use.tracker.isKnownAfter(rollback)) {
+            apply(new EntryChannelEvent.ConnectionClosed(connectionId));
+            return;
+        }
+        ConnectionState connectionState = use.tracker.state();
         state.ownerOf(connectionId)
                 .map(streams::get)
                 .ifPresent(stream -> knownStates.get(stream.id()).put(use.ownersConnection, connectionState));
@@ -364,12 +373,15 @@
 
     private void grant(EntryChannelEffect.Grant grant) {
         Use use = usesByChannel.get(grant.channel());
+        if (!grant.request().holdsConnection()) {
+            use.tracker = ConnectionStateTracker.of(grant.state());
+        }
         engine.metrics().sharedConnection(SharedConnectionEvent.GRANTED);
         undeliveredGrants.add(grant.request().id());
         engine.deliver(
                 use.session,
                 this::confirmGrant,
-                new SessionEvent.SlotGranted(grant.request().id(), grant.channel(), grant.state()));
+                new SessionEvent.SlotGranted(grant.request().id(), grant.channel(), use.tracker.state()));
     }
 
     private void useOwnConnections(SlotRequest request) {
@@ -413,6 +425,7 @@
             return;
         }
         use.expectedReplies = 0;
+        use.tracker = use.tracker.answered(use.replies);
         use.transactionState = use.replies.getLast().transactionState();
         engine.deliver(use.session, new SessionEvent.RepliesReceived(use.channel, use.replies));
     }
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -464,8 +464,7 @@
             case SessionEffect.ReturnConnection returned ->
                 sharedConnections
                         .of(returned.database())
-                        .releaseConnection(
-                                returned.connectionId(), returned.connectionState(), returned.rollbackRequired());
+                        .releaseConnection(returned.connectionId(), returned.rollbackRequired());
             case SessionEffect.CloseConnection close ->
                 sharedConnections.of(close.database()).closeConnection(close.connectionId());
             case SessionEffect.RecordPrimaryPosition record -> recordPosition(record.group(), record.sample());
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/ScriptedDatabase.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/ScriptedDatabase.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * Database that answers each line of {@link TextProtocol} with the response that the test defines. An empty response
@@ -22,9 +23,14 @@
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final List<String> receivedLines = new CopyOnWriteArrayList<>();
-    private final Function<String, Optional<String>> responses;
+    private final Supplier<Function<String, Optional<String>>> responses;
 
     ScriptedDatabase(Function<String, Optional<String>> responses) throws IOException {
+        this(() -> responses);
+    }
+
+    /** Creates a database whose responses depend on what it received before on the same connection. */
+    ScriptedDatabase(Supplier<Function<String, Optional<String>>> responses) throws IOException {
         this.responses = responses;
         Thread.ofVirtual().start(this::accept);
     }
@@ -66,6 +72,8 @@
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
+                // Without it, the second of two replies to a batch waits 40 ms for the acknowledgement of the first.
+                socket.setTcpNoDelay(true);
                 sockets.add(socket);
                 Thread.ofVirtual().start(() -> serve(socket));
             } catch (IOException e) {
@@ -75,12 +83,13 @@
     }
 
     private void serve(Socket socket) {
+        Function<String, Optional<String>> responsesOfConnection = responses.get();
         try (BufferedReader input =
                 new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))) {
             String line = input.readLine();
             while (line != null) {
                 receivedLines.add(line);
-                Optional<String> response = responses.apply(line);
+                Optional<String> response = responsesOfConnection.apply(line);
                 if (response.isPresent()) {
                     socket.getOutputStream().write((response.get() + "\n").getBytes(StandardCharsets.UTF_8));
                 }
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TextProtocol.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TextProtocol.java
@@ -18,6 +18,7 @@
 import org.geraniumproxy.core.identity.GroupName;
 import org.geraniumproxy.core.promotion.DatabaseStatus;
 import org.geraniumproxy.core.statement.Statement;
+import org.geraniumproxy.core.statement.StatementTemplate;
 
 /** Line-based protocol for tests, so that the tests of the engine do not depend on the protocol of a platform. */
 final class TextProtocol implements CallerProtocol {
@@ -64,7 +65,15 @@
             case "write" -> new CallerMessage.Query(words[1], new Statement.Write("item"));
             case "begin" -> new CallerMessage.Query(words[1], new Statement.Begin(false));
             case "commit" -> new CallerMessage.Query(words[1], new Statement.Commit());
-            case "set" -> new CallerMessage.Query(words[1], new Statement.SetVariable("name", words[2]));
+            case "abort" -> new CallerMessage.Query(words[1], new Statement.Rollback());
+            case "set" ->
+                new CallerMessage.Query(
+                        words[1], new Statement.SetVariable(words.length > 3 ? words[3] : "name", words[2]));
+            case "prepare" ->
+                new CallerMessage.Query(
+                        words[1], new Statement.Prepare(words[2], new StatementTemplate(true, words[3])));
+            case "deallocate" -> new CallerMessage.Query(words[1], new Statement.Deallocate(words[2]));
+            case "execute" -> new CallerMessage.Query(words[1], new Statement.Execute(words[2], ""));
             case "quit" -> new CallerMessage.Quit();
             default -> new CallerMessage.Invalid("unknown word " + words[0], false);
         };
@@ -96,6 +105,12 @@
             return line(
                     switch (command) {
                         case BackendCommand.ExecuteText run -> "run " + run.requestId();
+                        case BackendCommand.ExecutePrepared run -> "execute " + run.requestId() + " " + run.name();
+                        case BackendCommand.SetVariable set -> "setvariable " + set.name() + " " + set.value();
+                        case BackendCommand.Prepare prepare ->
+                            "prepare " + prepare.name() + " "
+                                    + prepare.template().text();
+                        case BackendCommand.Commit commit -> "commit " + commit.requestId();
                         default -> command.getClass().getSimpleName().toLowerCase(Locale.ROOT);
                     });
         }
@@ -110,10 +125,18 @@
                 return new BackendReply(
                         List.of(), new StatementResult.Completed("signed"), TransactionState.OPEN, Optional.empty());
             }
-            StatementResult result = line.equals("ok")
-                    ? new StatementResult.Completed("signed")
-                    : new StatementResult.Failed(ErrorCode.valueOf(line), "defined by the test");
-            return new BackendReply(List.of(), result, TransactionState.IDLE, Optional.empty());
+            if (line.startsWith("failed ")) {
+                return failed(line.substring("failed ".length()), TransactionState.FAILED);
+            }
+            return line.equals("ok")
+                    ? new BackendReply(
+                            List.of(), new StatementResult.Completed("signed"), TransactionState.IDLE, Optional.empty())
+                    : failed(line, TransactionState.IDLE);
+        }
+
+        private static BackendReply failed(String code, TransactionState state) {
+            StatementResult failure = new StatementResult.Failed(ErrorCode.valueOf(code), "defined by the test");
+            return new BackendReply(List.of(), failure, state, Optional.empty());
         }
     }
 
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,8 @@
 import org.geraniumproxy.core.pool.OwnerSelection;
 import org.geraniumproxy.core.service.Consistency;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against statements that are lost, run twice or get a false answer when they use the database connection of
@@ -221,7 +224,27 @@
                     .toList();
             assertThat(
                     commands,
-                    contains("setvariable", "run w", "run w", "discard", "run w", "run w", "setvariable", "run w"));
+                    contains(
+                            "setvariable name value",
+                            "run w",
+                            "run w",
+                            "discard",
+                            "run w",
+                            "run w",
+                            "setvariable name value",
+                            "run w"));
+            owner.awaitOutstandingStatements(database, 0);
+        }
+    }
+
+    /** Guards against a lent connection whose state is that before the commands of its transaction. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void should_run_each_statement_with_the_state_of_its_session(long seed) throws Exception {
+        try (SessionStateDatabase states = new SessionStateDatabase();
+                EngineFixture owner = owner(states.database(), 0);
+                EngineFixture entry = entryVm(states.database())) {
+            SessionStateCaller.takeTurns(entry, states, new SplittableRandom(seed));
             owner.awaitOutstandingStatements(database, 0);
         }
     }
