Add no database to a group without a primary in the soak of restarts

The scenario NODES_RESTARTED added the next replica while the primary was down.

Change: the replica joins once a primary leads.

--- a/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
+++ b/measure/src/main/java/org/geraniumproxy/measure/promotion/GroupFaults.java
@@ -216,7 +216,12 @@
             later(restarted.departureDelay().multipliedBy(2), ended, () -> group.setReceiving(behind, true));
         }
         Thread.sleep(restarted.departureDelay());
-        later(restarted.departureDelay(), ended, () -> add(false));
+        later(restarted.departureDelay().multipliedBy(2), ended, () -> {
+            // A database that joins a group without a primary would lead with an empty log.
+            if (group.awaitPrimary(PROMOTION_TIMEOUT)) {
+                add(false);
+            }
+        });
     }
 
     /** Waits for a request and lets a replica appear while it is open. */
