Run no statement for the former customer of a moved key

Callers saw: a transaction that was open when their key moved to another customer went on.

Cause: the customer was determined when a transaction began, a token was taken or a slot was requested, and what followed from it was kept: the connection, the charge, the place in the queue. Later steps only asked whether the key has a customer at all. So a statement could also run for the former customer if the key moved while it waited for a slot, and a statement that was charged to one customer could run for another.

Change: a statement and a transaction carry the customer for whom they were admitted. It is compared with the holder of the key where a statement is placed, where its slot is granted and where its connection is prepared; nothing is sent in between. What has not run goes on for the new customer with a token of its own; a transaction that has run a statement is rolled back and answered with ROLLEDBACK. A commit that was sent keeps its own outcome. There are not more look-ups of the key per statement than before: admission makes one instead of three.

The decision is logged with the request, both customers, the version and the outcome, and counted in geraniumproxy_key_moves.

--- a/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/CallerSession.java
@@ -107,7 +107,8 @@
             case SessionEvent.CallerDisconnected _ -> StatementInterruption.callerDisconnected(this, effects);
             case SessionEvent.RateTokenGranted granted ->
                 StatementAdmission.rateTokenGranted(this, granted, context, effects);
-            case SessionEvent.RateTokenRefused refused -> StatementAdmission.rateTokenRefused(this, refused, effects);
+            case SessionEvent.RateTokenRefused refused ->
+                StatementAdmission.rateTokenRefused(this, refused, context, effects);
             case SessionEvent.SlotGranted granted -> StatementExecution.slotGranted(this, granted, context, effects);
             case SessionEvent.SlotRefused refused -> StatementExecution.slotRefused(this, refused, context, effects);
             case SessionEvent.RepliesReceived replied -> ReplyHandler.handle(this, replied, context, effects);
--- a/core/src/main/java/org/geraniumproxy/core/caller/CurrentStatement.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/CurrentStatement.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.service.ServiceRoute;
 import org.geraniumproxy.core.statement.Statement;
 import org.geraniumproxy.core.statement.StatementTemplate;
@@ -16,6 +17,7 @@
  * @param statement the decoded statement
  * @param template template of the prepared statement that it executes, or empty
  * @param route the route at the time of arrival
+ * @param customer customer for whom the statement was admitted; it runs on connections of this customer only
  * @param arrivedAt time at which the statement was received
  * @param deadline time at which the statement fails if it has not ended
  * @param tries number of placements tried so far
@@ -27,6 +29,7 @@
         Statement statement,
         Optional<StatementTemplate> template,
         ServiceRoute route,
+        CustomerName customer,
         Instant arrivedAt,
         Instant deadline,
         int tries,
@@ -54,23 +57,37 @@
 
     CurrentStatement markAnswered() {
         return new CurrentStatement(
-                requestId, statement, template, route, arrivedAt, deadline, tries, excludedDatabases, true);
+                requestId, statement, template, route, customer, arrivedAt, deadline, tries, excludedDatabases, true);
+    }
+
+    CurrentStatement withCustomer(CustomerName holder) {
+        return new CurrentStatement(
+                requestId, statement, template, route, holder, arrivedAt, deadline, tries, excludedDatabases, answered);
     }
 
     CurrentStatement withNextTry() {
         return new CurrentStatement(
-                requestId, statement, template, route, arrivedAt, deadline, tries + 1, excludedDatabases, answered);
+                requestId,
+                statement,
+                template,
+                route,
+                customer,
+                arrivedAt,
+                deadline,
+                tries + 1,
+                excludedDatabases,
+                answered);
     }
 
     CurrentStatement excluding(BackendServerName database) {
         Set<BackendServerName> extended = new HashSet<>(excludedDatabases);
         extended.add(database);
         return new CurrentStatement(
-                requestId, statement, template, route, arrivedAt, deadline, tries, extended, answered);
+                requestId, statement, template, route, customer, arrivedAt, deadline, tries, extended, answered);
     }
 
     CurrentStatement withoutExclusions() {
         return new CurrentStatement(
-                requestId, statement, template, route, arrivedAt, deadline, tries, Set.of(), answered);
+                requestId, statement, template, route, customer, arrivedAt, deadline, tries, Set.of(), answered);
     }
 }
--- a/core/src/main/java/org/geraniumproxy/core/caller/OpenTransaction.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/OpenTransaction.java
@@ -2,12 +2,14 @@
 
 import java.time.Instant;
 import java.util.Optional;
+import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.service.ServiceRoute;
 
 /**
  * A caller's transaction.
  *
  * @param route the route at the time of the begin
+ * @param customer customer for whom the transaction was admitted, and to whom its connection belongs
  * @param readOnly whether the caller declared the transaction read-only
  * @param status whether the transaction can continue
  * @param pinnedConnection the connection that the transaction holds, or empty before it begins at a database
@@ -15,6 +17,7 @@
  */
 record OpenTransaction(
         ServiceRoute route,
+        CustomerName customer,
         boolean readOnly,
         Status status,
         Optional<PinnedConnection> pinnedConnection,
@@ -32,28 +35,32 @@
     /** A connection held by a transaction, with flags for whether any statement and any write have run on it. */
     record PinnedConnection(Placement placement, long connectionId, boolean hasRunStatement, boolean hasWritten) {}
 
-    static OpenTransaction begin(ServiceRoute route, boolean readOnly, Instant now) {
-        return new OpenTransaction(route, readOnly, Status.RUNNING, Optional.empty(), now);
+    static OpenTransaction begin(ServiceRoute route, CustomerName customer, boolean readOnly, Instant now) {
+        return new OpenTransaction(route, customer, readOnly, Status.RUNNING, Optional.empty(), now);
     }
 
     OpenTransaction withFailure(Status failure) {
-        return new OpenTransaction(route, readOnly, failure, Optional.empty(), idleSince);
+        return new OpenTransaction(route, customer, readOnly, failure, Optional.empty(), idleSince);
     }
 
     OpenTransaction restarted() {
-        return new OpenTransaction(route, readOnly, Status.RUNNING, Optional.empty(), idleSince);
+        return new OpenTransaction(route, customer, readOnly, Status.RUNNING, Optional.empty(), idleSince);
     }
 
     OpenTransaction unpinned() {
-        return new OpenTransaction(route, readOnly, status, Optional.empty(), idleSince);
+        return new OpenTransaction(route, customer, readOnly, status, Optional.empty(), idleSince);
     }
 
     OpenTransaction pinnedTo(PinnedConnection connection) {
-        return new OpenTransaction(route, readOnly, status, Optional.of(connection), idleSince);
+        return new OpenTransaction(route, customer, readOnly, status, Optional.of(connection), idleSince);
+    }
+
+    OpenTransaction withCustomer(CustomerName holder) {
+        return new OpenTransaction(route, holder, readOnly, status, pinnedConnection, idleSince);
     }
 
     OpenTransaction withIdleSince(Instant now) {
-        return new OpenTransaction(route, readOnly, status, pinnedConnection, now);
+        return new OpenTransaction(route, customer, readOnly, status, pinnedConnection, now);
     }
 
     /** Returns whether the commit appends to the log. */
--- a/core/src/main/java/org/geraniumproxy/core/caller/PromotionHold.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/PromotionHold.java
@@ -56,9 +56,7 @@
     static CallerSession hold(CallerSession session, SessionContext context, List<SessionEffect> effects) {
         CurrentStatement current = session.currentStatement().orElseThrow();
         if (session.transaction().flatMap(OpenTransaction::pinnedConnection).isPresent()) {
-            CallerSession rolledBack = StatementCompletion.rollBack(session, OpenTransaction.Status.FAILED, effects);
-            CallerSession ended = current.isCommit() ? rolledBack.withoutTransaction() : rolledBack;
-            return StatementCompletion.fail(ended, ErrorCode.ROLLED_BACK, REASON, effects);
+            return StatementCompletion.failRolledBack(session, REASON, effects);
         }
         Instant openSince = fences(current, context).openSince().orElseThrow();
         if (context.now().isBefore(openSince.plus(MAXIMUM_WAIT))) {
--- a/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/ReplyHandler.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /** Handles the replies of a database to the commands of a session. */
 final class ReplyHandler {
@@ -45,6 +46,11 @@
                         effects);
             }
         }
+        Optional<CustomerChange> change = CustomerChange.of(session, context);
+        if (change.isPresent()) {
+            returnPreparedSlot(session, slot, received.replies().getLast().transactionState(), effects);
+            return StatementReassignment.apply(session, change.get(), context, effects);
+        }
         if (session.transaction().isEmpty() && PromotionHold.isHeld(session, context)) {
             SlotEffects.releaseSlot(slot, TransactionState.IDLE, effects);
             return PromotionHold.hold(session, context, effects);
@@ -66,6 +72,19 @@
         return StatementExecution.sendStatement(begun, slot, context, effects);
     }
 
+    /** Releases a slot whose connection was prepared in vain. The connection of a transaction stays pinned. */
+    private static void returnPreparedSlot(
+            CallerSession session,
+            SessionProgress.HeldSlot slot,
+            TransactionState transactionState,
+            List<SessionEffect> effects) {
+        if (session.transaction().flatMap(OpenTransaction::pinnedConnection).isPresent()) {
+            effects.add(new SessionEffect.ReleaseSlot(slot.placement().database(), slot.slotRequestId()));
+        } else {
+            SlotEffects.releaseSlot(slot, transactionState, effects);
+        }
+    }
+
     private static CallerSession statementAnswered(
             CallerSession session,
             SessionProgress.HeldSlot slot,
--- a/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/SessionEffect.java
@@ -154,6 +154,13 @@
      */
     record RecordAcknowledgedCommit(GroupName group, LogPosition lowerBound) implements SessionEffect {}
 
+    /**
+     * Counts an operation whose key moved to another customer.
+     *
+     * @param outcome what became of the operation
+     */
+    record CountKeyMove(KeyMoveOutcome outcome) implements SessionEffect {}
+
     /**
      * Logs a decision.
      *
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
@@ -23,8 +23,9 @@
             List<SessionEffect> effects) {
         ServiceConfiguration configuration = context.view().configuration();
         CallerSession connected = session.withConnection(connect.database(), connect.key(), context.now());
+        Optional<ServiceRoute> route = configuration.route(connect.database());
         Optional<StatementResult.Failed> refusal = configuration.isKnown()
-                ? refusal(connected, configuration)
+                ? refusal(route, customer(connected, route, configuration))
                 : Optional.of(new StatementResult.Failed(ErrorCode.BUSY, "no configuration is known yet"));
         if (refusal.isEmpty()) {
             effects.add(new SessionEffect.Accept());
@@ -73,22 +74,32 @@
             Statement.Begin begin,
             SessionContext context,
             List<SessionEffect> effects) {
-        OpenTransaction open = OpenTransaction.begin(current.route(), begin.readOnly(), context.now());
+        OpenTransaction open =
+                OpenTransaction.begin(current.route(), current.customer(), begin.readOnly(), context.now());
         CallerSession begun = session.with(open);
         effects.add(new SessionEffect.Reply(List.of(), UNSIGNED, begun.transactionState(), Optional.empty()));
         return StatementExecution.place(begun.with(current.markAnswered()), context, effects);
     }
 
     static CallerSession rateTokenRefused(
-            CallerSession session, SessionEvent.RateTokenRefused refused, List<SessionEffect> effects) {
+            CallerSession session,
+            SessionEvent.RateTokenRefused refused,
+            SessionContext context,
+            List<SessionEffect> effects) {
         if (!awaitsToken(session, refused.tokenRequestId())) {
             return session;
         }
+        // The former customer was over its rate, or was removed together with its limit.
+        Optional<CustomerChange> change =
+                CustomerChange.of(session, context).filter(CustomerChange.Moved.class::isInstance);
+        if (change.isPresent()) {
+            return StatementReassignment.apply(session, change.get(), context, effects);
+        }
         String requestId =
                 session.currentStatement().map(CurrentStatement::requestId).orElse("-");
         effects.add(new SessionEffect.Log(requestId, "over the rate", "cause=\"" + refused.cause() + "\""));
         return StatementCompletion.fail(
-                session,
+                StatementCompletion.failTransaction(session),
                 ErrorCode.BUSY,
                 "over the rate; retry after " + refused.retryAfter().toMillis() + " ms",
                 effects);
@@ -181,16 +192,13 @@
             SessionEvent.StatementReceived received,
             SessionContext context,
             List<SessionEffect> effects) {
-        if (session.customer(open.route(), context.view().configuration()).isEmpty()) {
-            CallerSession rolledBack = StatementCompletion.rollBack(session, OpenTransaction.Status.FAILED, effects);
-            return answer(rolledBack, failed(ErrorCode.UNKNOWN_KEY, "the key is not known any more"), effects);
-        }
         Optional<StatementTemplate> template = templateOf(session, received.statement());
         if (received.statement() instanceof Statement.Execute execute && template.isEmpty()) {
             CallerSession rolledBack = StatementCompletion.rollBack(session, OpenTransaction.Status.FAILED, effects);
             return answer(rolledBack, unknownStatement(execute.name()), effects);
         }
-        CallerSession started = start(session, received, template, open.route(), context.now(), effects);
+        CallerSession started =
+                start(session, received, template, open.route(), open.customer(), context.now(), effects);
         return StatementExecution.place(started, context, effects);
     }
 
@@ -200,9 +208,11 @@
             SessionContext context,
             List<SessionEffect> effects) {
         ServiceConfiguration configuration = context.view().configuration();
+        Optional<ServiceRoute> route = session.database().flatMap(configuration::route);
+        Optional<CustomerName> customer = customer(session, route, configuration);
         Optional<StatementResult.Failed> refusal = SessionDrain.refusal(received.statement(), context)
-                .or(() -> refusal(session, configuration))
-                .or(() -> placementRefusal(session, received.statement(), context));
+                .or(() -> refusal(route, customer))
+                .or(() -> placementRefusal(route.get(), customer.get(), received.statement(), context));
         if (refusal.isPresent()) {
             effects.add(new SessionEffect.Log(
                     received.requestId(), "refused", describe(refusal.get()) + " version=" + configuration.version()));
@@ -212,22 +222,16 @@
         if (received.statement() instanceof Statement.Execute execute && template.isEmpty()) {
             return answer(session, unknownStatement(execute.name()), effects);
         }
-        ServiceRoute route =
-                configuration.route(session.database().orElseThrow()).orElseThrow();
-        CallerSession started = start(session, received, template, route, context.now(), effects);
-        CustomerName customer = session.customer(route, configuration).orElseThrow();
+        CallerSession started = start(session, received, template, route.get(), customer.get(), context.now(), effects);
         CallerSession awaiting = started.withTokenRequest();
-        effects.add(new SessionEffect.RequestRateToken(started.nextRequestId(), customer, route.maximumTokenWait()));
+        effects.add(new SessionEffect.RequestRateToken(
+                started.nextRequestId(), customer.get(), route.get().maximumTokenWait()));
         return awaiting;
     }
 
     /** Refuses a statement before it takes a token if no database may run it. */
     private static Optional<StatementResult.Failed> placementRefusal(
-            CallerSession session, Statement statement, SessionContext context) {
-        ServiceConfiguration configuration = context.view().configuration();
-        ServiceRoute route =
-                configuration.route(session.database().orElseThrow()).orElseThrow();
-        CustomerName customer = session.customer(route, configuration).orElseThrow();
+            ServiceRoute route, CustomerName customer, Statement statement, SessionContext context) {
         boolean mayUseReplica = switch (statement) {
             case Statement.Begin begin -> begin.readOnly();
             case Statement.Write _ -> false;
@@ -241,20 +245,35 @@
             SessionEvent.StatementReceived received,
             Optional<StatementTemplate> template,
             ServiceRoute route,
+            CustomerName customer,
             Instant now,
             List<SessionEffect> effects) {
         Instant deadline = now.plus(route.statementTimeout());
         effects.add(new SessionEffect.WakeAt(deadline));
         return session.with(new CurrentStatement(
-                received.requestId(), received.statement(), template, route, now, deadline, 0, Set.of(), false));
+                received.requestId(),
+                received.statement(),
+                template,
+                route,
+                customer,
+                now,
+                deadline,
+                0,
+                Set.of(),
+                false));
     }
 
-    private static Optional<StatementResult.Failed> refusal(CallerSession session, ServiceConfiguration configuration) {
-        Optional<ServiceRoute> route = session.database().flatMap(configuration::route);
+    private static Optional<CustomerName> customer(
+            CallerSession session, Optional<ServiceRoute> route, ServiceConfiguration configuration) {
+        return route.flatMap(known -> session.customer(known, configuration));
+    }
+
+    private static Optional<StatementResult.Failed> refusal(
+            Optional<ServiceRoute> route, Optional<CustomerName> customer) {
         if (route.isEmpty()) {
             return Optional.of(failed(ErrorCode.UNKNOWN_DATABASE, "no route has this database name"));
         }
-        return session.customer(route.get(), configuration).isPresent()
+        return customer.isPresent()
                 ? Optional.empty()
                 : Optional.of(failed(ErrorCode.UNKNOWN_KEY, "no customer holds this key"));
     }
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementCompletion.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementCompletion.java
@@ -33,8 +33,7 @@
     /**
      * Ends a begin that failed at the database after it was answered. The first statement then begins the transaction.
      */
-    private static CallerSession deferBeginToFirstStatement(
-            CallerSession session, String text, List<SessionEffect> effects) {
+    static CallerSession deferBeginToFirstStatement(CallerSession session, String text, List<SessionEffect> effects) {
         effects.add(new SessionEffect.Log(
                 session.currentStatement().orElseThrow().requestId(),
                 "begin deferred to the first statement",
@@ -51,13 +50,34 @@
         return fail(released, code, text, effects);
     }
 
+    /** Rolls back the transaction of a statement that was not sent, and answers that nothing of it is kept. */
+    static CallerSession failRolledBack(CallerSession session, String text, List<SessionEffect> effects) {
+        boolean commits = session.currentStatement().orElseThrow().isCommit();
+        CallerSession rolledBack = rollBack(session, OpenTransaction.Status.FAILED, effects);
+        return fail(commits ? rolledBack.withoutTransaction() : rolledBack, ErrorCode.ROLLED_BACK, text, effects);
+    }
+
+    /** Returns the connection of a transaction that has run no statement, which can then begin at any database. */
+    static CallerSession unpin(CallerSession session, List<SessionEffect> effects) {
+        return session.transaction()
+                .map(open -> {
+                    returnPinnedConnection(open, effects);
+                    return session.with(open.unpinned());
+                })
+                .orElse(session);
+    }
+
     /** Rolls back the transaction and returns its connection to the pool. */
     static CallerSession rollBack(CallerSession session, OpenTransaction.Status status, List<SessionEffect> effects) {
         OpenTransaction open = session.transaction().orElseThrow();
+        returnPinnedConnection(open, effects);
+        return session.with(open.withFailure(status));
+    }
+
+    private static void returnPinnedConnection(OpenTransaction open, List<SessionEffect> effects) {
         open.pinnedConnection()
                 .ifPresent(pinned -> effects.add(new SessionEffect.ReturnConnection(
                         pinned.placement().database(), pinned.connectionId(), true)));
-        return session.with(open.withFailure(status));
     }
 
     static CallerSession failTransaction(CallerSession session) {
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementExecution.java
@@ -6,9 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.geraniumproxy.core.identity.BackendServerName;
-import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.LogPosition;
-import org.geraniumproxy.core.service.ServiceConfiguration;
 import org.geraniumproxy.core.statement.Statement;
 
 /** Chooses a database for a statement, waits for a slot, applies the session's state and sends the statement. */
@@ -23,11 +21,9 @@
 
     static CallerSession place(CallerSession session, SessionContext context, List<SessionEffect> effects) {
         CurrentStatement current = session.currentStatement().orElseThrow().withNextTry();
-        ServiceConfiguration configuration = context.view().configuration();
-        Optional<CustomerName> customer = session.customer(current.route(), configuration);
-        if (customer.isEmpty()) {
-            return StatementCompletion.failWithRollback(
-                    session, ErrorCode.UNKNOWN_KEY, "the key was withdrawn before the statement was sent", effects);
+        Optional<CustomerChange> change = CustomerChange.of(session, context);
+        if (change.isPresent()) {
+            return StatementReassignment.apply(session, change.get(), context, effects);
         }
         if (PromotionHold.isHeld(session, context)) {
             return PromotionHold.hold(session, context, effects);
@@ -36,23 +32,26 @@
                 session.transaction().flatMap(OpenTransaction::pinnedConnection);
         if (pinned.isPresent()) {
             Optional<StatementResult.Failed> refusal = PlacementRefusal.pinned(
-                    current.route(), customer.get(), pinned.get().placement().database(), context.view());
+                    current.route(),
+                    current.customer(),
+                    pinned.get().placement().database(),
+                    context.view());
             if (refusal.isPresent()) {
                 return StatementCompletion.failWithRollback(
                         session, refusal.get().code(), refusal.get().text(), effects);
             }
-            return requestSlot(session.with(current), pinned.get().placement(), customer.get(), true, effects);
+            return requestSlot(session.with(current), pinned.get().placement(), true, effects);
         }
         Optional<Placement> chosen = Placement.choose(
                 current.route(),
-                customer.get(),
+                current.customer(),
                 mayUseReplica(session, current),
                 session.lastCommit(),
                 current.excludedDatabases(),
                 current.arrivedAt(),
                 context);
         if (chosen.isEmpty()) {
-            Optional<StatementResult.Failed> refusal = refusal(session, current, customer.get(), context);
+            Optional<StatementResult.Failed> refusal = refusal(session, current, context);
             if (refusal.isPresent()) {
                 return StatementCompletion.failWithRollback(
                         session, refusal.get().code(), refusal.get().text(), effects);
@@ -60,7 +59,7 @@
             return scheduleRetry(
                     session, session.currentStatement().orElseThrow().withoutExclusions(), context.now(), effects);
         }
-        return requestSlot(session.with(current), chosen.get(), customer.get(), false, effects);
+        return requestSlot(session.with(current), chosen.get(), false, effects);
     }
 
     /**
@@ -68,10 +67,10 @@
      * serve it soon: databases that refused it once may have caught up.
      */
     private static Optional<StatementResult.Failed> refusal(
-            CallerSession session, CurrentStatement current, CustomerName customer, SessionContext context) {
+            CallerSession session, CurrentStatement current, SessionContext context) {
         boolean mayUseReplica = mayUseReplica(session, current);
         Optional<StatementResult.Failed> refusal =
-                PlacementRefusal.of(current.route(), customer, mayUseReplica, context.view());
+                PlacementRefusal.of(current.route(), current.customer(), mayUseReplica, context.view());
         return refusal.isEmpty() && current.excludedDatabases().isEmpty()
                 ? PlacementRefusal.evacuated(current.route(), context.view())
                 : refusal;
@@ -95,6 +94,11 @@
         }
         CurrentStatement current = session.currentStatement().orElseThrow();
         Placement placement = waiting.placement();
+        Optional<CustomerChange> change = CustomerChange.of(session, context);
+        if (change.isPresent()) {
+            returnUnusedSlot(session, granted, placement, effects);
+            return StatementReassignment.apply(session, change.get(), context, effects);
+        }
         if (PromotionHold.isHeld(session, context)) {
             returnUnusedSlot(session, granted, placement, effects);
             return PromotionHold.hold(session, context, effects);
@@ -197,17 +201,13 @@
     }
 
     private static CallerSession requestSlot(
-            CallerSession session,
-            Placement placement,
-            CustomerName customer,
-            boolean holdsConnection,
-            List<SessionEffect> effects) {
+            CallerSession session, Placement placement, boolean holdsConnection, List<SessionEffect> effects) {
         CurrentStatement current = session.currentStatement().orElseThrow();
         BackendServerName database = placement.database();
         effects.add(new SessionEffect.RequestSlot(
                 database,
                 session.nextRequestId(),
-                customer,
+                current.customer(),
                 current.route().priority(),
                 current.deadline(),
                 holdsConnection));
--- a/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
+++ b/core/src/test/java/org/geraniumproxy/core/caller/CallerSessionFixture.java
@@ -35,6 +35,8 @@
     static final GroupName GROUP = GroupName.of("entries");
     static final BackendServerName PRIMARY = BackendServerName.of("db-1");
     static final BackendServerName REPLICA = BackendServerName.of("db-2");
+    static final CustomerName TROUPE = CustomerName.of("troupe");
+    static final CustomerName JUROR = CustomerName.of("juror");
     static final KeyDigest KEY = KeyDigest.ofKey("key");
     static final Duration TIMEOUT = Duration.ofMillis(800);
 
@@ -44,7 +46,9 @@
 
     private PrimaryPositionHistory primaryHistory = PrimaryPositionHistory.NONE;
     private Instant now = Instant.EPOCH;
-    private boolean keyConfigured = true;
+    private Optional<CustomerName> keyHolder = Optional.of(TROUPE);
+    private long version = 4;
+    private boolean anonymousAllowed;
     private Duration statementTimeout = TIMEOUT;
     private Optional<CallerDrain> drain = Optional.empty();
     private Map<GroupName, PromotionFences> promotionFences = Map.of();
@@ -78,10 +82,30 @@
     }
 
     CallerSessionFixture withdrawsKey() {
-        keyConfigured = false;
+        return configures(Optional.empty());
+    }
+
+    CallerSessionFixture movesKeyTo(CustomerName customer) {
+        return configures(Optional.of(customer));
+    }
+
+    /** Applies the next version of the configuration, in which the given customer holds the key. */
+    private CallerSessionFixture configures(Optional<CustomerName> holder) {
+        keyHolder = holder;
+        version++;
         return this;
     }
 
+    CallerSessionFixture allowsAnonymous() {
+        anonymousAllowed = true;
+        return this;
+    }
+
+    /** Returns the customer for whom the caller's statements run, or empty if its key is not known. */
+    Optional<CustomerName> customer() {
+        return keyHolder.isEmpty() && anonymousAllowed ? Optional.of(CallerSession.ANONYMOUS) : keyHolder;
+    }
+
     /** Begins a stop in which transactions end after 1 s and answers are due after 3 s. */
     CallerSessionFixture startsDraining() {
         drain = Optional.of(new CallerDrain(now, now.plusSeconds(1), now.plusSeconds(3)));
@@ -125,6 +149,11 @@
                 : this;
     }
 
+    /** Runs a statement of an open transaction. */
+    CallerSessionFixture runs(Statement statement) {
+        return sends(statement).grantsSlot().receivesReplies(completed(TransactionState.OPEN, 1));
+    }
+
     /** Returns the id of the token request that the last event has caused. */
     long tokenRequestId() {
         return effect(SessionEffect.RequestRateToken.class).orElseThrow().tokenRequestId();
@@ -143,6 +172,10 @@
         return on(new SessionEvent.ConnectionLost(CONNECTION));
     }
 
+    List<SessionEffect> effects() {
+        return effects;
+    }
+
     List<BackendCommand> sentCommands() {
         return effect(SessionEffect.SendCommands.class)
                 .map(SessionEffect.SendCommands::commands)
@@ -238,20 +271,22 @@
                             statementTimeout,
                             Duration.ofMillis(400),
                             1,
-                            false,
+                            anonymousAllowed,
                             regionsAllowed));
         }
-        Set<KeyDigest> keys = keyConfigured ? Set.of(KEY) : Set.of();
-        CustomerName name = CustomerName.of("troupe");
-        ServiceCustomer customer = new ServiceCustomer(name, keys, 100, 100);
         return ServiceConfiguration.of(
-                4,
+                version,
                 routes,
                 Map.of(GROUP, new ServiceGroup(GROUP, 16, 1)),
-                Map.of(name, customer),
+                Map.of(TROUPE, serviceCustomer(TROUPE), JUROR, serviceCustomer(JUROR)),
                 Duration.ofSeconds(3));
     }
 
+    private ServiceCustomer serviceCustomer(CustomerName name) {
+        Set<KeyDigest> keys = keyHolder.equals(Optional.of(name)) ? Set.of(KEY) : Set.of();
+        return new ServiceCustomer(name, keys, 100, 100);
+    }
+
     private static DatabaseEntry entry(BackendServerName name, FailureDomain failureDomain, boolean primary) {
         return new DatabaseEntry(
                 name, GROUP, "10.0.0.1:1", failureDomain, 2, false, primary, 1, 1, new StoreRevision(1, 1));
--- a/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/telemetry/NodeMetrics.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import org.geraniumproxy.core.balance.EjectionChange;
 import org.geraniumproxy.core.caller.ErrorCode;
+import org.geraniumproxy.core.caller.KeyMoveOutcome;
 import org.geraniumproxy.core.directory.DatabaseAvailability;
 import org.geraniumproxy.core.limit.TokenSource;
 
@@ -56,6 +57,11 @@
             .help("Operations refused for want of a rate token, by where the token should have come from.")
             .labelNames("source")
             .register(registry);
+    private final Counter keyMoves = Counter.builder()
+            .name("geraniumproxy_key_moves")
+            .help("Operations whose key moved to another customer before their next statement, by what became of them.")
+            .labelNames("outcome")
+            .register(registry);
     private final Counter sharedConnections = Counter.builder()
             .name("geraniumproxy_shared_connections")
             .help("Events in the use of database connections that another VM owns.")
@@ -187,6 +193,15 @@
         operationsOverRate.labelValues(source.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /**
+     * Counts an operation whose key moved to another customer.
+     *
+     * @param outcome what became of the operation, which becomes the label
+     */
+    public void keyMoved(KeyMoveOutcome outcome) {
+        keyMoves.labelValues(outcome.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /**
      * Counts an event in the use of database connections that another VM owns.
      *
--- a/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
+++ b/engine/src/main/java/org/geraniumproxy/engine/traffic/TrafficEngine.java
@@ -472,6 +472,7 @@
                 positions.recordAcknowledgedCommit(record.group(), record.lowerBound());
             case SessionEffect.ReportObservation report -> observations.record(report.group(), report.observation());
             case SessionEffect.WakeAt wake -> scheduleWakeUp(caller, wake.at());
+            case SessionEffect.CountKeyMove move -> metrics.keyMoved(move.outcome());
             case SessionEffect.Log line -> log(line.requestId(), line.decision(), line.detail());
         }
     }
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -195,6 +195,14 @@
         return configure(consistency, RateOwnership.alone(VmName.of("vm-1")));
     }
 
+    /** Applies a configuration in which another customer holds the callers' key. */
+    EngineFixture moveKeyTo(CustomerName customer) throws Exception {
+        ServiceCustomer former = new ServiceCustomer(CUSTOMER, Set.of(), 1000, 1000);
+        ServiceCustomer holder = new ServiceCustomer(customer, Set.of(KeyDigest.ofKey(KEY)), 1000, 1000);
+        view = view(Consistency.PRIMARY, Map.of(CUSTOMER, former, customer, holder));
+        return runOnLoop(() -> engine.update(view, RateOwnership.alone(VmName.of("vm-1"))));
+    }
+
     /** Applies a configuration with one route of the given consistency. */
     EngineFixture configure(Consistency consistency, RateOwnership ownership) throws Exception {
         databases.keySet().stream()
