Roll back transactions on the gRPC interface whose key has moved

Callers saw, on the project's own interface: an open transaction went on for the former customer of its key, was charged to it, and its COMMIT was kept. A request whose key moved while it waited for a rate token ran for the former customer.

EntryTransaction decided the admission anew every 250 ms and at each step, but only asked whether it was refused; EntryHandler did the same after the wait for a token and then used the first admission. Without a session token in the first request, a key that has moved is admitted, for the other customer.

Change: both compare the customer. A transaction is rolled back and answered with FOREIGN_TOKEN, or its stream ends with UNAVAILABLE, so that the caller may begin again; a statement is also checked after the wait for its token. A request that has not run takes a token of the new customer, with its deadline unchanged. A commit that was sent keeps its own outcome.

--- a/core/src/main/java/org/geraniumproxy/core/admission/Admission.java
+++ b/core/src/main/java/org/geraniumproxy/core/admission/Admission.java
@@ -14,7 +14,17 @@
      * @param token session token of the caller
      * @param request the request for the database group
      */
-    record Admitted(SessionToken token, GroupRequest request) implements Admission {}
+    record Admitted(SessionToken token, GroupRequest request) implements Admission {
+        /**
+         * Returns whether a request was admitted for the same customer. A key may move to another one in between.
+         *
+         * @param other an earlier admission of the same request
+         * @return true if both are for one customer
+         */
+        public boolean isForCustomerOf(Admitted other) {
+            return token.customer().equals(other.token.customer());
+        }
+    }
 
     /**
      * The request is refused and had no effect.
--- a/core/src/main/java/org/geraniumproxy/core/admission/CallerRequest.java
+++ b/core/src/main/java/org/geraniumproxy/core/admission/CallerRequest.java
@@ -29,4 +29,24 @@
         Duration timeLeft,
         Optional<Access> access,
         boolean repeatable,
-        Duration acceptedAge) {}
+        Duration acceptedAge) {
+    /**
+     * Returns the same request with another time that the caller still waits.
+     *
+     * @param remaining the time
+     * @return the request
+     */
+    public CallerRequest withTimeLeft(Duration remaining) {
+        return new CallerRequest(
+                requestNumber,
+                key,
+                sessionToken,
+                route,
+                statementKey,
+                statement,
+                remaining,
+                access,
+                repeatable,
+                acceptedAge);
+    }
+}
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryHandler.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryHandler.java
@@ -150,7 +150,10 @@
         };
     }
 
-    /** Takes a rate token and then checks the request again, because the key may be withdrawn during the wait. */
+    /**
+     * Takes a rate token and then checks the request again, because the key may be withdrawn during the wait. If it has
+     * moved to another customer, the request needs a token of that one.
+     */
     private Admission admit(CallerRequest request, InFlightRequests.Ticket ticket) {
         Instant arrivedAt = context.now();
         Admission first = AdmissionDecision.decide(context.snapshot(), request, arrivedAt);
@@ -162,9 +165,16 @@
         if (limited.isPresent()) {
             return new Admission.Refused(limited.get());
         }
-        return AdmissionDecision.decide(context.snapshot(), request, context.now()) instanceof Admission.Refused refused
-                ? refused
-                : admitted;
+        Instant now = context.now();
+        return switch (AdmissionDecision.decide(context.snapshot(), request, now)) {
+            case Admission.Refused refused -> refused;
+            case Admission.Admitted latest when latest.isForCustomerOf(admitted) -> admitted;
+            case Admission.Admitted _ ->
+                admit(
+                        request.withTimeLeft(
+                                Duration.between(now, admitted.request().deadline())),
+                        ticket);
+        };
     }
 
     /**
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryTransaction.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryTransaction.java
@@ -13,15 +13,18 @@
 import org.geraniumproxy.core.routing.GroupResult;
 import org.geraniumproxy.proxy.telemetry.Hop;
 import org.geraniumproxy.proxy.telemetry.InFlightRequests;
+import org.jboss.logging.Logger;
 
 /**
- * A caller's open transaction. It ends when its key is withdrawn, the view of the keys is too old, its deadline has
- * passed, or the drain of the node is over, also while the caller is silent.
+ * A caller's open transaction. It ends when its key is withdrawn or moves to another customer, the view of the keys is
+ * too old, its deadline has passed, or the drain of the node is over, also while the caller is silent.
  */
 public final class EntryTransaction implements AutoCloseable {
     /** Time between two looks at the configuration. A withdrawn key must stop working within 5 s. */
     static final Duration REVOCATION_CHECK_INTERVAL = Duration.ofMillis(250);
 
+    private static final Logger log = Logger.getLogger(EntryTransaction.class);
+
     private final TrafficContext context;
     private final EntryHandler entry;
     private final CallerRequest request;
@@ -106,9 +109,8 @@
     }
 
     private Optional<Outcome.NotRun> refusalOf(TransactionStep step) {
-        Optional<Outcome.NotRun> revocation = findRevocation();
+        Optional<Outcome.NotRun> revocation = revokeIfDue();
         if (revocation.isPresent()) {
-            revoke(revocation.get());
             return revocation;
         }
         if (!(step instanceof TransactionStep.Statement statement)) {
@@ -118,7 +120,15 @@
             return Optional.of(
                     new Outcome.NotRun(NotRunReason.STATEMENT_TOO_LARGE, "the statement is too large", Duration.ZERO));
         }
-        return entry.takeToken(admitted.token().customer(), admitted.request().deadline(), ticket);
+        // The key may be withdrawn or move while the statement waits for its token.
+        return entry.takeToken(admitted.token().customer(), admitted.request().deadline(), ticket)
+                .or(this::revokeIfDue);
+    }
+
+    private Optional<Outcome.NotRun> revokeIfDue() {
+        Optional<Outcome.NotRun> revocation = findRevocation();
+        revocation.ifPresent(this::revoke);
+        return revocation;
     }
 
     private void endWithDrain() {
@@ -154,17 +164,32 @@
                     "the deadline of the transaction has passed; it is rolled back",
                     Duration.ZERO));
         }
-        Admission admission = AdmissionDecision.decide(context.snapshot(), request, context.now());
-        if (!(admission instanceof Admission.Refused refused)) {
-            return Optional.empty();
-        }
-        return Optional.of(
-                refused.outcome().reason() == NotRunReason.UNKNOWN_KEY
-                        ? new Outcome.NotRun(
-                                NotRunReason.KEY_WITHDRAWN,
-                                "the key was withdrawn; the transaction is rolled back",
-                                Duration.ZERO)
-                        : refused.outcome());
+        return switch (AdmissionDecision.decide(context.snapshot(), request, context.now())) {
+            case Admission.Refused refused -> Optional.of(withdrawal(refused.outcome()));
+            case Admission.Admitted latest when latest.isForCustomerOf(admitted) -> Optional.empty();
+            case Admission.Admitted latest -> Optional.of(keyMove(latest));
+        };
+    }
+
+    private static Outcome.NotRun withdrawal(Outcome.NotRun refusal) {
+        return refusal.reason() == NotRunReason.UNKNOWN_KEY
+                ? new Outcome.NotRun(
+                        NotRunReason.KEY_WITHDRAWN,
+                        "the key was withdrawn; the transaction is rolled back",
+                        Duration.ZERO)
+                : refusal;
+    }
+
+    private Outcome.NotRun keyMove(Admission.Admitted latest) {
+        log.infof(
+                "caller: the transaction of request %d is rolled back; its key moved from customer %s to %s",
+                request.requestNumber(),
+                admitted.token().customer(),
+                latest.token().customer());
+        return new Outcome.NotRun(
+                NotRunReason.FOREIGN_TOKEN,
+                "the key moved to another customer; the transaction is rolled back",
+                Duration.ZERO);
     }
 
     private EntryReply reply(TransactionStep step, GroupResult result) {
--- a/proxy/src/test/java/org/geraniumproxy/proxy/caller/Caller_execute_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/caller/Caller_execute_Test.java
@@ -217,6 +217,20 @@
         assertThat(reply.getOutcome().getNotRun().getRetryAfterMillis(), equalTo(40L));
     }
 
+    /** Guards against a request that is charged to one customer and runs for another one. */
+    @Test
+    void should_charge_the_new_customer_when_the_key_moves_while_the_request_waits_for_its_token() {
+        // given
+        nodes.onTokenWait.set(nodes::moveKey);
+
+        // when
+        ExecuteReply reply = execute(read("GET act"));
+
+        // then
+        assertThat(reply.getOutcome().hasAnswer(), is(true));
+        assertThat(nodes.chargedCustomers, contains(TestNodes.CUSTOMER, TestNodes.OTHER_CUSTOMER));
+    }
+
     private ExecuteReply execute(ExecuteRequest.Builder request) {
         return nodes.caller().execute(request.build());
     }
--- a/proxy/src/test/java/org/geraniumproxy/proxy/caller/Caller_transact_Test.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/caller/Caller_transact_Test.java
@@ -17,6 +17,7 @@
 import org.geraniumproxy.protocol.ExecuteRequest;
 import org.geraniumproxy.protocol.NotRunReason;
 import org.geraniumproxy.protocol.ReceivedStatement;
+import org.geraniumproxy.proxy.testing.ManualDelay;
 import org.geraniumproxy.proxy.testing.TestGroup;
 import org.geraniumproxy.proxy.testing.TestNodes;
 import org.geraniumproxy.proxy.testing.TransactionCaller;
@@ -134,6 +135,55 @@
         assertThat(read("act"), not(contains("mime")));
     }
 
+    /** Guards against a transaction that goes on for the former customer of its key. */
+    @Test
+    void should_end_stream_and_roll_back_when_key_moves_to_another_customer() {
+        // given a caller that stays silent
+        TransactionCaller caller = begin(TestNodes.KEY);
+        caller.statement("PUT act mime");
+
+        // when
+        nodes.moveKey();
+
+        // then
+        assertThat(caller.ended().getCode(), equalTo(Status.Code.UNAVAILABLE));
+        drained();
+        assertThat(nodes.pool.held(), equalTo(0));
+        assertThat(read("act"), not(contains("mime")));
+    }
+
+    /** Guards against a commit for the former customer before the next look at the configuration. */
+    @Test
+    void should_refuse_to_commit_for_the_former_customer_of_the_key() {
+        try (TestNodes unchecked = new TestNodes(new ManualDelay())) {
+            // given
+            TransactionCaller caller = TransactionCaller.open(unchecked.streamingCaller());
+            caller.begin(TestNodes.KEY);
+            caller.statement("PUT act mime");
+
+            // when
+            unchecked.moveKey();
+            ExecuteReply committed = caller.commit();
+
+            // then
+            assertThat(committed.getOutcome().getNotRun().getReason(), equalTo(NotRunReason.FOREIGN_TOKEN));
+        }
+    }
+
+    /** Guards against a statement that takes a token of one customer and runs after its key has moved. */
+    @Test
+    void should_refuse_a_statement_whose_key_moves_while_it_waits_for_its_token() {
+        // given
+        TransactionCaller caller = begin(TestNodes.KEY);
+        nodes.onTokenWait.set(nodes::moveKey);
+
+        // when
+        ExecuteReply reply = caller.statement("PUT act mime");
+
+        // then
+        assertThat(reply.getOutcome().getNotRun().getReason(), equalTo(NotRunReason.FOREIGN_TOKEN));
+    }
+
     @Test
     void should_refuse_statement_and_keep_transaction_when_statement_is_too_large() {
         // given
--- a/proxy/src/test/java/org/geraniumproxy/proxy/testing/TestNodes.java
+++ b/proxy/src/test/java/org/geraniumproxy/proxy/testing/TestNodes.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumproxy.core.configuration.Configuration;
 import org.geraniumproxy.core.configuration.ConfigurationRevision;
@@ -79,8 +80,12 @@
     public final AtomicReference<Duration> viewAge = new AtomicReference<>(Duration.ZERO);
     public final AtomicReference<RateDecision> rate = new AtomicReference<>(new RateDecision.Admitted());
     public final AtomicReference<RetryPolicy> retries = new AtomicReference<>(new NoRetries());
+    public final List<CustomerName> chargedCustomers = new CopyOnWriteArrayList<>();
+    /** Runs once while a request waits for its rate token. */
+    public final AtomicReference<Runnable> onTokenWait = new AtomicReference<>(() -> {});
+
     private final AtomicReference<Configuration> configuration =
-            new AtomicReference<>(configuration(Set.of(KeyDigest.ofKey(KEY))));
+            new AtomicReference<>(configuration(Set.of(KeyDigest.ofKey(KEY)), Set.of(KeyDigest.ofKey(OTHER_KEY))));
     private final OpenTelemetrySdk telemetry = OpenTelemetrySdk.builder()
             .setTracerProvider(SdkTracerProvider.builder()
                     .addSpanProcessor(SimpleSpanProcessor.create(spans))
@@ -92,7 +97,12 @@
     private final ManagedChannel channel;
 
     public TestNodes() {
-        TrafficContext coordinatorContext = context(this::coordinatorSnapshot, coordinatorRequests);
+        this(Delay.SYSTEM);
+    }
+
+    /** Creates nodes whose entry proxy waits with the given delays. */
+    public TestNodes(Delay entryDelay) {
+        TrafficContext coordinatorContext = context(this::coordinatorSnapshot, Delay.SYSTEM, coordinatorRequests);
         CoordinatorHandler coordinator =
                 new CoordinatorHandler(coordinatorContext, pool, new TestDurability(), _ -> Map.of());
         PeerEndpoint.Handlers handlers = new PeerEndpoint.Handlers(
@@ -105,10 +115,10 @@
                 new ChannelCache(transport.intercepted(tracing.clientInterceptor()), TestGroup.CLOCK),
                 transport.executor(),
                 TestGroup.CLOCK);
-        TrafficContext entryContext = context(this::entrySnapshot, entryRequests);
+        TrafficContext entryContext = context(this::entrySnapshot, entryDelay, entryRequests);
         EntryHandler entry = new EntryHandler(
                 entryContext,
-                (customer, deadline) -> CompletableFuture.completedFuture(rate.get()),
+                (customer, _) -> takeToken(customer),
                 request -> {
                     throw new AssertionError("the entry proxy does not serve the group");
                 },
@@ -130,7 +140,18 @@
     }
 
     public void withdrawKey() {
-        configuration.set(configuration(Set.of()));
+        configuration.set(configuration(Set.of(), Set.of(KeyDigest.ofKey(OTHER_KEY))));
+    }
+
+    /** Moves {@link #KEY} to the other customer. */
+    public void moveKey() {
+        configuration.set(configuration(Set.of(), Set.of(KeyDigest.ofKey(KEY), KeyDigest.ofKey(OTHER_KEY))));
+    }
+
+    private CompletableFuture<RateDecision> takeToken(CustomerName customer) {
+        chargedCustomers.add(customer);
+        onTokenWait.getAndSet(() -> {}).run();
+        return CompletableFuture.completedFuture(rate.get());
     }
 
     @Override
@@ -143,11 +164,11 @@
     }
 
     private TrafficContext context(
-            org.geraniumproxy.proxy.control.SnapshotSource snapshots, InFlightRequests requests) {
+            org.geraniumproxy.proxy.control.SnapshotSource snapshots, Delay delay, InFlightRequests requests) {
         return new TrafficContext(
                 snapshots,
                 TestGroup.CLOCK,
-                Delay.SYSTEM,
+                delay,
                 transport.executor(),
                 tracing,
                 new TrafficMetrics(new PrometheusRegistry()),
@@ -173,9 +194,9 @@
                 views);
     }
 
-    private static Configuration configuration(Set<KeyDigest> keys) {
+    private static Configuration configuration(Set<KeyDigest> keys, Set<KeyDigest> otherKeys) {
         Customer customer = new Customer(CUSTOMER, 1000, 100, 1, keys);
-        Customer other = new Customer(OTHER_CUSTOMER, 1000, 100, 1, Set.of(KeyDigest.ofKey(OTHER_KEY)));
+        Customer other = new Customer(OTHER_CUSTOMER, 1000, 100, 1, otherKeys);
         Route registrations = new Route(
                 RouteName.of("registrations"),
                 List.of(TestGroup.GROUP),
