Name the revision that moved a key in the log of the gRPC node

The line named the request and both customers, but not the version that decided. Also explain when StatementReassignment is used. No behavior changes.

--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementAdmission.java
@@ -89,7 +89,7 @@
         if (!awaitsToken(session, refused.tokenRequestId())) {
             return session;
         }
-        // The former customer was over its rate, or was removed together with its limit.
+        // The refusal concerns the former customer, which was over its rate or was removed.
         Optional<CustomerChange> change =
                 CustomerChange.of(session, context).filter(CustomerChange.Moved.class::isInstance);
         if (change.isPresent()) {
--- a/core/src/main/java/org/geraniumproxy/core/caller/StatementReassignment.java
+++ b/core/src/main/java/org/geraniumproxy/core/caller/StatementReassignment.java
@@ -14,7 +14,10 @@
 
     private StatementReassignment() {}
 
-    /** Lets a statement go on that waits for its placement, or ends it. */
+    /**
+     * Lets the statement in progress go on, or ends it. It was not sent, and holds no slot; the connection of its
+     * transaction is still pinned.
+     */
     static CallerSession apply(
             CallerSession session, CustomerChange change, SessionContext context, List<SessionEffect> effects) {
         return switch (change) {
@@ -28,14 +31,14 @@
     private static CallerSession move(
             CallerSession session, CustomerName holder, SessionContext context, List<SessionEffect> effects) {
         if (session.transaction().map(OpenTransaction::hasRunStatement).orElse(false)) {
-            record(session, holder, KeyMoveOutcome.ROLLED_BACK, context, effects);
+            report(session, holder, KeyMoveOutcome.ROLLED_BACK, context, effects);
             return StatementCompletion.failRolledBack(session, REASON, effects);
         }
         if (session.currentStatement().orElseThrow().answered()) {
             return StatementCompletion.deferBeginToFirstStatement(
                     StatementCompletion.unpin(session, effects), REASON, effects);
         }
-        record(session, holder, KeyMoveOutcome.RESTARTED, context, effects);
+        report(session, holder, KeyMoveOutcome.RESTARTED, context, effects);
         return restart(session, holder, effects);
     }
 
@@ -52,7 +55,7 @@
         return moved.withTokenRequest();
     }
 
-    private static void record(
+    private static void report(
             CallerSession session,
             CustomerName holder,
             KeyMoveOutcome outcome,
--- a/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryTransaction.java
+++ b/proxy/src/main/java/org/geraniumproxy/proxy/traffic/EntryTransaction.java
@@ -8,6 +8,7 @@
 import org.geraniumproxy.core.admission.Admission;
 import org.geraniumproxy.core.admission.AdmissionDecision;
 import org.geraniumproxy.core.admission.CallerRequest;
+import org.geraniumproxy.core.control.ControlSnapshot;
 import org.geraniumproxy.core.outcome.NotRunReason;
 import org.geraniumproxy.core.outcome.Outcome;
 import org.geraniumproxy.core.routing.GroupResult;
@@ -164,10 +165,11 @@
                     "the deadline of the transaction has passed; it is rolled back",
                     Duration.ZERO));
         }
-        return switch (AdmissionDecision.decide(context.snapshot(), request, context.now())) {
+        ControlSnapshot snapshot = context.snapshot();
+        return switch (AdmissionDecision.decide(snapshot, request, context.now())) {
             case Admission.Refused refused -> Optional.of(withdrawal(refused.outcome()));
             case Admission.Admitted latest when latest.isForCustomerOf(admitted) -> Optional.empty();
-            case Admission.Admitted latest -> Optional.of(keyMove(latest));
+            case Admission.Admitted latest -> Optional.of(keyMove(latest, snapshot));
         };
     }
 
@@ -180,12 +182,13 @@
                 : refusal;
     }
 
-    private Outcome.NotRun keyMove(Admission.Admitted latest) {
+    private Outcome.NotRun keyMove(Admission.Admitted latest, ControlSnapshot snapshot) {
         log.infof(
-                "caller: the transaction of request %d is rolled back; its key moved from customer %s to %s",
+                "caller: the transaction of request %d is rolled back; its key moved from customer %s to %s in revision %d",
                 request.requestNumber(),
                 admitted.token().customer(),
-                latest.token().customer());
+                latest.token().customer(),
+                snapshot.configuration().revision());
         return new Outcome.NotRun(
                 NotRunReason.FOREIGN_TOKEN,
                 "the key moved to another customer; the transaction is rolled back",
