Show that a moved key is kept from lent connections, too

Cause: the postmortem of the moved key had this path as read, not run.

Change: a test in which the entry VM learns that the key has moved, and the owner of the connections does not.

--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/EngineFixture.java
@@ -82,6 +82,7 @@
     private final TrafficEngine engine;
     private Map<VmName, VmLocation> vmLocations = Map.of();
     private TrafficView view = TrafficView.NONE;
+    private RateOwnership ownership = RateOwnership.alone(VmName.of("vm-1"));
     private int connectionLimit = 4;
     private final int port;
 
@@ -200,11 +201,12 @@
         ServiceCustomer former = new ServiceCustomer(CUSTOMER, Set.of(), 1000, 1000);
         ServiceCustomer holder = new ServiceCustomer(customer, Set.of(KeyDigest.ofKey(KEY)), 1000, 1000);
         view = view(Consistency.PRIMARY, Map.of(CUSTOMER, former, customer, holder));
-        return runOnLoop(() -> engine.update(view, RateOwnership.alone(VmName.of("vm-1"))));
+        return runOnLoop(() -> engine.update(view, ownership));
     }
 
     /** Applies a configuration with one route of the given consistency. */
-    EngineFixture configure(Consistency consistency, RateOwnership ownership) throws Exception {
+    EngineFixture configure(Consistency consistency, RateOwnership newest) throws Exception {
+        ownership = newest;
         databases.keySet().stream()
                 .findFirst()
                 .ifPresent(database -> vmLocations = besideDatabase(ownership.members(), database.value()));
--- a/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
+++ b/engine/src/test/java/org/geraniumproxy/engine/traffic/TrafficEngine_relay_Test.java
@@ -24,6 +24,7 @@
 import java.util.stream.IntStream;
 import org.geraniumproxy.core.directory.DatabaseEntry;
 import org.geraniumproxy.core.identity.BackendServerName;
+import org.geraniumproxy.core.identity.CustomerName;
 import org.geraniumproxy.core.identity.FailureDomain;
 import org.geraniumproxy.core.identity.StoreRevision;
 import org.geraniumproxy.core.identity.VmName;
@@ -199,6 +200,34 @@
         }
     }
 
+    /** Guards against a lent connection of the former customer of a key; the owner does not know of the move yet. */
+    @Test
+    void should_use_no_connection_of_the_former_customer_of_a_key() throws Exception {
+        CustomerName juror = IntStream.rangeClosed(1, 100)
+                .mapToObj(number -> CustomerName.of("juror-" + number))
+                .filter(name -> new RateOwnership(NONE, members, Map.of(), Set.of(), true)
+                        .holders(name, 1000)
+                        .getFirst()
+                        .equals(entryVm))
+                .findFirst()
+                .orElseThrow();
+        try (ScriptedDatabase primary =
+                        new ScriptedDatabase(line -> Optional.of(isInTransaction(line) ? "open" : "ok"));
+                EngineFixture owner = owner(primary, 0);
+                EngineFixture entry = entryVm(primary);
+                EngineFixture.TestCaller caller = entry.newCaller().connect()) {
+            assertThat(caller.readLine(), is("accepted"));
+            assertThat(caller.send("begin b1").readLine(), is("completed -"));
+            assertThat(caller.send("write t1").readLine(), is("completed signed"));
+            entry.moveKeyTo(juror);
+            assertThat(caller.send("commit c1").readLine(), is("failed ROLLED_BACK"));
+            assertThat(caller.send("write w2").readLine(), is("completed signed"));
+            primary.awaitLine("rollback").awaitLine("open " + database + " " + juror);
+            assertThat(primary.receivedLines().contains("commit c1"), is(false));
+            owner.awaitOutstandingStatements(database, 0);
+        }
+    }
+
     private static boolean isInTransaction(String line) {
         return line.equals("begin") || line.startsWith("run t");
     }
